ledger: name the receiver in NoteTransfer

A router that used transferred tokens may die before it notes the transfer. Its bill copies are then refused for want of holding, although they were promised safe. Whoever posts the copy has to be able to post the note before it, so the note names its receiver like a bill names its holder.

The flag of a bill's result says whether the named holder paid: a copy holder may have posted the same bill first, and the holder must not take it for a duplicate that charged somebody else.

--- a/lib/ledger/src/operation.rs
+++ b/lib/ledger/src/operation.rs
@@ -48,7 +48,7 @@
         /// How many tokens.
         amount: TokenCount,
     },
-    /// Records a transfer that the sender received from another router.
+    /// Records a transfer of tokens from one router to another.
     NoteTransfer {
         /// Identifies the transfer.
         transfer: OperationId,
@@ -56,6 +56,11 @@
         budget: BudgetId,
         /// Who deducted the tokens.
         giver: IncarnationId,
+        /// Who received them. Differs from the sender where the sender holds
+        /// a copy of a bill that needs the transfer, or is the giver and the
+        /// receiver is dead. Accepted, as bills are, until the receiver's
+        /// holdings are reclaimed.
+        receiver: IncarnationId,
         /// How many tokens.
         amount: TokenCount,
     },
@@ -140,7 +145,8 @@
     Billed {
         /// What the first bill of this request charged.
         amount: TokenCount,
-        /// Whether this operation was that first bill.
+        /// Whether that first bill charged the holder that this operation
+        /// names, whoever posted it; if not, the holder paid nothing.
         first: bool,
     },
     /// The tokens are added.
