--- /dev/null
+++ b/lib/service/src/client.rs
@@ -0,0 +1,145 @@
+//! Calls from one own process to another.
+
+use std::cell::RefCell;
+use std::error::Error;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::client::Client;
+use ntex::client::ClientBuilder;
+use ntex::client::error::ClientError;
+use ntex::time::Millis;
+use ntex::time::timeout;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::message::MESSAGE_CONTENT_TYPE;
+use crate::message::decode_message;
+use crate::message::encode_message;
+use crate::server::MAX_MESSAGE_BYTES;
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection could be had, so the other side saw nothing.
+    NotSent,
+    /// The call was sent; the other side may have acted on it.
+    ReplyLost,
+    /// The other side answered with this HTTP status.
+    Status(u16),
+    /// The answer could not be understood.
+    BadReply,
+}
+
+impl CallError {
+    /// Tells whether the other side may have acted on the call.
+    pub fn may_have_applied(self) -> bool {
+        match self {
+            CallError::NotSent => false,
+            CallError::ReplyLost | CallError::Status(_) | CallError::BadReply => true,
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NotSent => write!(f, "connection failed"),
+            CallError::ReplyLost => write!(f, "reply lost"),
+            CallError::Status(status) => write!(f, "answered with status {status}"),
+            CallError::BadReply => write!(f, "reply not understood"),
+        }
+    }
+}
+
+impl Error for CallError {}
+
+/// Sends messages to other own processes over kept connections.
+///
+/// A call that gets no reply in time drops every kept connection, since one
+/// that went silent may have company; the next call opens a new one.
+pub struct MessageClient {
+    client: RefCell<Option<Client>>,
+}
+
+impl MessageClient {
+    /// Makes a client without connections.
+    pub fn new() -> Self {
+        Self {
+            client: RefCell::new(None),
+        }
+    }
+
+    async fn client(&self) -> Result<Client, CallError> {
+        if let Some(client) = self.client.borrow().as_ref() {
+            return Ok(client.clone());
+        }
+        let client = ClientBuilder::new()
+            .disable_timeout()
+            .disable_redirects()
+            .response_payload_limit(MAX_MESSAGE_BYTES)
+            .build(SharedCfg::new("messages"))
+            .await
+            .map_err(|_| CallError::NotSent)?;
+        *self.client.borrow_mut() = Some(client.clone());
+        Ok(client)
+    }
+
+    /// Posts `message` to `path` at `address` and waits up to `wait` for the reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`CallError`] says.
+    pub async fn call<M, R>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &M,
+        wait: Duration,
+    ) -> Result<R, CallError>
+    where
+        M: Serialize,
+        R: DeserializeOwned,
+    {
+        let client = self.client().await?;
+        let limit = Millis(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+        let exchange = exchange(&client, address, path, encode_message(message));
+        match timeout(limit, exchange).await {
+            Ok(Ok(bytes)) => decode_message(&bytes).map_err(|_| CallError::BadReply),
+            Ok(Err(error)) => Err(error),
+            Err(()) => {
+                self.client.borrow_mut().take();
+                Err(CallError::ReplyLost)
+            }
+        }
+    }
+}
+
+impl Default for MessageClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+async fn exchange(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<ntex::util::Bytes, CallError> {
+    let response = client
+        .post(format!("http://{address}{path}"))
+        .content_type(MESSAGE_CONTENT_TYPE)
+        .send_body(body)
+        .await
+        .map_err(|error| match error {
+            ClientError::Connect(_) | ClientError::Url(_) => CallError::NotSent,
+            _ => CallError::ReplyLost,
+        })?;
+    if !response.status().is_success() {
+        return Err(CallError::Status(response.status().as_u16()));
+    }
+    response.body().await.map_err(|_| CallError::ReplyLost)
+}
