--- /dev/null
+++ b/lib/fleet/src/record.rs
@@ -0,0 +1,220 @@
+//! Reading and checking of records.
+
+use std::error::Error;
+use std::fmt;
+use std::fmt::Display;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use snipegate_platform::StoreRevision;
+use snipegate_types::ProcessRole;
+use snipegate_types::ProfileName;
+use snipegate_types::UpstreamId;
+use snipegate_types::VmId;
+use snipegate_types::WorkspaceId;
+
+use crate::key::FleetKey;
+use crate::member::MemberRecord;
+use crate::profile::ProfileRecord;
+use crate::settings::FleetSettings;
+use crate::upstream::UpstreamRecord;
+use crate::workspace::WorkspaceRecord;
+
+/// Why a record is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordError {
+    /// The bytes are not the JSON of this record.
+    Malformed {
+        /// What the parser found, with line and column.
+        reason: String,
+    },
+    /// A field has a value that is not accepted.
+    Value {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What is accepted.
+        accepted: String,
+    },
+}
+
+impl RecordError {
+    pub(crate) fn value(
+        field: &'static str,
+        value: impl Display,
+        accepted: impl Into<String>,
+    ) -> Self {
+        RecordError::Value {
+            field,
+            value: value.to_string(),
+            accepted: accepted.into(),
+        }
+    }
+}
+
+impl fmt::Display for RecordError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RecordError::Malformed { reason } => write!(f, "record is malformed: {reason}"),
+            RecordError::Value {
+                field,
+                value,
+                accepted,
+            } => write!(f, "{field}: {value} is not accepted, expected {accepted}"),
+        }
+    }
+}
+
+impl Error for RecordError {}
+
+pub(crate) fn check_range(
+    field: &'static str,
+    value: u64,
+    least: u64,
+    most: u64,
+) -> Result<(), RecordError> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(RecordError::value(
+        field,
+        value,
+        format!("{least} to {most}"),
+    ))
+}
+
+pub(crate) fn check_unique<T: PartialEq + Display>(
+    field: &'static str,
+    values: &[T],
+) -> Result<(), RecordError> {
+    let twice = |(at, value): (usize, &T)| values[..at].contains(value);
+    match values.iter().enumerate().find(|&item| twice(item)) {
+        Some((_, value)) => Err(RecordError::value(field, value, "each name once")),
+        None => Ok(()),
+    }
+}
+
+/// Longest accepted model version, in bytes.
+const MAX_VERSION_BYTES: usize = 128;
+
+pub(crate) fn check_name(field: &'static str, value: Option<&str>) -> Result<(), RecordError> {
+    match value {
+        Some(text) if text.is_empty() || text.len() > MAX_VERSION_BYTES => Err(RecordError::value(
+            field,
+            format!("{text:?}"),
+            "1 to 128 bytes of text",
+        )),
+        _ => Ok(()),
+    }
+}
+
+/// A record with its id and the store revision of the write that set it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigEntry<I, R> {
+    /// What the record is of.
+    pub id: I,
+    /// Revision of the write that set it.
+    pub revision: StoreRevision,
+    /// The record.
+    pub record: R,
+}
+
+/// One parsed record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FleetRecord {
+    /// The fleet-wide settings.
+    Settings(Arc<ConfigEntry<(), FleetSettings>>),
+    /// A workspace.
+    Workspace(Arc<ConfigEntry<WorkspaceId, WorkspaceRecord>>),
+    /// A profile.
+    Profile(Arc<ConfigEntry<ProfileName, ProfileRecord>>),
+    /// An upstream.
+    Upstream(Arc<ConfigEntry<UpstreamId, UpstreamRecord>>),
+    /// A process of the fleet.
+    Member(Arc<ConfigEntry<(VmId, ProcessRole), MemberRecord>>),
+}
+
+impl FleetRecord {
+    /// Reads and checks the record that `key` holds.
+    ///
+    /// # Errors
+    ///
+    /// Names the field, its value and what is accepted.
+    pub fn parse(
+        key: FleetKey,
+        revision: StoreRevision,
+        bytes: &[u8],
+    ) -> Result<Self, RecordError> {
+        Ok(match key {
+            FleetKey::Settings => {
+                let record: FleetSettings = decode(bytes)?;
+                record.validate()?;
+                FleetRecord::Settings(entry((), revision, record))
+            }
+            FleetKey::Workspace(id) => {
+                let record: WorkspaceRecord = decode(bytes)?;
+                record.validate()?;
+                FleetRecord::Workspace(entry(id, revision, record))
+            }
+            FleetKey::Profile(name) => {
+                let record: ProfileRecord = decode(bytes)?;
+                record.validate()?;
+                FleetRecord::Profile(entry(name, revision, record))
+            }
+            FleetKey::Upstream(id) => {
+                let record: UpstreamRecord = decode(bytes)?;
+                record.validate()?;
+                FleetRecord::Upstream(entry(id, revision, record))
+            }
+            FleetKey::Member(vm, role) => {
+                let record: MemberRecord = decode(bytes)?;
+                record.validate()?;
+                check_member_key(&record, &vm, role)?;
+                FleetRecord::Member(entry((vm, role), revision, record))
+            }
+        })
+    }
+
+    /// Writes the record as the JSON that the store holds.
+    pub fn to_json(&self) -> Vec<u8> {
+        let written = match self {
+            FleetRecord::Settings(entry) => serde_json::to_vec(&entry.record),
+            FleetRecord::Workspace(entry) => serde_json::to_vec(&entry.record),
+            FleetRecord::Profile(entry) => serde_json::to_vec(&entry.record),
+            FleetRecord::Upstream(entry) => serde_json::to_vec(&entry.record),
+            FleetRecord::Member(entry) => serde_json::to_vec(&entry.record),
+        };
+        written.expect("records have text keys only")
+    }
+}
+
+fn check_member_key(
+    record: &MemberRecord,
+    vm: &VmId,
+    role: ProcessRole,
+) -> Result<(), RecordError> {
+    let incarnation = &record.incarnation;
+    if &incarnation.vm == vm && incarnation.role == role {
+        return Ok(());
+    }
+    Err(RecordError::value(
+        "incarnation",
+        incarnation,
+        format!("a run of {role} on {vm}"),
+    ))
+}
+
+fn entry<I, R>(id: I, revision: StoreRevision, record: R) -> Arc<ConfigEntry<I, R>> {
+    Arc::new(ConfigEntry {
+        id,
+        revision,
+        record,
+    })
+}
+
+fn decode<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
+    serde_json::from_slice(bytes).map_err(|error| RecordError::Malformed {
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/lib/fleet/src/rendezvous.rs
@@ -0,0 +1,29 @@
+//! Rendezvous hashing.
+
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
+/// Returns the weight that `name` gives to `candidate`.
+pub fn rendezvous_weight(name: &str, candidate: &str) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0, 0);
+    hasher.write(name.as_bytes());
+    hasher.write_u8(0xff);
+    hasher.write(candidate.as_bytes());
+    hasher.finish()
+}
+
+/// Returns the candidate with the highest weight for `name`.
+///
+/// When a candidate comes or goes, only the names that it wins or held move.
+pub fn rendezvous_owner<T>(
+    name: &str,
+    candidates: impl Iterator<Item = T>,
+    id: impl Fn(&T) -> &str,
+) -> Option<T> {
+    let rank = |candidate: &T| {
+        let id = id(candidate);
+        (rendezvous_weight(name, id), id.to_owned())
+    };
+    candidates.max_by_key(rank)
+}
--- /dev/null
+++ b/lib/fleet/src/settings.rs
@@ -0,0 +1,124 @@
+//! Settings of the whole fleet.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::EnumString;
+
+use crate::record::RecordError;
+use crate::record::check_range;
+
+/// Which of the two costs a deployment weighs more, within the invariants.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum DeploymentPolicy {
+    /// Refusals while budget remains weigh more.
+    #[default]
+    FavourService,
+    /// Overspend and tokens held out of reach weigh more.
+    FavourBudget,
+}
+
+/// What a process does once its configuration is older than the bound.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum StalePolicy {
+    /// Go on under the newest configuration known; a change counts as in force
+    /// only when every live member has confirmed it.
+    #[default]
+    Serve,
+    /// Refuse with `config_stale` until something newer is heard; a change is
+    /// in force everywhere once the bound has passed.
+    Refuse,
+}
+
+/// Fleet-wide settings, at `fleet/config/fleet`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetSettings {
+    /// Number of ledger shards; fixed once budgets exist.
+    pub ledger_shards: u16,
+    /// How long the ledger remembers request ids, in milliseconds.
+    pub retry_window_ms: u64,
+    /// The time for which a router's grants should last, in milliseconds.
+    pub grant_horizon_ms: u64,
+    /// Which cost weighs more.
+    pub deployment_policy: DeploymentPolicy,
+    /// Age of the configuration from which `stale_policy` applies, in milliseconds.
+    pub staleness_bound_ms: u64,
+    /// What a process does past the bound.
+    pub stale_policy: StalePolicy,
+    /// How long callers may keep an answer of the directory, in milliseconds.
+    pub address_keep_ms: u64,
+    /// How many keepers of a data centre watch the store; the others follow them.
+    pub watchers_per_data_centre: u16,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            ledger_shards: 8,
+            retry_window_ms: 3_600_000,
+            grant_horizon_ms: 60_000,
+            deployment_policy: DeploymentPolicy::default(),
+            staleness_bound_ms: 8_000,
+            stale_policy: StalePolicy::default(),
+            address_keep_ms: 10_000,
+            watchers_per_data_centre: 2,
+        }
+    }
+}
+
+impl FleetSettings {
+    /// Returns the age from which the configuration counts as stale.
+    pub fn staleness_bound(&self) -> Duration {
+        Duration::from_millis(self.staleness_bound_ms)
+    }
+
+    /// Returns how long callers may keep addresses.
+    pub fn address_keep(&self) -> Duration {
+        Duration::from_millis(self.address_keep_ms)
+    }
+
+    /// Returns the time for which a router's grants should last.
+    pub fn grant_horizon(&self) -> Duration {
+        Duration::from_millis(self.grant_horizon_ms)
+    }
+
+    /// Returns how long the ledger remembers request ids.
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_millis(self.retry_window_ms)
+    }
+
+    /// Checks the values.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field whose value is not accepted.
+    pub fn validate(&self) -> Result<(), RecordError> {
+        check_range("ledger_shards", self.ledger_shards.into(), 1, 1_024)?;
+        check_range("retry_window_ms", self.retry_window_ms, 1_000, 86_400_000)?;
+        check_range("grant_horizon_ms", self.grant_horizon_ms, 100, 86_400_000)?;
+        check_range(
+            "staleness_bound_ms",
+            self.staleness_bound_ms,
+            4_000,
+            86_400_000,
+        )?;
+        check_range("address_keep_ms", self.address_keep_ms, 500, 600_000)?;
+        check_range(
+            "watchers_per_data_centre",
+            self.watchers_per_data_centre.into(),
+            1,
+            100,
+        )
+    }
+}
--- /dev/null
+++ b/lib/fleet/src/view.rs
@@ -0,0 +1,305 @@
+//! The snapshot of the fleet that traffic threads read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use snipegate_platform::StoreRevision;
+use snipegate_types::IncarnationId;
+use snipegate_types::ModelName;
+use snipegate_types::ProcessRole;
+use snipegate_types::ProfileName;
+use snipegate_types::ResultCode;
+use snipegate_types::ShardId;
+use snipegate_types::UpstreamId;
+use snipegate_types::VmId;
+use snipegate_types::WorkspaceId;
+
+use crate::exchange::LeaveMark;
+use crate::exchange::MemberLiveness;
+use crate::key_digest::KeyDigest;
+use crate::member::MemberRecord;
+use crate::member::MemberState;
+use crate::profile::ProfileRecord;
+use crate::record::ConfigEntry;
+use crate::record::FleetRecord;
+use crate::rendezvous::rendezvous_owner;
+use crate::settings::FleetSettings;
+use crate::settings::StalePolicy;
+use crate::upstream::UpstreamRecord;
+use crate::upstream::UpstreamState;
+use crate::workspace::WorkspaceRecord;
+
+/// A workspace in the view.
+pub type WorkspaceEntry = ConfigEntry<WorkspaceId, WorkspaceRecord>;
+/// A profile in the view.
+pub type ProfileEntry = ConfigEntry<ProfileName, ProfileRecord>;
+/// An upstream in the view.
+pub type UpstreamEntry = ConfigEntry<UpstreamId, UpstreamRecord>;
+/// A process of the fleet in the view.
+pub type MemberEntry = ConfigEntry<(VmId, ProcessRole), MemberRecord>;
+
+/// Whether the configuration may be acted on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewFreshness {
+    /// Nothing has been learnt, so nothing may be served.
+    Missing,
+    /// Everything accepted up to this age ago is known.
+    Fresh(Duration),
+    /// The knowledge is older than the bound and is served under all the same.
+    ServedStale(Duration),
+    /// The knowledge is older than the bound and may not be acted on.
+    Stale(Duration),
+}
+
+impl ViewFreshness {
+    /// Returns the code to refuse with, or `None` where requests may be served.
+    pub fn refusal(self) -> Option<ResultCode> {
+        match self {
+            ViewFreshness::Missing => Some(ResultCode::ConfigMissing),
+            ViewFreshness::Stale(_) => Some(ResultCode::ConfigStale),
+            ViewFreshness::Fresh(_) | ViewFreshness::ServedStale(_) => None,
+        }
+    }
+}
+
+/// An immutable snapshot of the configuration and the members.
+///
+/// Cheap to clone: the records and their indices are shared, and are built
+/// anew only when a record has changed.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    pub(crate) index: Arc<ViewIndex>,
+    pub(crate) revision: StoreRevision,
+    pub(crate) ready: bool,
+    pub(crate) fresh_as_of: Option<Instant>,
+    pub(crate) leave_marks: Arc<IndexMap<UpstreamId, LeaveMark>>,
+    pub(crate) liveness: Arc<IndexMap<IncarnationId, MemberLiveness>>,
+}
+
+/// The records by what they are looked up by.
+#[derive(Debug, Default)]
+pub(crate) struct ViewIndex {
+    settings: Option<Arc<ConfigEntry<(), FleetSettings>>>,
+    workspaces: IndexMap<WorkspaceId, Arc<WorkspaceEntry>>,
+    keys: IndexMap<KeyDigest, Arc<WorkspaceEntry>>,
+    profiles: IndexMap<ProfileName, Arc<ProfileEntry>>,
+    upstreams: IndexMap<UpstreamId, Arc<UpstreamEntry>>,
+    by_model: IndexMap<ModelName, Vec<Arc<UpstreamEntry>>>,
+    by_service: IndexMap<ModelName, Vec<Arc<UpstreamEntry>>>,
+    members: IndexMap<(VmId, ProcessRole), Arc<MemberEntry>>,
+}
+
+impl ViewIndex {
+    pub(crate) fn build<'a>(records: impl Iterator<Item = &'a FleetRecord>) -> Self {
+        let mut index = ViewIndex::default();
+        records.for_each(|record| index.insert(record));
+        index
+    }
+
+    fn insert(&mut self, record: &FleetRecord) {
+        match record {
+            FleetRecord::Settings(entry) => self.settings = Some(entry.clone()),
+            FleetRecord::Workspace(entry) => {
+                for digest in &entry.record.key_digests {
+                    self.keys.insert(*digest, entry.clone());
+                }
+                self.workspaces.insert(entry.id.clone(), entry.clone());
+            }
+            FleetRecord::Profile(entry) => {
+                self.profiles.insert(entry.id.clone(), entry.clone());
+            }
+            FleetRecord::Upstream(entry) => self.insert_upstream(entry),
+            FleetRecord::Member(entry) => {
+                self.members.insert(entry.id.clone(), entry.clone());
+            }
+        }
+    }
+
+    fn insert_upstream(&mut self, entry: &Arc<UpstreamEntry>) {
+        for model in &entry.record.models {
+            let upstreams = self.by_model.entry(model.clone()).or_default();
+            upstreams.push(entry.clone());
+        }
+        for offer in &entry.record.services {
+            let upstreams = self.by_service.entry(offer.name.clone()).or_default();
+            upstreams.push(entry.clone());
+        }
+        self.upstreams.insert(entry.id.clone(), entry.clone());
+    }
+}
+
+impl FleetView {
+    /// Returns the revision up to which this view knows everything.
+    pub fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Returns when the store's state at `revision` was last known to be its newest.
+    pub fn fresh_as_of(&self) -> Option<Instant> {
+        self.fresh_as_of
+    }
+
+    /// Decides whether requests may be served under this view.
+    pub fn freshness(&self, now: Instant) -> ViewFreshness {
+        let (Some(settings), Some(fresh_as_of), true) =
+            (self.settings(), self.fresh_as_of, self.ready)
+        else {
+            return ViewFreshness::Missing;
+        };
+        let age = now.saturating_duration_since(fresh_as_of);
+        if age <= settings.staleness_bound() {
+            return ViewFreshness::Fresh(age);
+        }
+        match settings.stale_policy {
+            StalePolicy::Serve => ViewFreshness::ServedStale(age),
+            StalePolicy::Refuse => ViewFreshness::Stale(age),
+        }
+    }
+
+    /// Returns the fleet-wide settings, or `None` before they are learnt.
+    pub fn settings(&self) -> Option<&FleetSettings> {
+        self.index.settings.as_deref().map(|entry| &entry.record)
+    }
+
+    /// Returns the revision of the fleet-wide settings.
+    pub fn settings_revision(&self) -> Option<StoreRevision> {
+        self.index.settings.as_deref().map(|entry| entry.revision)
+    }
+
+    /// Finds the workspace that a caller's key belongs to.
+    ///
+    /// The map is searched by digest, from which nothing of the key can be
+    /// learnt by timing; the digests are then compared in constant time.
+    pub fn workspace_by_key(&self, key: &str) -> Option<&Arc<WorkspaceEntry>> {
+        let digest = KeyDigest::of_key(key);
+        let (found, entry) = self.index.keys.get_key_value(&digest)?;
+        found.matches(&digest).then_some(entry)
+    }
+
+    /// Finds a workspace.
+    pub fn workspace(&self, id: &WorkspaceId) -> Option<&Arc<WorkspaceEntry>> {
+        self.index.workspaces.get(id)
+    }
+
+    /// Iterates over all workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<WorkspaceEntry>> {
+        self.index.workspaces.values()
+    }
+
+    /// Finds a profile.
+    pub fn profile(&self, name: &ProfileName) -> Option<&Arc<ProfileEntry>> {
+        self.index.profiles.get(name)
+    }
+
+    /// Iterates over all profiles.
+    pub fn profiles(&self) -> impl Iterator<Item = &Arc<ProfileEntry>> {
+        self.index.profiles.values()
+    }
+
+    /// Finds an upstream.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&Arc<UpstreamEntry>> {
+        self.index.upstreams.get(id)
+    }
+
+    /// Iterates over all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamEntry>> {
+        self.index.upstreams.values()
+    }
+
+    /// Returns the upstreams that have a model, leaving ones included.
+    pub fn upstreams_of_model(&self, model: &ModelName) -> &[Arc<UpstreamEntry>] {
+        self.index.by_model.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the upstreams that offer a plain service, leaving ones included.
+    pub fn upstreams_of_service(&self, service: &ModelName) -> &[Arc<UpstreamEntry>] {
+        self.index
+            .by_service
+            .get(service)
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Iterates over the models that some upstream has.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.index.by_model.keys()
+    }
+
+    /// Tells whether an upstream takes no new work, by its record or by a
+    /// [`LeaveMark`] that no newer write has replaced.
+    pub fn is_leaving(&self, upstream: &UpstreamEntry) -> bool {
+        let marked = self
+            .leave_marks
+            .get(&upstream.id)
+            .is_some_and(|mark| upstream.revision <= mark.over);
+        marked || upstream.record.state == UpstreamState::Leaving
+    }
+
+    /// Iterates over the orders to leave that were given past the store.
+    pub fn leave_marks(&self) -> impl Iterator<Item = &LeaveMark> {
+        self.leave_marks.values()
+    }
+
+    /// Iterates over all members of a role, down and leaving ones included.
+    pub fn members(&self, role: ProcessRole) -> impl Iterator<Item = &Arc<MemberEntry>> {
+        let of_role = move |entry: &&Arc<MemberEntry>| entry.id.1 == role;
+        self.index.members.values().filter(of_role)
+    }
+
+    /// Iterates over all members of all roles.
+    pub fn all_members(&self) -> impl Iterator<Item = &Arc<MemberEntry>> {
+        self.index.members.values()
+    }
+
+    /// Finds the process of a role on a VM.
+    pub fn member(&self, vm: &VmId, role: ProcessRole) -> Option<&Arc<MemberEntry>> {
+        self.index.members.get(&(vm.clone(), role))
+    }
+
+    /// Tells what is known of a member beyond its being up.
+    pub fn liveness(&self, member: &IncarnationId) -> Option<&MemberLiveness> {
+        self.liveness.get(member)
+    }
+
+    /// Tells whether a member has begun to stop.
+    pub fn is_member_leaving(&self, entry: &MemberEntry) -> bool {
+        let said = self.liveness(&entry.record.incarnation);
+        entry.record.state == MemberState::Leaving || said.is_some_and(|found| found.leaving)
+    }
+
+    /// Tells whether a member is suspected to be down, which proves nothing.
+    ///
+    /// Keepers watch each other; a VM whose keeper is suspected is suspected
+    /// with all its processes.
+    pub fn is_suspected(&self, entry: &MemberEntry) -> bool {
+        let suspected = |entry: &MemberEntry| {
+            self.liveness(&entry.record.incarnation)
+                .is_some_and(|found| found.suspected)
+        };
+        let keeper = self.member(&entry.id.0, ProcessRole::Keeper);
+        suspected(entry) || keeper.is_some_and(|keeper| suspected(keeper))
+    }
+
+    /// Iterates over the members of a role that are up and not leaving.
+    pub fn usable_members(&self, role: ProcessRole) -> impl Iterator<Item = &Arc<MemberEntry>> {
+        self.members(role)
+            .filter(|entry| !self.is_member_leaving(entry) && !self.is_suspected(entry))
+    }
+
+    /// Returns the keeper that a shard falls to, among those that are up.
+    ///
+    /// A wrong answer costs time, never safety: the ledger's slots decide.
+    pub fn keeper_of(&self, shard: ShardId) -> Option<&Arc<MemberEntry>> {
+        let name = shard.to_string();
+        let keepers = self.usable_members(ProcessRole::Keeper);
+        rendezvous_owner(&name, keepers, |entry| entry.id.0.as_str())
+    }
+
+    /// Returns where the fleet's processes reach a member.
+    pub fn peer_address(&self, member: &IncarnationId) -> Option<SocketAddr> {
+        let entry = self.member(&member.vm, member.role)?;
+        (&entry.record.incarnation == member).then(|| entry.record.peer())
+    }
+}
--- /dev/null
+++ b/lib/fleet/src/view_keeper.rs
@@ -0,0 +1,448 @@
+//! Merging of everything that a process hears about the fleet.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use snipegate_platform::StoreKey;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::WatchBatch;
+use snipegate_types::IncarnationId;
+use snipegate_types::UpstreamId;
+
+use crate::exchange::LeaveMark;
+use crate::exchange::MemberLiveness;
+use crate::exchange::ViewChange;
+use crate::exchange::ViewReply;
+use crate::key::FleetKey;
+use crate::record::FleetRecord;
+use crate::record::RecordError;
+use crate::view::FleetView;
+use crate::view::ViewIndex;
+
+/// Most bytes of records in one reply to a peer that is catching up.
+const MAX_REPLY_BYTES: usize = 256 << 10;
+
+/// What a merge did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MergeOutcome {
+    /// The view is as it was, but for its age.
+    Unchanged,
+    /// The view has changed; publish another.
+    Changed,
+    /// Changes are missing between this process's knowledge and the source's;
+    /// list the store, or ask a peer for everything.
+    Behind,
+}
+
+/// A change whose value is no valid record; the previous record stays in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RejectedChange {
+    /// The revision of the change.
+    pub revision: StoreRevision,
+    /// The bytes written.
+    pub value: Vec<u8>,
+    /// Why it is not valid.
+    pub error: RecordError,
+}
+
+#[derive(Clone, Debug)]
+struct KeptEntry {
+    revision: StoreRevision,
+    /// `None` where the key was removed.
+    record: Option<FleetRecord>,
+}
+
+/// A listing of the store that is being read page by page.
+#[derive(Clone, Debug)]
+struct ListingProgress {
+    /// The revision of the first page: everything up to it is known at the end.
+    revision: StoreRevision,
+    /// When the first page was asked for.
+    asked: Instant,
+    /// The key that the next page begins after.
+    after: Option<StoreKey>,
+}
+
+/// What a process knows of the fleet, and how it takes in more.
+///
+/// For each key the highest store revision wins, whatever the source. A removal
+/// is kept as a tombstone with its revision, so an older value from a peer does
+/// not bring the key back. `complete_to` is the revision up to which every
+/// change is known.
+#[derive(Clone, Debug, Default)]
+pub struct ViewKeeper {
+    entries: BTreeMap<StoreKey, KeptEntry>,
+    rejected: IndexMap<StoreKey, RejectedChange>,
+    complete_to: StoreRevision,
+    /// Removals after this revision are all kept as tombstones.
+    tombstones_from: StoreRevision,
+    ready: bool,
+    fresh_as_of: Option<Instant>,
+    listing: Option<ListingProgress>,
+    leave_marks: Arc<IndexMap<UpstreamId, LeaveMark>>,
+    liveness: Arc<IndexMap<IncarnationId, MemberLiveness>>,
+    /// The index of the present entries, once it has been asked for.
+    index: Option<Arc<ViewIndex>>,
+}
+
+impl ViewKeeper {
+    /// Makes a keeper that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision up to which every change is known.
+    pub fn complete_to(&self) -> StoreRevision {
+        self.complete_to
+    }
+
+    /// Tells whether everything that some source knew has been taken in once.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns how long ago the store's state was last known to be this one.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let fresh_as_of = self.fresh_as_of?;
+        Some(now.saturating_duration_since(fresh_as_of))
+    }
+
+    /// Returns the changes that were not valid records and are still the newest
+    /// write of their key.
+    pub fn rejected(&self) -> &IndexMap<StoreKey, RejectedChange> {
+        &self.rejected
+    }
+
+    /// Returns the revision of a key as known here, removals included.
+    pub fn revision_of(&self, key: &str) -> Option<StoreRevision> {
+        self.entries.get(key).map(|entry| entry.revision)
+    }
+
+    /// Returns the record of a key.
+    pub fn record(&self, key: &str) -> Option<&FleetRecord> {
+        self.entries.get(key)?.record.as_ref()
+    }
+
+    /// Returns how many keys are kept, tombstones included.
+    pub fn kept_keys(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Takes in the answer of a watch that was asked at `asked` for changes
+    /// after `after`.
+    pub fn apply_watch(
+        &mut self,
+        after: StoreRevision,
+        batch: &WatchBatch,
+        asked: Instant,
+    ) -> MergeOutcome {
+        let WatchBatch::Changes { revision, changes } = batch else {
+            return MergeOutcome::Behind;
+        };
+        let mut changed = false;
+        for change in changes {
+            changed |= self.merge(&change.key, change.revision, change.value.as_deref());
+        }
+        if after > self.complete_to {
+            return MergeOutcome::Behind;
+        }
+        self.advance(*revision, asked);
+        outcome(changed)
+    }
+
+    /// Returns the key that the next page of the listing begins after, or
+    /// `None` where a listing begins anew.
+    pub fn listing_after(&self) -> Option<&str> {
+        self.listing.as_ref()?.after.as_deref()
+    }
+
+    /// Takes in one page of a listing of [`FleetKey::PREFIX`] that was asked at
+    /// `asked`; pages come in key order, each asked after the one before.
+    ///
+    /// A key that is known but missing from a page was removed by the page's
+    /// revision, unless what is known of it is newer.
+    pub fn apply_page(&mut self, page: &StoreListing, asked: Instant) -> MergeOutcome {
+        let progress = self.listing.take().unwrap_or(ListingProgress {
+            revision: page.revision,
+            asked,
+            after: None,
+        });
+        let mut changed = self.bury_missing(&progress, page);
+        for (key, stored) in &page.entries {
+            changed |= self.merge(key, stored.revision, Some(&stored.value));
+        }
+        if page.more_after.is_some() {
+            self.listing = Some(ListingProgress {
+                after: page.more_after.clone(),
+                ..progress
+            });
+            return outcome(changed);
+        }
+        if !self.ready {
+            self.tombstones_from = progress.revision;
+        }
+        changed |= !self.ready;
+        self.ready = true;
+        self.advance(progress.revision, progress.asked);
+        outcome(changed)
+    }
+
+    fn bury_missing(&mut self, progress: &ListingProgress, page: &StoreListing) -> bool {
+        let from = match &progress.after {
+            Some(after) => Bound::Excluded(after.clone()),
+            None => Bound::Unbounded,
+        };
+        let to = match &page.more_after {
+            Some(last) => Bound::Included(last.clone()),
+            None => Bound::Unbounded,
+        };
+        let listed = |key: &StoreKey| page.entries.binary_search_by(|(k, _)| k.cmp(key)).is_ok();
+        let missing: Vec<StoreKey> = self
+            .entries
+            .range::<StoreKey, _>((from, to))
+            .filter(|(key, entry)| entry.record.is_some() && !listed(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let buried = missing
+            .iter()
+            .filter(|key| self.merge(key, page.revision, None))
+            .count();
+        buried > 0
+    }
+
+    /// Takes in a peer's reply to a query that was asked at `asked` for what
+    /// comes after `after`.
+    pub fn apply_reply(
+        &mut self,
+        after: StoreRevision,
+        reply: &ViewReply,
+        asked: Instant,
+    ) -> MergeOutcome {
+        let mut changed = reply
+            .changes
+            .iter()
+            .filter(|change| self.merge(&change.key, change.revision, change.value.as_deref()))
+            .count()
+            > 0;
+        for mark in &reply.leave_marks {
+            changed |= self.mark_leaving(mark.clone());
+        }
+        if reply.full {
+            changed |= self.bury_unknown(reply);
+        } else if after > self.complete_to {
+            return MergeOutcome::Behind;
+        }
+        let Some(age) = reply.age_ms else {
+            return outcome(changed);
+        };
+        if reply.more {
+            self.complete_to = self.complete_to.max(reply.complete_to);
+            return outcome(changed);
+        }
+        if !self.ready {
+            self.tombstones_from = reply.complete_to;
+            self.ready = true;
+            changed = true;
+        }
+        let age = Duration::from_millis(age);
+        self.advance(reply.complete_to, asked.checked_sub(age).unwrap_or(asked));
+        outcome(changed)
+    }
+
+    /// Removes what a reply with all keys does not name.
+    fn bury_unknown(&mut self, reply: &ViewReply) -> bool {
+        let mut named: Vec<&str> = reply.changes.iter().map(|c| c.key.as_str()).collect();
+        named.sort_unstable();
+        let gone: Vec<StoreKey> = self
+            .entries
+            .iter()
+            .filter(|(key, entry)| {
+                entry.record.is_some() && named.binary_search(&key.as_str()).is_err()
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        let buried = gone
+            .iter()
+            .filter(|key| self.merge(key, reply.complete_to, None))
+            .count();
+        buried > 0
+    }
+
+    /// Takes in an order that an upstream leaves; tells whether it is new.
+    pub fn mark_leaving(&mut self, mark: LeaveMark) -> bool {
+        match self.leave_marks.get(&mark.upstream) {
+            Some(kept) if kept.over >= mark.over => false,
+            _ => {
+                let marks = Arc::make_mut(&mut self.leave_marks);
+                marks.insert(mark.upstream.clone(), mark);
+                true
+            }
+        }
+    }
+
+    /// Replaces what is known of the members' liveness; tells whether it differs.
+    pub fn set_liveness(&mut self, members: Vec<MemberLiveness>) -> bool {
+        let members: IndexMap<_, _> = members
+            .into_iter()
+            .map(|found| (found.member.clone(), found))
+            .collect();
+        if *self.liveness == members {
+            return false;
+        }
+        self.liveness = Arc::new(members);
+        true
+    }
+
+    /// Returns what a peer that knows everything up to `after` lacks.
+    ///
+    /// The liveness part is left to the caller.
+    pub fn reply_to(
+        &self,
+        keeper: &IncarnationId,
+        after: StoreRevision,
+        now: Instant,
+    ) -> ViewReply {
+        let full = after > StoreRevision(0) && after < self.tombstones_from;
+        let known_age = self.age(now).filter(|_| self.ready);
+        let mut reply = ViewReply {
+            keeper: keeper.clone(),
+            complete_to: self.complete_to,
+            more: false,
+            full,
+            age_ms: known_age.map(|age| age.as_millis() as u64),
+            changes: Vec::new(),
+            leave_marks: self.leave_marks.values().cloned().collect(),
+            liveness_version: 0,
+            liveness: None,
+        };
+        let from = if full { StoreRevision(0) } else { after };
+        let mut bytes = 0;
+        for change in self.changes_after(from) {
+            let last = reply.changes.last().map_or(from, |sent| sent.revision);
+            // Keys that a listing found missing share one revision, which a
+            // cut may not divide.
+            if !full && bytes > MAX_REPLY_BYTES && change.revision > last {
+                reply.more = true;
+                reply.complete_to = last.min(self.complete_to);
+                break;
+            }
+            bytes += change.key.len() + change.value.as_ref().map_or(0, Vec::len);
+            reply.changes.push(change);
+        }
+        reply
+    }
+
+    /// Iterates over the changes after `after`, lowest revision first.
+    fn changes_after(&self, after: StoreRevision) -> impl Iterator<Item = ViewChange> {
+        let kept = self.entries.iter().map(|(key, e)| (e.revision, key));
+        let rejected = self.rejected.iter().map(|(key, r)| (r.revision, key));
+        let mut newer: Vec<(StoreRevision, &StoreKey)> = kept
+            .chain(rejected)
+            .filter(|(revision, _)| *revision > after)
+            .collect();
+        newer.sort_unstable();
+        newer.into_iter().map(|(revision, key)| ViewChange {
+            key: key.clone(),
+            revision,
+            value: self.value_at(key, revision),
+        })
+    }
+
+    fn value_at(&self, key: &str, revision: StoreRevision) -> Option<Vec<u8>> {
+        match self.rejected.get(key) {
+            Some(rejected) if rejected.revision == revision => Some(rejected.value.clone()),
+            _ => self.record(key).map(FleetRecord::to_json),
+        }
+    }
+
+    /// Takes the snapshot for traffic threads.
+    pub fn view(&mut self) -> FleetView {
+        let records = self.entries.values().filter_map(|e| e.record.as_ref());
+        let index = self
+            .index
+            .get_or_insert_with(|| Arc::new(ViewIndex::build(records)));
+        FleetView {
+            index: index.clone(),
+            revision: self.complete_to,
+            ready: self.ready,
+            fresh_as_of: self.fresh_as_of,
+            leave_marks: self.leave_marks.clone(),
+            liveness: self.liveness.clone(),
+        }
+    }
+
+    /// Returns when this process last knew the newest state.
+    pub fn fresh_as_of(&self) -> Option<Instant> {
+        self.fresh_as_of
+    }
+
+    fn advance(&mut self, revision: StoreRevision, fresh_as_of: Instant) {
+        // A source whose knowledge ends before this process's own says nothing
+        // about how old that is.
+        if revision < self.complete_to {
+            return;
+        }
+        self.complete_to = revision;
+        self.fresh_as_of = self.fresh_as_of.max(Some(fresh_as_of));
+    }
+
+    /// Takes in one key at one revision; tells whether that changed anything.
+    fn merge(&mut self, key: &str, revision: StoreRevision, value: Option<&[u8]>) -> bool {
+        let Ok(fleet_key) = key.parse::<FleetKey>() else {
+            return false;
+        };
+        if self.revision_of(key).is_some_and(|kept| kept >= revision) {
+            return false;
+        }
+        let record = match value.map(|bytes| FleetRecord::parse(fleet_key, revision, bytes)) {
+            None => None,
+            Some(Ok(record)) => Some(record),
+            Some(Err(error)) => {
+                self.reject(key, revision, value.unwrap_or_default(), error);
+                return false;
+            }
+        };
+        if self
+            .rejected
+            .get(key)
+            .is_some_and(|r| r.revision < revision)
+        {
+            self.rejected.swap_remove(key);
+        }
+        let entry = KeptEntry { revision, record };
+        self.entries.insert(key.to_owned(), entry);
+        self.index = None;
+        true
+    }
+
+    /// Keeps a change that this process can't read, so that peers that can
+    /// read it get it from here.
+    fn reject(&mut self, key: &str, revision: StoreRevision, value: &[u8], error: RecordError) {
+        if self
+            .rejected
+            .get(key)
+            .is_some_and(|r| r.revision >= revision)
+        {
+            return;
+        }
+        let rejected = RejectedChange {
+            revision,
+            value: value.to_vec(),
+            error,
+        };
+        self.rejected.insert(key.to_owned(), rejected);
+    }
+}
+
+fn outcome(changed: bool) -> MergeOutcome {
+    if changed {
+        MergeOutcome::Changed
+    } else {
+        MergeOutcome::Unchanged
+    }
+}
