platform: store, VM list and weight clients, with a stand-in to call

One state, StoreCore, serves both the store in memory and the stand-in. Calls travel as MessagePack. A connection that closes without an answer is reported by ntex as a connect error without a cause; it counts as a lost reply, as the call may have taken effect (is_never_sent).

--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -1,10 +1,30 @@
 //! The platform's services as interfaces, and the clients that reach them.
 
+mod answer;
+mod call;
+mod http_client;
+mod http_store;
+mod memory_store;
 mod store;
+mod store_core;
+mod vm_list;
+mod weight_store;
 
+pub use call::CLIENT_DATA_CENTRE_HEADER;
+pub use call::CLIENT_VM_HEADER;
+pub use call::CallKind;
+pub use call::STORE_PATH;
+pub use call::StoreAnswer;
+pub use call::StoreCall;
+pub use http_client::PlatformSettings;
+pub use http_client::is_never_sent;
+pub use http_store::HttpStore;
+pub use http_store::list_all;
+pub use memory_store::MemoryStore;
 pub use store::ConfigStore;
 pub use store::ExpectedVersion;
 pub use store::LeaseId;
+pub use store::MAX_VALUE_BYTES;
 pub use store::StoreChange;
 pub use store::StoreError;
 pub use store::StoreKey;
@@ -13,3 +33,14 @@
 pub use store::StoredValue;
 pub use store::SwapOutcome;
 pub use store::WatchBatch;
+pub use store_core::StoreCore;
+pub use vm_list::HttpVmList;
+pub use vm_list::ListedVm;
+pub use vm_list::VM_LIST_PATH;
+pub use vm_list::VmList;
+pub use vm_list::VmListing;
+pub use vm_list::VmState;
+pub use weight_store::HttpWeightStore;
+pub use weight_store::WEIGHT_PATH;
+pub use weight_store::WeightInfo;
+pub use weight_store::WeightStore;
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -44,6 +44,7 @@
     /// Revision of the last write to the key.
     pub revision: StoreRevision,
     /// The bytes written.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
 }
 
@@ -84,6 +85,7 @@
     /// The revision of the change.
     pub revision: StoreRevision,
     /// The new value, or `None` where the key was removed.
+    #[serde(with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
 }
 
@@ -101,6 +103,13 @@
     Compacted,
 }
 
+impl WatchBatch {
+    /// Tells whether there is nothing to report yet.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, WatchBatch::Changes { changes, .. } if changes.is_empty())
+    }
+}
+
 /// Why a call to the store has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
--- /dev/null
+++ b/lib/platform/src/store_core.rs
@@ -0,0 +1,288 @@
+//! The state of a configuration store, without sockets or a clock of its own.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::ops::Bound;
+use std::time::Duration;
+use std::time::Instant;
+
+use strum::EnumCount;
+use strum::IntoEnumIterator;
+
+use crate::call::CallKind;
+use crate::call::StoreAnswer;
+use crate::call::StoreCall;
+use crate::store::ExpectedVersion;
+use crate::store::LeaseId;
+use crate::store::MAX_VALUE_BYTES;
+use crate::store::StoreChange;
+use crate::store::StoreKey;
+use crate::store::StoreListing;
+use crate::store::StoreRevision;
+use crate::store::StoredValue;
+use crate::store::SwapOutcome;
+use crate::store::WatchBatch;
+
+/// Changes that a store keeps for watches before it compacts them.
+const DEFAULT_KEPT_CHANGES: usize = 10_000;
+
+/// A configuration store's keys, leases and recent changes.
+///
+/// Both [`MemoryStore`](crate::MemoryStore) and the platform stand-in serve
+/// this state. Every write has its own revision; revisions only rise.
+#[derive(Debug)]
+pub struct StoreCore {
+    revision: StoreRevision,
+    entries: BTreeMap<StoreKey, StoreEntry>,
+    leases: BTreeMap<LeaseId, StoreLease>,
+    next_lease: u64,
+    changes: VecDeque<StoreChange>,
+    compacted: StoreRevision,
+    kept_changes: usize,
+    counts: [u64; CallKind::COUNT],
+}
+
+#[derive(Debug)]
+struct StoreEntry {
+    stored: StoredValue,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug)]
+struct StoreLease {
+    time_to_live: Duration,
+    lapses: Instant,
+}
+
+impl Default for StoreCore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl StoreCore {
+    /// Makes an empty store.
+    pub fn new() -> Self {
+        Self {
+            revision: StoreRevision::default(),
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            changes: VecDeque::new(),
+            compacted: StoreRevision::default(),
+            kept_changes: DEFAULT_KEPT_CHANGES,
+            counts: [0; CallKind::COUNT],
+        }
+    }
+
+    /// Keeps at most `count` changes for watches from now on.
+    pub fn keep_changes(&mut self, count: usize) {
+        self.kept_changes = count;
+        self.compact();
+    }
+
+    /// Returns the revision of the last write.
+    pub fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
+    /// Returns how many calls of each kind were made.
+    pub fn counts(&self) -> impl Iterator<Item = (CallKind, u64)> + '_ {
+        CallKind::iter().map(|kind| (kind, self.counts[kind as usize]))
+    }
+
+    /// Returns the first time at which a lease lapses.
+    pub fn next_lapse(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.lapses).min()
+    }
+
+    /// Counts and carries out one call.
+    ///
+    /// A watch is answered at once, with no changes where there are none; who
+    /// serves the store calls [`StoreCore::changes_after`] again later.
+    pub fn apply(&mut self, call: &StoreCall, now: Instant) -> StoreAnswer {
+        self.counts[call.kind() as usize] += 1;
+        self.expire(now);
+        match call {
+            StoreCall::Read { key } => {
+                StoreAnswer::Value(self.entries.get(key).map(|entry| entry.stored.clone()))
+            }
+            StoreCall::List { prefix, after } => {
+                StoreAnswer::Listing(self.list(prefix, after.as_deref()))
+            }
+            StoreCall::Swap {
+                key,
+                expected,
+                value,
+                lease,
+            } => self.swap(key, *expected, value, *lease),
+            StoreCall::Remove { key, expected } => self.remove(key, *expected),
+            StoreCall::Watch { prefix, after, .. } => {
+                StoreAnswer::Batch(self.changes_after(prefix, *after))
+            }
+            StoreCall::CreateLease { time_to_live_ms } => {
+                StoreAnswer::Lease(self.create_lease(Duration::from_millis(*time_to_live_ms), now))
+            }
+            StoreCall::KeepLease { lease } => self.keep_lease(*lease, now),
+        }
+    }
+
+    /// Returns the changes under `prefix` after revision `after`.
+    pub fn changes_after(&self, prefix: &str, after: StoreRevision) -> WatchBatch {
+        if after < self.compacted || after > self.revision {
+            return WatchBatch::Compacted;
+        }
+        let start = self
+            .changes
+            .partition_point(|change| change.revision <= after);
+        let changes = self
+            .changes
+            .range(start..)
+            .filter(|change| change.key.starts_with(prefix))
+            .cloned()
+            .collect();
+        WatchBatch::Changes {
+            revision: self.revision,
+            changes,
+        }
+    }
+
+    /// Ends the leases that have lapsed, with the keys that depend on them.
+    pub fn expire(&mut self, now: Instant) {
+        let lapsed: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.lapses <= now)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in lapsed {
+            self.leases.remove(&id);
+            let keys: Vec<StoreKey> = self
+                .entries
+                .iter()
+                .filter(|(_, entry)| entry.lease == Some(id))
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in keys {
+                self.entries.remove(&key);
+                self.record(key, None);
+            }
+        }
+    }
+
+    fn list(&self, prefix: &str, after: Option<&str>) -> StoreListing {
+        let start = match after {
+            Some(after) if after >= prefix => Bound::Excluded(after),
+            _ => Bound::Included(prefix),
+        };
+        let mut listing = StoreListing {
+            revision: self.revision,
+            ..StoreListing::default()
+        };
+        let mut bytes = 0;
+        let under_prefix = self
+            .entries
+            .range::<str, _>((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(prefix));
+        for (key, entry) in under_prefix {
+            bytes += key.len() + entry.stored.value.len();
+            if bytes > MAX_VALUE_BYTES && !listing.entries.is_empty() {
+                listing.more_after = listing.entries.last().map(|(key, _)| key.clone());
+                break;
+            }
+            listing.entries.push((key.clone(), entry.stored.clone()));
+        }
+        listing
+    }
+
+    fn swap(
+        &mut self,
+        key: &str,
+        expected: ExpectedVersion,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> StoreAnswer {
+        if value.len() > MAX_VALUE_BYTES {
+            return StoreAnswer::ValueTooLarge { bytes: value.len() };
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return StoreAnswer::LeaseLapsed;
+        }
+        if let Some(conflict) = self.conflict(key, expected) {
+            return StoreAnswer::Outcome(conflict);
+        }
+        let revision = self.record(key.to_owned(), Some(value.to_vec()));
+        let stored = StoredValue {
+            revision,
+            value: value.to_vec(),
+        };
+        self.entries
+            .insert(key.to_owned(), StoreEntry { stored, lease });
+        StoreAnswer::Outcome(SwapOutcome::Swapped(revision))
+    }
+
+    fn remove(&mut self, key: &str, expected: ExpectedVersion) -> StoreAnswer {
+        if let Some(conflict) = self.conflict(key, expected) {
+            return StoreAnswer::Outcome(conflict);
+        }
+        if self.entries.remove(key).is_none() {
+            return StoreAnswer::Outcome(SwapOutcome::Swapped(self.revision));
+        }
+        let revision = self.record(key.to_owned(), None);
+        StoreAnswer::Outcome(SwapOutcome::Swapped(revision))
+    }
+
+    fn conflict(&self, key: &str, expected: ExpectedVersion) -> Option<SwapOutcome> {
+        let stored = self.entries.get(key).map(|entry| &entry.stored);
+        let holds = match expected {
+            ExpectedVersion::Absent => stored.is_none(),
+            ExpectedVersion::At(revision) => {
+                stored.is_some_and(|stored| stored.revision == revision)
+            }
+        };
+        (!holds).then(|| SwapOutcome::Conflict(stored.cloned()))
+    }
+
+    fn record(&mut self, key: StoreKey, value: Option<Vec<u8>>) -> StoreRevision {
+        self.revision = StoreRevision(self.revision.0 + 1);
+        self.changes.push_back(StoreChange {
+            key,
+            revision: self.revision,
+            value,
+        });
+        self.compact();
+        self.revision
+    }
+
+    fn compact(&mut self) {
+        while self.changes.len() > self.kept_changes {
+            if let Some(change) = self.changes.pop_front() {
+                self.compacted = change.revision;
+            }
+        }
+    }
+
+    fn create_lease(&mut self, time_to_live: Duration, now: Instant) -> LeaseId {
+        let id = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let lapses = now + time_to_live;
+        self.leases.insert(
+            id,
+            StoreLease {
+                time_to_live,
+                lapses,
+            },
+        );
+        id
+    }
+
+    fn keep_lease(&mut self, id: LeaseId, now: Instant) -> StoreAnswer {
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.lapses = now + lease.time_to_live;
+                StoreAnswer::Kept
+            }
+            None => StoreAnswer::LeaseLapsed,
+        }
+    }
+}
