--- /dev/null
+++ b/lib/ledger/src/decide.rs
@@ -0,0 +1,449 @@
+//! Decides what an operation does to a shard's ledger.
+
+use snipegate_types::BudgetId;
+use snipegate_types::IncarnationId;
+use snipegate_types::OperationId;
+use snipegate_types::RequestId;
+use snipegate_types::TokenCount;
+use snipegate_types::UpstreamId;
+
+use crate::ledger::HolderState;
+use crate::ledger::OperationKind;
+use crate::ledger::RecentOperation;
+use crate::ledger::ShardLedger;
+use crate::operation::CallOutcome;
+use crate::operation::LedgerOperation;
+use crate::operation::OperationRefusal;
+use crate::operation::OperationResult;
+use crate::record::BudgetNumber;
+use crate::record::HolderNumber;
+use crate::record::SegmentRecord;
+
+/// Largest amount of one operation and of a budget, in tokens: fits a signed holding.
+const MAX_AMOUNT: u64 = i64::MAX as u64;
+
+/// The result of an operation, or why it is refused.
+type Decision = Result<OperationResult, OperationRefusal>;
+
+impl ShardLedger {
+    /// Applies `operation` of `sender` and appends what changed to `records`.
+    ///
+    /// The result holds only once the segment with the records is durable.
+    pub fn apply(
+        &mut self,
+        sender: &IncarnationId,
+        operation: &LedgerOperation,
+        records: &mut Vec<SegmentRecord>,
+    ) -> OperationResult {
+        let mut change = LedgerChange {
+            ledger: self,
+            records,
+        };
+        change
+            .decide(sender, operation)
+            .unwrap_or_else(OperationResult::Refused)
+    }
+
+    /// Ends the use of the ledger by a closing `holder`.
+    ///
+    /// Does nothing if the holder is not closing.
+    pub fn reclaim_holder(&mut self, holder: &IncarnationId, records: &mut Vec<SegmentRecord>) {
+        if self.holder_state(holder) != Some(HolderState::Closing) {
+            return;
+        }
+        let Some(holder) = self.number_of(holder) else {
+            return;
+        };
+        let mut change = LedgerChange {
+            ledger: self,
+            records,
+        };
+        change.record(SegmentRecord::Reclaim { holder });
+    }
+}
+
+/// A ledger and the records of the changes made to it.
+struct LedgerChange<'a> {
+    ledger: &'a mut ShardLedger,
+    records: &'a mut Vec<SegmentRecord>,
+}
+
+impl LedgerChange<'_> {
+    fn decide(&mut self, sender: &IncarnationId, operation: &LedgerOperation) -> Decision {
+        match operation {
+            LedgerOperation::Grant {
+                operation,
+                budget,
+                wanted,
+                least,
+            } => self.grant(sender, *operation, budget, *wanted, *least),
+            LedgerOperation::Return {
+                operation,
+                budget,
+                amount,
+            } => self.take_back(sender, *operation, budget, *amount),
+            LedgerOperation::NoteTransfer {
+                transfer,
+                budget,
+                giver,
+                receiver,
+                amount,
+            } => self.note_transfer(sender, *transfer, budget, giver, receiver, *amount),
+            LedgerOperation::Bill {
+                request,
+                budget,
+                amount,
+                holder,
+            } => self.bill(sender, *request, budget, *amount, holder),
+            LedgerOperation::TopUp {
+                operation,
+                budget,
+                amount,
+            } => self.top_up(*operation, budget, *amount),
+            LedgerOperation::Intend {
+                request,
+                upstream,
+                digest,
+            } => self.intend(sender, *request, upstream, *digest),
+            LedgerOperation::Conclude { request, outcome } => {
+                self.conclude(sender, *request, outcome)
+            }
+            LedgerOperation::Release => {
+                self.close(sender);
+                Ok(OperationResult::Released)
+            }
+            LedgerOperation::DeclareDead { holder } => {
+                self.close(holder);
+                Ok(OperationResult::Declared)
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        sender: &IncarnationId,
+        operation: OperationId,
+        budget: &BudgetId,
+        wanted: TokenCount,
+        least: TokenCount,
+    ) -> Decision {
+        let number = self.budget(budget)?;
+        let unassigned = self.ledger.budgets[number.0 as usize].unassigned;
+        if let Some(earlier) = self.earlier(operation, OperationKind::Grant, number)? {
+            return Ok(OperationResult::Granted {
+                amount: TokenCount(earlier.amount),
+                unassigned: TokenCount(unassigned),
+            });
+        }
+        self.check_sender(sender)?;
+        let amount = wanted.max(least).0.min(unassigned);
+        if amount < least.0 || amount == 0 {
+            let held_elsewhere = self.held_elsewhere(number, sender);
+            return Err(OperationRefusal::BudgetShort { held_elsewhere });
+        }
+        let holder = self.open_holder(sender);
+        self.record(SegmentRecord::Grant {
+            operation,
+            budget: number,
+            holder,
+            amount,
+        });
+        Ok(OperationResult::Granted {
+            amount: TokenCount(amount),
+            unassigned: TokenCount(unassigned - amount),
+        })
+    }
+
+    fn held_elsewhere(&self, budget: BudgetNumber, sender: &IncarnationId) -> TokenCount {
+        let own = self.ledger.number_of(sender);
+        self.ledger.budgets[budget.0 as usize]
+            .holdings
+            .iter()
+            .filter(|(holder, _)| Some(*holder) != own)
+            .filter_map(|(_, amount)| u64::try_from(*amount).ok())
+            .map(TokenCount)
+            .sum()
+    }
+
+    fn take_back(
+        &mut self,
+        sender: &IncarnationId,
+        operation: OperationId,
+        budget: &BudgetId,
+        amount: TokenCount,
+    ) -> Decision {
+        let number = self.budget(budget)?;
+        if let Some(earlier) = self.earlier(operation, OperationKind::Return, number)? {
+            return same_amount(earlier, amount, OperationResult::Returned);
+        }
+        self.check_sender(sender)?;
+        let holder = self.holder_with(sender, number, amount)?;
+        self.record(SegmentRecord::Return {
+            operation,
+            budget: number,
+            holder,
+            amount: amount.0,
+        });
+        Ok(OperationResult::Returned)
+    }
+
+    fn note_transfer(
+        &mut self,
+        sender: &IncarnationId,
+        transfer: OperationId,
+        budget: &BudgetId,
+        giver: &IncarnationId,
+        receiver: &IncarnationId,
+        amount: TokenCount,
+    ) -> Decision {
+        let number = self.budget(budget)?;
+        if let Some(earlier) = self.earlier(transfer, OperationKind::Transfer, number)? {
+            return same_amount(earlier, amount, OperationResult::Noted);
+        }
+        self.check_sender(sender)?;
+        self.check_not_closed(giver)?;
+        self.check_not_closed(receiver)?;
+        // Nothing can hold more than was purchased, so neither can a transfer.
+        if amount.0 > self.ledger.budgets[number.0 as usize].purchased {
+            return Err(OperationRefusal::HoldingShort);
+        }
+        let giver = self.open_holder(giver);
+        let receiver = self.open_holder(receiver);
+        let balance = &self.ledger.budgets[number.0 as usize];
+        let is_large = |holding: i64| holding.unsigned_abs() > MAX_AMOUNT - amount.0;
+        if is_large(balance.holding(giver)) || is_large(balance.holding(receiver)) {
+            return Err(OperationRefusal::AmountTooLarge);
+        }
+        self.record(SegmentRecord::Transfer {
+            transfer,
+            budget: number,
+            giver,
+            receiver,
+            amount: amount.0,
+        });
+        Ok(OperationResult::Noted)
+    }
+
+    fn bill(
+        &mut self,
+        sender: &IncarnationId,
+        request: RequestId,
+        budget: &BudgetId,
+        amount: TokenCount,
+        holder: &IncarnationId,
+    ) -> Decision {
+        let number = self.budget(budget)?;
+        if let Some(earlier) = self.ledger.bills.get(&request) {
+            if earlier.budget != number {
+                return Err(OperationRefusal::IdReused);
+            }
+            return Ok(OperationResult::Billed {
+                amount: TokenCount(earlier.amount),
+                first: self.ledger.number_of(holder) == Some(earlier.holder),
+            });
+        }
+        self.check_sender(sender)?;
+        self.check_not_closed(holder)?;
+        let holder = self.holder_with(holder, number, amount)?;
+        let balance = &self.ledger.budgets[number.0 as usize];
+        let billed = balance.billed.checked_add(amount.0);
+        if billed.is_none_or(|billed| billed > balance.purchased) {
+            return Err(OperationRefusal::HoldingShort);
+        }
+        self.record(SegmentRecord::Bill {
+            request,
+            budget: number,
+            holder,
+            amount: amount.0,
+        });
+        Ok(OperationResult::Billed {
+            amount,
+            first: true,
+        })
+    }
+
+    fn top_up(
+        &mut self,
+        operation: OperationId,
+        budget: &BudgetId,
+        amount: TokenCount,
+    ) -> Decision {
+        let known = self.ledger.budget_number(budget);
+        if let Some(earlier) = self.ledger.operations.get(&operation) {
+            if earlier.kind != OperationKind::TopUp || known != Some(earlier.budget) {
+                return Err(OperationRefusal::IdReused);
+            }
+            return same_amount(*earlier, amount, OperationResult::ToppedUp);
+        }
+        let purchased = self.ledger.balance(budget).map_or(0, |b| b.purchased);
+        let purchased = purchased.checked_add(amount.0);
+        if purchased.is_none_or(|purchased| purchased > MAX_AMOUNT) {
+            return Err(OperationRefusal::AmountTooLarge);
+        }
+        let number = known.unwrap_or_else(|| {
+            let number = BudgetNumber(self.ledger.budgets.len() as u32);
+            self.record(SegmentRecord::OpenBudget { id: budget.clone() });
+            number
+        });
+        self.record(SegmentRecord::TopUp {
+            operation,
+            budget: number,
+            amount: amount.0,
+        });
+        Ok(OperationResult::ToppedUp)
+    }
+
+    /// Claims a call. The claimant may ask again after a lost answer, so it has
+    /// to see to it itself that it runs the call once.
+    fn intend(
+        &mut self,
+        sender: &IncarnationId,
+        request: RequestId,
+        upstream: &UpstreamId,
+        digest: [u8; 16],
+    ) -> Decision {
+        if let Some(intent) = self.ledger.intents.get(&request) {
+            let outcome = intent.outcome.as_ref().map(|(outcome, _)| outcome.clone());
+            let own = self.ledger.number_of(sender) == Some(intent.claimant)
+                && intent.upstream == *upstream
+                && intent.digest == digest;
+            let is_void = outcome == Some(CallOutcome::NotRun);
+            if own && outcome.is_none() {
+                self.check_sender(sender)?;
+                return Ok(OperationResult::Intended);
+            }
+            if !is_void {
+                return Ok(OperationResult::AlreadyIntended {
+                    claimant: self.incarnation(intent.claimant),
+                    upstream: intent.upstream.clone(),
+                    digest: intent.digest,
+                    outcome,
+                });
+            }
+        }
+        self.check_sender(sender)?;
+        let claimant = self.open_holder(sender);
+        self.record(SegmentRecord::Intend {
+            request,
+            claimant,
+            upstream: upstream.clone(),
+            digest,
+        });
+        Ok(OperationResult::Intended)
+    }
+
+    fn conclude(
+        &mut self,
+        sender: &IncarnationId,
+        request: RequestId,
+        outcome: &CallOutcome,
+    ) -> Decision {
+        let claimant = self.ledger.number_of(sender);
+        let intent = self.ledger.intents.get(&request);
+        let intent = intent.filter(|intent| Some(intent.claimant) == claimant);
+        let intent = intent.ok_or(OperationRefusal::IntentUnknown)?;
+        match &intent.outcome {
+            Some((recorded, _)) if recorded == outcome => return Ok(OperationResult::Concluded),
+            // The claimant may learn later what became of its call.
+            Some((CallOutcome::Unknown, _)) | None => {}
+            Some(_) => return Err(OperationRefusal::IdReused),
+        }
+        self.check_sender(sender)?;
+        self.record(SegmentRecord::Conclude {
+            request,
+            outcome: outcome.clone(),
+        });
+        Ok(OperationResult::Concluded)
+    }
+
+    /// Begins to close a holder, also one that the ledger has not met: it may
+    /// be named later by a message that is still on its way.
+    fn close(&mut self, holder: &IncarnationId) {
+        if self.ledger.holder_state(holder).is_none_or(is_open) {
+            let holder = self.open_holder(holder);
+            self.record(SegmentRecord::CloseHolder { holder });
+        }
+    }
+
+    fn budget(&self, budget: &BudgetId) -> Result<BudgetNumber, OperationRefusal> {
+        let number = self.ledger.budget_number(budget);
+        number.ok_or(OperationRefusal::BudgetUnknown)
+    }
+
+    /// Returns what `operation` did before, if it was seen.
+    fn earlier(
+        &self,
+        operation: OperationId,
+        kind: OperationKind,
+        budget: BudgetNumber,
+    ) -> Result<Option<RecentOperation>, OperationRefusal> {
+        match self.ledger.operations.get(&operation) {
+            None => Ok(None),
+            Some(earlier) if earlier.kind == kind && earlier.budget == budget => Ok(Some(*earlier)),
+            Some(_) => Err(OperationRefusal::IdReused),
+        }
+    }
+
+    fn check_sender(&self, sender: &IncarnationId) -> Result<(), OperationRefusal> {
+        match self.ledger.holder_state(sender) {
+            None | Some(HolderState::Open) => Ok(()),
+            Some(HolderState::Closing | HolderState::Closed) => Err(OperationRefusal::HolderClosed),
+        }
+    }
+
+    fn check_not_closed(&self, holder: &IncarnationId) -> Result<(), OperationRefusal> {
+        match self.ledger.holder_state(holder) {
+            Some(HolderState::Closed) => Err(OperationRefusal::HolderClosed),
+            None | Some(HolderState::Open | HolderState::Closing) => Ok(()),
+        }
+    }
+
+    /// Returns the number of `incarnation` if it holds at least `amount`.
+    fn holder_with(
+        &self,
+        incarnation: &IncarnationId,
+        budget: BudgetNumber,
+        amount: TokenCount,
+    ) -> Result<HolderNumber, OperationRefusal> {
+        let number = self.ledger.number_of(incarnation);
+        let number = number.ok_or(OperationRefusal::HoldingShort)?;
+        let held = self.ledger.budgets[budget.0 as usize].holding(number);
+        let is_enough = u64::try_from(held).is_ok_and(|held| held >= amount.0);
+        is_enough
+            .then_some(number)
+            .ok_or(OperationRefusal::HoldingShort)
+    }
+
+    fn open_holder(&mut self, incarnation: &IncarnationId) -> HolderNumber {
+        self.ledger.number_of(incarnation).unwrap_or_else(|| {
+            let number = HolderNumber(self.ledger.holders.len() as u32);
+            self.record(SegmentRecord::OpenHolder {
+                incarnation: incarnation.clone(),
+            });
+            number
+        })
+    }
+
+    fn incarnation(&self, holder: HolderNumber) -> IncarnationId {
+        self.ledger.holders.keys()[holder.0 as usize].clone()
+    }
+
+    /// Makes a change that the checks before it have shown to fit.
+    fn record(&mut self, record: SegmentRecord) {
+        let absorbed = self.ledger.absorb(&record);
+        debug_assert!(absorbed.is_ok(), "unchecked record {record:?}");
+        self.records.push(record);
+    }
+}
+
+fn is_open(state: HolderState) -> bool {
+    state == HolderState::Open
+}
+
+fn same_amount(earlier: RecentOperation, amount: TokenCount, result: OperationResult) -> Decision {
+    if earlier.amount == amount.0 {
+        Ok(result)
+    } else {
+        Err(OperationRefusal::IdReused)
+    }
+}
--- a/lib/ledger/src/operation.rs
+++ b/lib/ledger/src/operation.rs
@@ -191,6 +191,8 @@
     HoldingShort,
     /// The operation's id was used before for something else.
     IdReused,
+    /// The sender has not claimed the call that it reports an outcome for.
+    IntentUnknown,
     /// The sum does not fit.
     AmountTooLarge,
 }
@@ -207,6 +209,7 @@
             OperationRefusal::HolderClosed
             | OperationRefusal::HoldingShort
             | OperationRefusal::IdReused
+            | OperationRefusal::IntentUnknown
             | OperationRefusal::AmountTooLarge => ResultCode::InternalFault,
         }
     }
