routing: choice of upstream, limits, retries and prefix index

The whole outer interface stands behind RouteTable: admit, choose, first_byte, finished, retry_after_failure, load_reported, cache_event, upstreams_changed, limits_changed. A choice counts as outstanding work at once, so that two choices in a row see each other.

--- a/lib/routing/src/lib.rs
+++ b/lib/routing/src/lib.rs
@@ -1,1 +1,58 @@
 //! Choice of upstream, admission, retries and prefix affinity.
+//!
+//! [`RouteTable`] is the whole: one control thread owns it, feeds it events and
+//! asks it for decisions. It has no clock, no sockets and no threads; `now` is
+//! passed in, and randomness comes from a seed.
+
+mod affinity;
+mod attempt;
+mod choice;
+mod counters;
+mod index;
+mod latency;
+mod limits;
+mod policy;
+mod pool;
+mod prefix;
+mod progress;
+mod request;
+mod retry;
+mod score;
+mod select;
+mod table;
+mod track;
+mod trust;
+mod upstream;
+
+pub use attempt::AttemptId;
+pub use attempt::AttemptOutcome;
+pub use choice::RefusalReason;
+pub use choice::RouteRefusal;
+pub use choice::UpstreamChoice;
+pub use counters::RouteCounters;
+pub use limits::RateLimits;
+pub use limits::RequestLimiter;
+pub use limits::RequestPermit;
+pub use policy::RoutePolicy;
+pub use pool::UpstreamPool;
+pub use pool::UpstreamStatus;
+pub use prefix::BlockHash;
+pub use prefix::CacheChange;
+pub use prefix::CacheEvent;
+pub use prefix::PREFIX_BLOCK_BYTES;
+pub use prefix::PromptPrefix;
+pub use progress::ProgressWatch;
+pub use request::RequestPhase;
+pub use request::RequestPriority;
+pub use request::RouteRequest;
+pub use retry::FailedAttempt;
+pub use retry::RetryBudget;
+pub use retry::RetryDecision;
+pub use retry::RetryReason;
+pub use table::RouteTable;
+pub use upstream::EngineRole;
+pub use upstream::LoadReport;
+pub use upstream::ServedModel;
+pub use upstream::UpstreamKind;
+pub use upstream::UpstreamSpec;
+pub use upstream::UpstreamState;
--- /dev/null
+++ b/lib/routing/src/limits.rs
@@ -0,0 +1,243 @@
+//! Request limits of workspaces and profiles.
+
+use std::hash::Hash;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use snipegate_types::ProfileName;
+use snipegate_types::WorkspaceId;
+
+use crate::choice::RefusalReason;
+use crate::choice::RouteRefusal;
+
+/// Time to come back that a concurrency refusal gives.
+const CONCURRENCY_RETRY: Duration = Duration::from_millis(500);
+
+/// Limits of one workspace or profile on one router; absent means unlimited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RateLimits {
+    /// Requests per second in the long run.
+    pub requests_per_second: Option<f64>,
+    /// Requests that may come at once; the default is one second's worth.
+    pub burst: Option<u32>,
+    /// Requests in progress at once.
+    pub concurrent: Option<u32>,
+}
+
+impl RateLimits {
+    /// Returns the part of a fleet-wide limit that one of `routers` enforces.
+    ///
+    /// Callers keep an address for a while, so their requests are spread
+    /// unevenly; each router gets twice its even part, and a burst or a
+    /// concurrency of at least one.
+    pub fn part_of(self, routers: u32) -> Self {
+        let part = (2.0 / f64::from(routers.max(1))).min(1.0);
+        let scale = |count: u32| ((f64::from(count) * part).ceil() as u32).max(1);
+        Self {
+            requests_per_second: self.requests_per_second.map(|rate| rate * part),
+            burst: self.burst.map(scale),
+            concurrent: self.concurrent.map(scale),
+        }
+    }
+
+    fn burst_size(&self, rate: f64) -> f64 {
+        self.burst.map_or(rate.max(1.0), f64::from)
+    }
+}
+
+/// The right of one admitted request to be in progress; give it back with
+/// [`RequestLimiter::release`].
+#[derive(Debug)]
+#[must_use = "a permit that is not released counts as a request in progress"]
+pub struct RequestPermit {
+    workspace: WorkspaceId,
+    profile: ProfileName,
+}
+
+/// What one workspace or profile has used.
+#[derive(Clone, Debug)]
+struct LimitUse {
+    tokens: f64,
+    refilled_at: Instant,
+    in_progress: u32,
+}
+
+/// Which of the two limits is reached.
+enum LimitReached {
+    Rate(Duration),
+    Concurrency,
+}
+
+impl LimitUse {
+    fn new(limits: &RateLimits, now: Instant) -> Self {
+        let tokens = limits
+            .requests_per_second
+            .map_or(0.0, |rate| limits.burst_size(rate));
+        Self {
+            tokens,
+            refilled_at: now,
+            in_progress: 0,
+        }
+    }
+
+    fn refill(&mut self, limits: &RateLimits, now: Instant) {
+        let Some(rate) = limits.requests_per_second else {
+            return;
+        };
+        let span = now.saturating_duration_since(self.refilled_at);
+        self.tokens = (self.tokens + rate * span.as_secs_f64()).min(limits.burst_size(rate));
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn check(&self, limits: &RateLimits) -> Result<(), LimitReached> {
+        if limits
+            .concurrent
+            .is_some_and(|most| self.in_progress >= most)
+        {
+            return Err(LimitReached::Concurrency);
+        }
+        match limits.requests_per_second {
+            Some(rate) if self.tokens < 1.0 => {
+                let seconds = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE);
+                let wait = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+                Err(LimitReached::Rate(wait))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn take(&mut self, limits: &RateLimits) {
+        self.in_progress += 1;
+        if limits.requests_per_second.is_some() {
+            self.tokens -= 1.0;
+        }
+    }
+}
+
+/// The limits and their use by key.
+#[derive(Clone, Debug)]
+struct LimitGroup<K> {
+    limits: IndexMap<K, RateLimits>,
+    uses: IndexMap<K, LimitUse>,
+}
+
+impl<K: Hash + Eq + Clone> LimitGroup<K> {
+    fn new() -> Self {
+        Self {
+            limits: IndexMap::new(),
+            uses: IndexMap::new(),
+        }
+    }
+
+    fn limits_of(&self, key: &K) -> RateLimits {
+        self.limits.get(key).copied().unwrap_or_default()
+    }
+
+    fn check(&mut self, key: &K, now: Instant) -> Result<(), LimitReached> {
+        let limits = self.limits_of(key);
+        let limit_use = self
+            .uses
+            .entry(key.clone())
+            .or_insert_with(|| LimitUse::new(&limits, now));
+        limit_use.refill(&limits, now);
+        limit_use.check(&limits)
+    }
+
+    fn take(&mut self, key: &K) {
+        let limits = self.limits_of(key);
+        if let Some(limit_use) = self.uses.get_mut(key) {
+            limit_use.take(&limits);
+        }
+    }
+
+    fn release(&mut self, key: &K) {
+        if let Some(limit_use) = self.uses.get_mut(key) {
+            limit_use.in_progress = limit_use.in_progress.saturating_sub(1);
+        }
+    }
+
+    /// Forgets the use of keys that have no limit and nothing in progress.
+    fn replace(&mut self, limits: IndexMap<K, RateLimits>) {
+        self.limits = limits;
+        self.uses
+            .retain(|key, limit_use| limit_use.in_progress > 0 || self.limits.contains_key(key));
+    }
+}
+
+/// Enforces the request limits of workspaces and profiles on one router.
+#[derive(Clone, Debug)]
+pub struct RequestLimiter {
+    workspaces: LimitGroup<WorkspaceId>,
+    profiles: LimitGroup<ProfileName>,
+}
+
+impl RequestLimiter {
+    /// Makes a limiter without limits.
+    pub fn new() -> Self {
+        Self {
+            workspaces: LimitGroup::new(),
+            profiles: LimitGroup::new(),
+        }
+    }
+
+    /// Replaces all limits; what is in progress stays counted.
+    pub fn limits_changed(
+        &mut self,
+        workspaces: IndexMap<WorkspaceId, RateLimits>,
+        profiles: IndexMap<ProfileName, RateLimits>,
+    ) {
+        self.workspaces.replace(workspaces);
+        self.profiles.replace(profiles);
+    }
+
+    /// Admits a request, or refuses it without using up any limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the limit reached.
+    pub fn admit(
+        &mut self,
+        workspace: &WorkspaceId,
+        profile: &ProfileName,
+        now: Instant,
+    ) -> Result<RequestPermit, RouteRefusal> {
+        self.workspaces
+            .check(workspace, now)
+            .map_err(|reached| match reached {
+                LimitReached::Rate(wait) => RouteRefusal::later(RefusalReason::WorkspaceRate, wait),
+                LimitReached::Concurrency => {
+                    RouteRefusal::later(RefusalReason::WorkspaceConcurrency, CONCURRENCY_RETRY)
+                }
+            })?;
+        self.profiles
+            .check(profile, now)
+            .map_err(|reached| match reached {
+                LimitReached::Rate(wait) => RouteRefusal::later(RefusalReason::ProfileRate, wait),
+                LimitReached::Concurrency => {
+                    RouteRefusal::later(RefusalReason::ProfileConcurrency, CONCURRENCY_RETRY)
+                }
+            })?;
+        self.workspaces.take(workspace);
+        self.profiles.take(profile);
+        Ok(RequestPermit {
+            workspace: workspace.clone(),
+            profile: profile.clone(),
+        })
+    }
+
+    /// Ends a request's progress.
+    pub fn release(&mut self, permit: RequestPermit) {
+        self.workspaces.release(&permit.workspace);
+        self.profiles.release(&permit.profile);
+    }
+}
+
+impl Default for RequestLimiter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/lib/routing/src/pool.rs
@@ -0,0 +1,380 @@
+//! The upstreams that a router knows, and the choice among them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+use snipegate_types::ModelName;
+use snipegate_types::TokenCount;
+use snipegate_types::UpstreamId;
+
+use crate::attempt::Attempt;
+use crate::attempt::AttemptId;
+use crate::attempt::AttemptOutcome;
+use crate::choice::UpstreamChoice;
+use crate::index::CacheHolder;
+use crate::index::PrefixIndex;
+use crate::latency::LatencyModel;
+use crate::policy::RoutePolicy;
+use crate::prefix::CacheChange;
+use crate::prefix::CacheEvent;
+use crate::request::RouteRequest;
+use crate::retry::RetryBudget;
+use crate::score::CandidateScore;
+use crate::track::UpstreamTrack;
+use crate::trust::EventOrder;
+use crate::upstream::LoadReport;
+use crate::upstream::UpstreamSpec;
+
+/// Longest first-token time that is told to callers, in seconds.
+const MAX_EXPECTED_FIRST: f64 = 60.0;
+
+/// A first byte is overdue after this many times its expected time.
+const OVERDUE_FACTOR: f64 = 8.0;
+
+/// The upstreams that serve one model or plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamSet {
+    /// Slots of the pool.
+    pub members: Vec<usize>,
+    pub latency: LatencyModel,
+    pub retries: RetryBudget,
+}
+
+/// One place in the pool; a place that is used again has another generation.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolSlot {
+    pub generation: u32,
+    pub track: Option<UpstreamTrack>,
+}
+
+/// What a router shows of one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamStatus {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// This router's requests there.
+    pub outstanding: u32,
+    /// Whether it is ejected or on probation.
+    pub suspect: bool,
+    /// How many times longer than expected first tokens take.
+    pub slowness: f64,
+    /// Age of its last load report.
+    pub load_age: Option<Duration>,
+}
+
+/// The upstreams that a router knows.
+#[derive(Clone, Debug)]
+pub struct UpstreamPool {
+    pub(crate) slots: Vec<PoolSlot>,
+    slot_of: IndexMap<UpstreamId, usize>,
+    pub(crate) sets: IndexMap<ModelName, UpstreamSet>,
+    attempts: IndexMap<AttemptId, Attempt>,
+    pub(crate) index: PrefixIndex,
+    /// The last cache epoch given out.
+    next_epoch: u32,
+    next_attempt: u64,
+    pub(crate) rng: Rng,
+}
+
+impl UpstreamPool {
+    /// Makes an empty pool.
+    pub fn new(policy: &RoutePolicy, seed: u64) -> Self {
+        Self {
+            slots: Vec::new(),
+            slot_of: IndexMap::new(),
+            sets: IndexMap::new(),
+            attempts: IndexMap::new(),
+            index: PrefixIndex::new(policy.prefix_blocks),
+            next_epoch: 0,
+            next_attempt: 0,
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes over a new list of upstreams; what is known of those that stay is kept.
+    pub fn upstreams_changed(
+        &mut self,
+        policy: &RoutePolicy,
+        specs: Vec<UpstreamSpec>,
+        now: Instant,
+    ) {
+        let listed: IndexMap<UpstreamId, UpstreamSpec> = specs
+            .into_iter()
+            .map(|spec| (spec.id.clone(), spec))
+            .collect();
+        let slots = &mut self.slots;
+        self.slot_of.retain(|id, slot| {
+            let stays = listed.contains_key(id);
+            if !stays {
+                slots[*slot].track = None;
+                slots[*slot].generation += 1;
+            }
+            stays
+        });
+        for (id, spec) in listed {
+            match self.slot_of.get(&id) {
+                Some(&slot) => {
+                    if let Some(track) = &mut self.slots[slot].track {
+                        track.spec = spec;
+                    }
+                }
+                None => {
+                    let slot = self.free_slot();
+                    self.next_epoch += 1;
+                    self.slots[slot].track = Some(UpstreamTrack::new(spec, self.next_epoch, now));
+                    self.slot_of.insert(id, slot);
+                }
+            }
+        }
+        self.rebuild_sets(policy, now);
+    }
+
+    fn free_slot(&mut self) -> usize {
+        let free = self.slots.iter().position(|slot| slot.track.is_none());
+        free.unwrap_or_else(|| {
+            self.slots.push(PoolSlot {
+                generation: 0,
+                track: None,
+            });
+            self.slots.len() - 1
+        })
+    }
+
+    fn rebuild_sets(&mut self, policy: &RoutePolicy, now: Instant) {
+        for set in self.sets.values_mut() {
+            set.members.clear();
+        }
+        for (slot, place) in self.slots.iter().enumerate() {
+            let Some(track) = &place.track else { continue };
+            for served in &track.spec.models {
+                let set = self
+                    .sets
+                    .entry(served.model.clone())
+                    .or_insert_with(|| UpstreamSet {
+                        members: Vec::new(),
+                        latency: LatencyModel::new(policy),
+                        retries: RetryBudget::new(policy, now),
+                    });
+                if set.members.last() != Some(&slot) {
+                    set.members.push(slot);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn set_mut(&mut self, model: &ModelName) -> Option<&mut UpstreamSet> {
+        self.sets.get_mut(model)
+    }
+
+    /// Counts a request as outstanding at the upstream that was chosen for it.
+    pub(crate) fn begin(
+        &mut self,
+        policy: &RoutePolicy,
+        set_index: usize,
+        request: &RouteRequest,
+        best: &CandidateScore,
+        now: Instant,
+    ) -> UpstreamChoice {
+        let place = &mut self.slots[best.slot];
+        let generation = place.generation;
+        let track = place.track.as_mut().expect("a scored slot is in use");
+        track.began(best.uncached);
+        let holder = CacheHolder {
+            slot: best.slot,
+            epoch: track.cache_epoch,
+        };
+        if policy.use_prefixes {
+            self.index.add(request.prefix.blocks(), holder);
+        }
+        let upstream = track.spec.id.clone();
+        let id = AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        let attempt = Attempt {
+            slot: best.slot,
+            generation,
+            holder,
+            set: set_index,
+            prefix: request.prefix.clone(),
+            chosen_at: now,
+            first_byte_at: None,
+            uncached: best.uncached,
+            matched: best.matched,
+            prompt_tokens: request.prompt_tokens.0,
+            max_tokens: request.max_tokens.0,
+            expected_first: best.expected_first,
+            found_room: best.queue_wait <= 0.0 && best.backlog_wait <= 0.0,
+        };
+        self.attempts.insert(id, attempt);
+        let expected = best.expected_first.min(MAX_EXPECTED_FIRST);
+        UpstreamChoice {
+            upstream,
+            attempt: id,
+            expected_first_token: Duration::from_secs_f64(expected),
+            expected_cached: TokenCount(best.cached),
+            first_byte_timeout: policy
+                .first_byte_timeout
+                .max(Duration::from_secs_f64(expected * OVERDUE_FACTOR)),
+            progress_timeout: policy.progress_timeout,
+        }
+    }
+
+    fn track_of(&mut self, attempt: &Attempt) -> Option<&mut UpstreamTrack> {
+        let place = self.slots.get_mut(attempt.slot)?;
+        if place.generation != attempt.generation {
+            return None;
+        }
+        place.track.as_mut()
+    }
+
+    /// Notes the first byte of an answer.
+    pub fn first_byte(&mut self, id: AttemptId, now: Instant) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if attempt.first_byte_at.is_some() {
+            return;
+        }
+        attempt.first_byte_at = Some(now);
+        let attempt = attempt.clone();
+        let seconds = now
+            .saturating_duration_since(attempt.chosen_at)
+            .as_secs_f64();
+        if let Some(track) = self.track_of(&attempt) {
+            track.prefill_tokens = track.prefill_tokens.saturating_sub(attempt.uncached);
+            track.first_token(seconds, attempt.expected_first, now);
+        }
+        if attempt.found_room && attempt.prompt_tokens > 0 {
+            let latency = &mut self.sets[attempt.set].latency;
+            latency.first_token_seen(attempt.uncached, seconds);
+        }
+    }
+
+    /// Notes the end of an attempt; returns whether its upstream is ejected for it.
+    pub fn finished(
+        &mut self,
+        policy: &RoutePolicy,
+        id: AttemptId,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) -> bool {
+        let Some(attempt) = self.attempts.swap_remove(&id) else {
+            return false;
+        };
+        let may_eject = self.may_eject(policy, attempt.set);
+        if let AttemptOutcome::Completed { generated, .. } = outcome {
+            let set = &mut self.sets[attempt.set];
+            set.retries.succeeded(policy);
+            let first_byte_at = attempt.first_byte_at.unwrap_or(now);
+            set.latency.completed(
+                generated.0,
+                attempt.max_tokens,
+                now.saturating_duration_since(first_byte_at),
+                now.saturating_duration_since(attempt.chosen_at),
+            );
+        }
+        if outcome.proves_not_run() {
+            self.index.remove(attempt.prefix.blocks(), attempt.holder);
+        }
+        let Some(track) = self.track_of(&attempt) else {
+            return false;
+        };
+        if attempt.first_byte_at.is_none() {
+            track.prefill_tokens = track.prefill_tokens.saturating_sub(attempt.uncached);
+        }
+        track.ended();
+        match outcome {
+            AttemptOutcome::Completed { cached, .. } => {
+                track.succeeded();
+                if let Some(cached) = cached {
+                    track.cache.answered(attempt.matched, cached.0);
+                }
+                false
+            }
+            AttemptOutcome::Cancelled | AttemptOutcome::Withdrawn | AttemptOutcome::RefusedBusy => {
+                false
+            }
+            AttemptOutcome::NotConnected
+            | AttemptOutcome::UpstreamFault
+            | AttemptOutcome::ConnectionLost
+            | AttemptOutcome::Silent => track.failed(policy, may_eject, now),
+        }
+    }
+
+    /// Tells whether one more upstream of a set may be ejected.
+    fn may_eject(&self, policy: &RoutePolicy, set_index: usize) -> bool {
+        let members = &self.sets[set_index].members;
+        let suspects = members
+            .iter()
+            .filter_map(|&slot| self.slots[slot].track.as_ref())
+            .filter(|track| track.is_suspect())
+            .count();
+        (suspects + 1) as f64 <= members.len() as f64 * policy.eject_share
+    }
+
+    /// Notes an engine's load report.
+    pub fn load_reported(&mut self, upstream: &UpstreamId, report: &LoadReport, now: Instant) {
+        let Some(&slot) = self.slot_of.get(upstream) else {
+            return;
+        };
+        if let Some(track) = &mut self.slots[slot].track {
+            track.load_reported(report, now);
+        }
+    }
+
+    /// Notes a cache event; returns how many before it were missed.
+    pub fn cache_event(&mut self, upstream: &UpstreamId, event: &CacheEvent) -> u64 {
+        let Some(&slot) = self.slot_of.get(upstream) else {
+            return 0;
+        };
+        let place = &mut self.slots[slot];
+        let Some(track) = &mut place.track else {
+            return 0;
+        };
+        if event.change == CacheChange::Cleared {
+            track.cache.restarted(event.sequence);
+            self.next_epoch += 1;
+            track.cache_epoch = self.next_epoch;
+            return 0;
+        }
+        let EventOrder::Next { missed } = track.cache.event(event.sequence) else {
+            return 0;
+        };
+        let holder = CacheHolder {
+            slot,
+            epoch: track.cache_epoch,
+        };
+        match &event.change {
+            CacheChange::Stored(blocks) => self.index.add(blocks, holder),
+            CacheChange::Removed(blocks) => self.index.remove(blocks, holder),
+            CacheChange::Cleared => {}
+        }
+        missed
+    }
+
+    /// Returns the number of blocks that the prefix index holds.
+    pub fn indexed_blocks(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Returns the attempts that have not ended.
+    pub fn outstanding(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Describes every upstream.
+    pub fn status(&self, now: Instant) -> Vec<UpstreamStatus> {
+        self.slots
+            .iter()
+            .filter_map(|place| place.track.as_ref())
+            .map(|track| UpstreamStatus {
+                id: track.spec.id.clone(),
+                outstanding: track.outstanding,
+                suspect: track.is_suspect(),
+                slowness: track.slowness(now),
+                load_age: track.load_age(now),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/routing/tests/common/mod.rs
@@ -0,0 +1,49 @@
+//! Specs and requests that the tests share.
+
+use snipegate_routing::EngineRole;
+use snipegate_routing::PromptPrefix;
+use snipegate_routing::RequestPhase;
+use snipegate_routing::RequestPriority;
+use snipegate_routing::RouteRequest;
+use snipegate_routing::ServedModel;
+use snipegate_routing::UpstreamKind;
+use snipegate_routing::UpstreamSpec;
+use snipegate_routing::UpstreamState;
+use snipegate_types::TokenCount;
+
+/// Makes an engine that serves `model` with `slots` places.
+pub fn engine(id: &str, slots: u32) -> UpstreamSpec {
+    UpstreamSpec {
+        id: id.parse().unwrap(),
+        data_centre: "mvd-centro".parse().unwrap(),
+        kind: UpstreamKind::ModelRunner,
+        models: vec![ServedModel {
+            model: "model".parse().unwrap(),
+            version: None,
+            adapters: Vec::new(),
+        }],
+        role: EngineRole::Mixed,
+        slots,
+        state: UpstreamState::Up,
+    }
+}
+
+/// Makes a repeatable request for `model` without a deadline.
+pub fn request() -> RouteRequest {
+    RouteRequest {
+        workspace: "w".parse().unwrap(),
+        profile: "p".parse().unwrap(),
+        kind: UpstreamKind::ModelRunner,
+        model: "model".parse().unwrap(),
+        version: None,
+        adapter: None,
+        phase: RequestPhase::Whole,
+        priority: RequestPriority::Normal,
+        deadline: None,
+        idempotent: true,
+        prompt_tokens: TokenCount(500),
+        max_tokens: TokenCount(100),
+        prefix: PromptPrefix::default(),
+        avoid: Vec::new(),
+    }
+}
--- /dev/null
+++ b/lib/routing/tests/test_choice.rs
@@ -0,0 +1,195 @@
+//! Choice of upstream: who may be chosen, room, priorities, deadlines, health.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::engine;
+use common::request;
+use snipegate_routing::AttemptOutcome;
+use snipegate_routing::LoadReport;
+use snipegate_routing::RefusalReason;
+use snipegate_routing::RequestPriority;
+use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteTable;
+use snipegate_routing::UpstreamState;
+use snipegate_types::ResultCode;
+use snipegate_types::TokenCount;
+
+fn table(engines: usize, slots: u32, now: Instant) -> RouteTable {
+    let mut table = RouteTable::new(RoutePolicy::default(), 7);
+    let specs = (0..engines).map(|i| engine(&format!("e{i}"), slots));
+    table.upstreams_changed(specs.collect(), now);
+    table
+}
+
+fn completed() -> AttemptOutcome {
+    AttemptOutcome::Completed {
+        generated: TokenCount(10),
+        cached: None,
+    }
+}
+
+#[test]
+fn leaving_upstream_gets_no_new_work_and_keeps_its_own() {
+    let now = Instant::now();
+    let mut table = table(2, 8, now);
+    let choices: Vec<_> = (0..4)
+        .map(|_| table.choose(&request(), now).unwrap())
+        .collect();
+    let mut leaving = engine("e0", 8);
+    leaving.state = UpstreamState::Leaving;
+    table.upstreams_changed(vec![leaving.clone(), engine("e1", 8)], now);
+    for _ in 0..5 {
+        let choice = table.choose(&request(), now).unwrap();
+        assert_eq!(choice.upstream.as_str(), "e1");
+    }
+    let of_e0 = choices.iter().filter(|c| c.upstream.as_str() == "e0");
+    assert_eq!(
+        table.pool().status(now)[0].outstanding as usize,
+        of_e0.count()
+    );
+    let mut also = engine("e1", 8);
+    also.state = UpstreamState::Leaving;
+    table.upstreams_changed(vec![leaving, also], now);
+    let refusal = table.choose(&request(), now).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::AllLeaving);
+    assert_eq!(refusal.code, ResultCode::NoUpstream);
+}
+
+#[test]
+fn lowest_priority_is_shed_first_and_room_is_bounded() {
+    let now = Instant::now();
+    let mut table = table(1, 10, now);
+    let mut admitted = [0; 3];
+    let order = [
+        RequestPriority::Low,
+        RequestPriority::Normal,
+        RequestPriority::High,
+    ];
+    for (count, priority) in admitted.iter_mut().zip(order) {
+        let request = common::request();
+        let request = snipegate_routing::RouteRequest {
+            priority,
+            ..request
+        };
+        while table.choose(&request, now).is_ok() {
+            *count += 1;
+        }
+        let refusal = table.choose(&request, now).unwrap_err();
+        let expected = match priority {
+            RequestPriority::High => RefusalReason::AllFull,
+            _ => RefusalReason::LowPriority,
+        };
+        assert_eq!(refusal.reason, expected);
+        assert!(refusal.retry_after.is_some());
+    }
+    // 10 places and 5 that wait: 70% for low, 90% for normal, the rest for high.
+    assert_eq!(admitted, [10, 3, 2]);
+}
+
+#[test]
+fn deadline_that_cannot_be_met_is_refused_at_once() {
+    let now = Instant::now();
+    let mut table = table(2, 8, now);
+    let mut request = request();
+    request.deadline = Some(now + Duration::from_millis(20));
+    let refusal = table.choose(&request, now).unwrap_err();
+    assert_eq!(refusal.code, ResultCode::DeadlineUnmeetable);
+    // An idle engine is too slow for it, so coming back does not help.
+    assert_eq!(refusal.retry_after, None);
+    request.deadline = Some(now);
+    let refusal = table.choose(&request, now).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::DeadlinePassed);
+    request.deadline = Some(now + Duration::from_secs(30));
+    assert!(table.choose(&request, now).is_ok());
+}
+
+#[test]
+fn failing_upstream_is_ejected_and_probed() {
+    let now = Instant::now();
+    let mut table = table(4, 8, now);
+    let mut sent_to_bad = 0;
+    for _ in 0..200 {
+        let choice = table.choose(&request(), now).unwrap();
+        let bad = choice.upstream.as_str() == "e2";
+        sent_to_bad += usize::from(bad);
+        let outcome = match bad {
+            true => AttemptOutcome::NotConnected,
+            false => completed(),
+        };
+        table.finished(choice.attempt, outcome, now);
+    }
+    assert_eq!(sent_to_bad, 3);
+    assert_eq!(table.counters().ejections, 1);
+
+    let later = now + Duration::from_millis(1_001);
+    let mut probes = 0;
+    let mut open = Vec::new();
+    for _ in 0..20 {
+        let choice = table.choose(&request(), later).unwrap();
+        probes += usize::from(choice.upstream.as_str() == "e2");
+        open.push(choice);
+    }
+    assert_eq!(probes, 1, "one request at a time probes");
+    for choice in open {
+        table.finished(choice.attempt, completed(), later);
+    }
+    assert!(!table.pool().status(later)[2].suspect);
+}
+
+#[test]
+fn half_of_a_set_at_most_is_ejected() {
+    let now = Instant::now();
+    let mut table = table(4, 8, now);
+    for _ in 0..100 {
+        let choice = table.choose(&request(), now).unwrap();
+        table.finished(choice.attempt, AttemptOutcome::UpstreamFault, now);
+    }
+    let suspects = table
+        .pool()
+        .status(now)
+        .iter()
+        .filter(|s| s.suspect)
+        .count();
+    assert_eq!(suspects, 2);
+}
+
+#[test]
+fn reported_load_counts_until_it_is_old() {
+    let now = Instant::now();
+    let mut table = table(2, 8, now);
+    let busy = LoadReport {
+        running: 8,
+        queued: 3,
+        ..LoadReport::default()
+    };
+    let idle = LoadReport::default();
+    table.load_reported(&"e0".parse().unwrap(), &busy, now);
+    table.load_reported(&"e1".parse().unwrap(), &idle, now);
+    for _ in 0..4 {
+        let choice = table.choose(&request(), now).unwrap();
+        assert_eq!(choice.upstream.as_str(), "e1");
+        table.finished(choice.attempt, AttemptOutcome::Withdrawn, now);
+    }
+    let much_later = now + Duration::from_secs(60);
+    let to_e0 = (0..40)
+        .map(|_| table.choose(&request(), much_later))
+        .filter(|c| c.as_ref().is_ok_and(|c| c.upstream.as_str() == "e0"))
+        .count();
+    assert!(to_e0 > 0, "an old report keeps nothing away for good");
+}
+
+#[test]
+fn removed_upstream_takes_late_feedback_without_effect() {
+    let now = Instant::now();
+    let mut table = table(1, 8, now);
+    let choice = table.choose(&request(), now).unwrap();
+    table.upstreams_changed(vec![engine("f0", 8)], now);
+    table.first_byte(choice.attempt, now);
+    table.finished(choice.attempt, AttemptOutcome::Silent, now);
+    let status = table.pool().status(now);
+    assert_eq!((status[0].outstanding, status[0].suspect), (0, false));
+    assert_eq!(table.pool().outstanding(), 0);
+}
--- /dev/null
+++ b/lib/routing/tests/test_retry.rs
@@ -0,0 +1,117 @@
+//! Retries: what proves that a request may be sent again, and the budget.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::engine;
+use common::request;
+use snipegate_routing::AttemptOutcome;
+use snipegate_routing::FailedAttempt;
+use snipegate_routing::RefusalReason;
+use snipegate_routing::RetryDecision;
+use snipegate_routing::RetryReason;
+use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteTable;
+use snipegate_types::ByteCount;
+use snipegate_types::ResultCode;
+
+fn table(now: Instant) -> RouteTable {
+    let mut table = RouteTable::new(RoutePolicy::default(), 1);
+    table.upstreams_changed(vec![engine("e0", 8), engine("e1", 8)], now);
+    table
+}
+
+fn failed(outcome: AttemptOutcome) -> FailedAttempt {
+    FailedAttempt {
+        outcome,
+        sent_to_caller: ByteCount(0),
+        resumable: false,
+        attempts: 1,
+    }
+}
+
+const FAILURES: [AttemptOutcome; 5] = [
+    AttemptOutcome::NotConnected,
+    AttemptOutcome::RefusedBusy,
+    AttemptOutcome::UpstreamFault,
+    AttemptOutcome::ConnectionLost,
+    AttemptOutcome::Silent,
+];
+
+#[test]
+fn unrepeatable_call_is_sent_again_only_if_it_did_not_run() {
+    let now = Instant::now();
+    let mut request = request();
+    request.idempotent = false;
+    for outcome in FAILURES {
+        let decision = table(now).retry_after_failure(&request, &failed(outcome), now);
+        let sent_again = matches!(decision, RetryDecision::SendAgain(_));
+        assert_eq!(sent_again, outcome.proves_not_run(), "{outcome}");
+    }
+}
+
+#[test]
+fn nothing_is_sent_again_once_the_caller_has_a_byte() {
+    let now = Instant::now();
+    for outcome in FAILURES {
+        let mut attempt = failed(outcome);
+        attempt.sent_to_caller = ByteCount(1);
+        let decision = table(now).retry_after_failure(&request(), &attempt, now);
+        assert!(
+            matches!(decision, RetryDecision::GiveUp(_)),
+            "{outcome}: {decision:?}"
+        );
+        attempt.resumable = true;
+        let decision = table(now).retry_after_failure(&request(), &attempt, now);
+        assert_eq!(decision, RetryDecision::Resume);
+    }
+}
+
+#[test]
+fn no_retry_past_the_deadline_or_the_attempts() {
+    let now = Instant::now();
+    let mut late = request();
+    late.deadline = Some(now);
+    let decision =
+        table(now).retry_after_failure(&late, &failed(AttemptOutcome::NotConnected), now);
+    let RetryDecision::GiveUp(refusal) = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(refusal.code, ResultCode::DeadlinePassed);
+    let mut attempt = failed(AttemptOutcome::NotConnected);
+    attempt.attempts = RoutePolicy::default().max_attempts;
+    let decision = table(now).retry_after_failure(&request(), &attempt, now);
+    let RetryDecision::GiveUp(refusal) = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::AttemptsSpent);
+}
+
+#[test]
+fn retries_stay_a_share_of_successes() {
+    let start = Instant::now();
+    let mut table = table(start);
+    let policy = RoutePolicy::default();
+    let mut retries = 0;
+    // Ten seconds in which every one of 1,000 requests fails.
+    for i in 0..1_000 {
+        let now = start + Duration::from_millis(10 * i);
+        let attempt = failed(AttemptOutcome::RefusedBusy);
+        match table.retry_after_failure(&request(), &attempt, now) {
+            RetryDecision::SendAgain(RetryReason::RefusedBusy) => retries += 1,
+            RetryDecision::GiveUp(refusal) => {
+                assert_eq!(refusal.code, ResultCode::RetryBudgetSpent);
+                assert!(refusal.retry_after.is_some());
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    let most = policy.retry_burst + 10.0 * policy.retry_floor;
+    assert!(f64::from(retries) <= most + 1.0, "{retries}");
+    assert_eq!(
+        table.counters().retries[&RetryReason::RefusedBusy],
+        u64::try_from(retries).unwrap()
+    );
+}
