--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -54,8 +54,9 @@
     pub leaving: bool,
     /// The asker knows everything up to this revision.
     pub after: StoreRevision,
-    /// Version of the liveness that the asker has from this keeper's run.
-    pub liveness_version: u64,
+    /// Version of the liveness that the asker has from this keeper's run, 0 for
+    /// none; absent where the asker does not want it.
+    pub liveness_version: Option<u64>,
     /// How long to wait for something newer, in milliseconds.
     pub wait_ms: u64,
 }
--- a/lib/fleet/src/follower.rs
+++ b/lib/fleet/src/follower.rs
@@ -169,7 +169,7 @@
             asker: Some(self.settings.process.clone()),
             leaving: self.leaving.load(Ordering::Acquire),
             after: self.keeper.complete_to(),
-            liveness_version: version,
+            liveness_version: Some(version),
             wait_ms: VIEW_WAIT.as_millis() as u64,
         }
     }
--- a/lib/fleet/src/view_keeper.rs
+++ b/lib/fleet/src/view_keeper.rs
@@ -155,10 +155,9 @@
         outcome(changed)
     }
 
-    /// Returns the key that the next page of the listing begins after, or
-    /// `None` where a listing begins anew.
-    pub fn listing_after(&self) -> Option<&str> {
-        self.listing.as_ref()?.after.as_deref()
+    /// Forgets a listing that was begun and not finished.
+    pub fn begin_listing(&mut self) {
+        self.listing = None;
     }
 
     /// Takes in one page of a listing of [`FleetKey::PREFIX`] that was asked at
