--- a/lib/ledger/src/operation.rs
+++ b/lib/ledger/src/operation.rs
@@ -56,10 +56,9 @@
         budget: BudgetId,
         /// Who deducted the tokens.
         giver: IncarnationId,
-        /// Who received them. Differs from the sender where the sender holds
-        /// a copy of a bill that needs the transfer, or is the giver and the
-        /// receiver is dead. Accepted, as bills are, until the receiver's
-        /// holdings are reclaimed.
+        /// Who received them. Sent by the receiver, by the giver, and by
+        /// whoever posts a copy of a bill that needs the transfer; accepted,
+        /// as bills are, until the receiver's holdings are reclaimed.
         receiver: IncarnationId,
         /// How many tokens.
         amount: TokenCount,
