--- a/lib/escrow/src/grant.rs
+++ b/lib/escrow/src/grant.rs
@@ -254,7 +254,8 @@
             }
             OperationRefusal::HoldingShort
             | OperationRefusal::IdReused
-            | OperationRefusal::AmountTooLarge => self.count(EscrowCounter::LedgerFault),
+            | OperationRefusal::AmountTooLarge
+            | OperationRefusal::IntentUnknown => self.count(EscrowCounter::LedgerFault),
         }
     }
 
