keeper: the process, on the fleet service and the shard keepers

The main thread is the control thread: it owns the shard keepers and the fleet service; the server's threads pass batches to it and wait for the answer. Who keeps a shard comes from the fleet view, deaths from its proofs, and fence and return orders go to routers as messages whose types lie in the ledger library.

A test runs the process against the platform's stand-in: a second run on the VM takes the shard over after the first was killed, and repeated operations change nothing.

--- /dev/null
+++ b/bin/keeper/src/ledger_control.rs
@@ -0,0 +1,349 @@
+//! Runs the shard keepers on the control thread and carries out their effects.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use ntex::rt::spawn;
+use ntex::time::sleep;
+use snipegate_fleet::DeathWatch;
+use snipegate_fleet::FleetHandle;
+use snipegate_fleet::FleetView;
+use snipegate_ledger::BatchId;
+use snipegate_ledger::FENCE_PATH;
+use snipegate_ledger::FenceOrder;
+use snipegate_ledger::FenceReply;
+use snipegate_ledger::KeeperEffect;
+use snipegate_ledger::KeeperEvent;
+use snipegate_ledger::KeeperSettings;
+use snipegate_ledger::LedgerAnswer;
+use snipegate_ledger::LedgerBatch;
+use snipegate_ledger::RETURN_PATH;
+use snipegate_ledger::ReturnOrder;
+use snipegate_ledger::ReturnReply;
+use snipegate_ledger::ShardKeeper;
+use snipegate_platform::ConfigStore;
+use snipegate_service::DaemonContext;
+use snipegate_service::MessageClient;
+use snipegate_types::IncarnationId;
+use snipegate_types::ShardId;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::notice::report;
+use crate::routers::list_routers;
+
+/// Time between two ticks of the shard keepers.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+
+/// How long a router may take to carry out a fence or return order.
+const ORDER_WAIT: Duration = Duration::from_secs(2);
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub(crate) enum ControlMessage {
+    /// A batch came over HTTP.
+    Batch {
+        /// The operations.
+        batch: LedgerBatch,
+        /// Takes the answer.
+        reply: oneshot::Sender<LedgerAnswer>,
+    },
+    /// The fleet view or the VM list was heard of anew.
+    View(Arc<FleetView>, Arc<DeathWatch>),
+    /// Something that a shard keeper asked for has ended.
+    Event(ShardId, KeeperEvent),
+    /// Time has passed.
+    Tick,
+    /// Let the shards go; the sender hears when that is done.
+    Stop(oneshot::Sender<()>),
+}
+
+/// The shard keepers of this process and what they wait for.
+pub(crate) struct LedgerControl<S> {
+    own: IncarnationId,
+    settings: KeeperSettings,
+    context: DaemonContext,
+    store: Rc<S>,
+    client: Rc<MessageClient>,
+    sender: mpsc::UnboundedSender<ControlMessage>,
+    view: Arc<FleetView>,
+    shards: IndexMap<ShardId, ShardKeeper>,
+    replies: IndexMap<BatchId, oneshot::Sender<LedgerAnswer>>,
+    next_batch: u64,
+    stopped: Option<oneshot::Sender<()>>,
+}
+
+impl<S: ConfigStore + 'static> LedgerControl<S> {
+    /// Makes the control state without shards; they come with the fleet view.
+    pub(crate) fn new(
+        own: IncarnationId,
+        settings: KeeperSettings,
+        context: DaemonContext,
+        store: Rc<S>,
+        sender: mpsc::UnboundedSender<ControlMessage>,
+    ) -> Self {
+        Self {
+            own,
+            settings,
+            context,
+            store,
+            client: Rc::new(MessageClient::new()),
+            sender,
+            view: Arc::default(),
+            shards: IndexMap::new(),
+            replies: IndexMap::new(),
+            next_batch: 0,
+            stopped: None,
+        }
+    }
+
+    /// Takes messages until the shards are let go.
+    pub(crate) async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<ControlMessage>) {
+        spawn(send_ticks(self.sender.clone()));
+        while let Some(message) = receiver.recv().await {
+            self.handle(message, Instant::now());
+            if self.stopped.is_some() && self.shards.values().all(ShardKeeper::is_idle) {
+                break;
+            }
+        }
+        if let Some(stopped) = self.stopped {
+            let _ = stopped.send(());
+        }
+    }
+
+    fn handle(&mut self, message: ControlMessage, now: Instant) {
+        match message {
+            ControlMessage::Batch { batch, reply } => self.take_batch(batch, reply, now),
+            ControlMessage::View(view, deaths) => {
+                self.take_view(view, now);
+                self.prove_deaths(&deaths, now);
+            }
+            ControlMessage::Event(shard, event) => self.tell(shard, event, now),
+            ControlMessage::Tick => self.tell_all(&KeeperEvent::Tick, now),
+            ControlMessage::Stop(stopped) => {
+                self.stopped = Some(stopped);
+                self.tell_all(&KeeperEvent::Stop, now);
+            }
+        }
+    }
+
+    fn take_batch(
+        &mut self,
+        batch: LedgerBatch,
+        reply: oneshot::Sender<LedgerAnswer>,
+        now: Instant,
+    ) {
+        let shard = batch.shard;
+        if !self.shards.contains_key(&shard) {
+            let _ = reply.send(LedgerAnswer::NotKeeper { keeper: None });
+            return;
+        }
+        self.next_batch += 1;
+        let id = BatchId(self.next_batch);
+        self.replies.insert(id, reply);
+        self.tell(shard, KeeperEvent::Batch { id, batch }, now);
+    }
+
+    fn take_view(&mut self, view: Arc<FleetView>, now: Instant) {
+        self.view = view;
+        let Some(fleet) = self.view.settings().cloned() else {
+            return;
+        };
+        self.settings.retry_window = fleet.retry_window();
+        for shard in (0..fleet.ledger_shards).map(ShardId) {
+            self.open_shard(shard);
+            let keeper = self.view.keeper_of(shard);
+            let keeper = keeper.map(|entry| entry.record.incarnation.clone());
+            self.tell(shard, KeeperEvent::Chosen { keeper }, now);
+        }
+    }
+
+    fn open_shard(&mut self, shard: ShardId) {
+        if self.shards.contains_key(&shard) {
+            return;
+        }
+        let keeper = ShardKeeper::new(shard, self.own.clone(), self.settings.clone());
+        self.shards.insert(shard, keeper);
+    }
+
+    /// Tells each shard keeper which of the incarnations that matter to it are
+    /// proven dead.
+    fn prove_deaths(&mut self, deaths: &DeathWatch, now: Instant) {
+        let mut proven = Vec::new();
+        for (shard, keeper) in &self.shards {
+            let dead = keeper
+                .watched_incarnations()
+                .filter(|incarnation| deaths.proof(incarnation, &self.view).is_some());
+            proven.extend(dead.map(|incarnation| (*shard, incarnation.clone())));
+        }
+        for (shard, incarnation) in proven {
+            self.tell(shard, KeeperEvent::ProvenDead { incarnation }, now);
+        }
+    }
+
+    fn tell_all(&mut self, event: &KeeperEvent, now: Instant) {
+        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
+        for shard in shards {
+            self.tell(shard, event.clone(), now);
+        }
+    }
+
+    fn tell(&mut self, shard: ShardId, event: KeeperEvent, now: Instant) {
+        let Some(keeper) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        let effects = keeper.handle(event, now);
+        for effect in effects {
+            self.carry_out(shard, effect);
+        }
+    }
+
+    fn carry_out(&mut self, shard: ShardId, effect: KeeperEffect) {
+        match effect {
+            KeeperEffect::Swap {
+                call,
+                key,
+                expected,
+                value,
+            } => self.call_store(shard, async move |store| {
+                let result = store.swap(&key, expected, value, None).await;
+                Some(KeeperEvent::SwapEnded { call, result })
+            }),
+            KeeperEffect::Remove {
+                call,
+                key,
+                expected,
+            } => self.call_store(shard, async move |store| {
+                let result = store.remove(&key, expected).await;
+                Some(KeeperEvent::SwapEnded { call, result })
+            }),
+            KeeperEffect::Read { call, key } => self.call_store(shard, async move |store| {
+                let result = store.read(&key).await;
+                Some(KeeperEvent::ReadEnded { call, result })
+            }),
+            KeeperEffect::List {
+                call,
+                prefix,
+                after,
+            } => self.call_store(shard, async move |store| {
+                let result = store.list(&prefix, after.as_deref()).await;
+                Some(KeeperEvent::ListEnded { call, result })
+            }),
+            KeeperEffect::ListRouters { dead } => self.call_store(shard, async move |store| {
+                // A failed listing is asked for again by the shard keeper.
+                let routers = list_routers(store.as_ref()).await?;
+                Some(KeeperEvent::RoutersListed { dead, routers })
+            }),
+            KeeperEffect::Reply { batch, answer } => {
+                if let Some(reply) = self.replies.swap_remove(&batch) {
+                    let _ = reply.send(answer);
+                }
+            }
+            KeeperEffect::AskReturn {
+                holder,
+                budget,
+                amount,
+            } => self.ask_return(ReturnOrder {
+                holder,
+                budget,
+                amount,
+            }),
+            KeeperEffect::AskFence { router, dead } => {
+                self.ask_fence(shard, FenceOrder { router, dead });
+            }
+            KeeperEffect::Notice(notice) => report(&self.context, shard, &notice),
+        }
+    }
+
+    /// Makes a call to the store beside the control loop; what it gives comes
+    /// back as an event.
+    fn call_store<F>(&self, shard: ShardId, call: F)
+    where
+        F: AsyncFnOnce(Rc<S>) -> Option<KeeperEvent> + 'static,
+    {
+        let store = Rc::clone(&self.store);
+        let sender = self.sender.clone();
+        spawn(async move {
+            if let Some(event) = call(store).await {
+                let _ = sender.send(ControlMessage::Event(shard, event));
+            }
+        });
+    }
+
+    fn ask_return(&self, order: ReturnOrder) {
+        let Some(address) = self.view.peer_address(&order.holder) else {
+            return;
+        };
+        let client = Rc::clone(&self.client);
+        spawn(async move {
+            // The tokens come back as a ledger operation, or not at all.
+            let _ = client
+                .call::<_, ReturnReply>(address, RETURN_PATH, &order, ORDER_WAIT)
+                .await;
+        });
+    }
+
+    fn ask_fence(&self, shard: ShardId, order: FenceOrder) {
+        let Some(address) = self.view.peer_address(&order.router) else {
+            return;
+        };
+        let client = Rc::clone(&self.client);
+        let sender = self.sender.clone();
+        spawn(async move {
+            let reply = client
+                .call::<_, FenceReply>(address, FENCE_PATH, &order, ORDER_WAIT)
+                .await;
+            if reply.is_ok_and(|reply| reply.fenced) {
+                let event = KeeperEvent::FenceAnswered {
+                    router: order.router,
+                    dead: order.dead,
+                };
+                let _ = sender.send(ControlMessage::Event(shard, event));
+            }
+        });
+    }
+}
+
+/// Passes the fleet view on to the control loop, as often as it is published.
+pub(crate) async fn follow_fleet(fleet: FleetHandle, control: ControlHandle) {
+    let mut views = fleet.views();
+    while views.changed().await.is_ok() {
+        let view = views.borrow_and_update().clone();
+        control.send(ControlMessage::View(view, fleet.deaths()));
+    }
+}
+
+async fn send_ticks(sender: mpsc::UnboundedSender<ControlMessage>) {
+    while sender.send(ControlMessage::Tick).is_ok() {
+        sleep(TICK_PERIOD).await;
+    }
+}
+
+/// The control thread's inbox, as traffic threads hold it.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlHandle {
+    sender: mpsc::UnboundedSender<ControlMessage>,
+}
+
+impl ControlHandle {
+    /// Makes a handle on an inbox.
+    pub(crate) fn new(sender: mpsc::UnboundedSender<ControlMessage>) -> Self {
+        Self { sender }
+    }
+
+    /// Sends a message; it is lost if the control loop has ended.
+    pub(crate) fn send(&self, message: ControlMessage) {
+        let _ = self.sender.send(message);
+    }
+
+    /// Has a batch decided.
+    pub(crate) async fn decide(&self, batch: LedgerBatch) -> LedgerAnswer {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlMessage::Batch { batch, reply });
+        let lost = LedgerAnswer::NotKeeper { keeper: None };
+        answer.await.unwrap_or(lost)
+    }
+}
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -1,3 +1,136 @@
-//! Placeholder until the process is built.
+//! `snipegate-keeper`: writes the budget ledger and watches the platform.
+//!
+//! The main thread is the control thread: it owns the shard keepers and the
+//! fleet service. The server's threads pass messages to it.
 
-fn main() {}
+mod ledger_control;
+mod ledger_route;
+mod notice;
+mod routers;
+mod settings;
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::UNIX_EPOCH;
+
+use ntex::rt::spawn;
+use ntex::time::timeout;
+use slog::error;
+use snipegate_fleet::FleetKey;
+use snipegate_fleet::FleetService;
+use snipegate_fleet::FleetServiceSettings;
+use snipegate_fleet::MemberRecord;
+use snipegate_fleet::MemberState;
+use snipegate_fleet::choose_start;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::HttpStore;
+use snipegate_platform::HttpVmList;
+use snipegate_service::DaemonContext;
+use snipegate_service::GuardPort;
+use snipegate_service::MetricRegistry;
+use snipegate_service::ProcessSettings;
+use snipegate_service::ProcessState;
+use snipegate_service::StopSignal;
+use snipegate_service::build_logger;
+use snipegate_service::start_server;
+use snipegate_service::wait_for_stop_signal;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::SystemClock;
+use snipegate_types::TimeSource;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::ledger_control::ControlHandle;
+use crate::ledger_control::ControlMessage;
+use crate::ledger_control::LedgerControl;
+use crate::ledger_control::follow_fleet;
+use crate::ledger_route::ledger_routes;
+use crate::settings::DaemonSettings;
+
+#[ntex::main]
+async fn main() -> io::Result<()> {
+    let matches = settings::command().get_matches();
+    let settings = DaemonSettings::from_matches(&matches);
+    let process = &settings.process;
+    let _guard = GuardPort::bind(process.guard)?;
+    let listener = TcpListener::bind(process.listen)?;
+    let logger = build_logger(process.log_format, process.log_level, "keeper");
+    let metrics = MetricRegistry::new("keeper", process.metrics)?;
+    let context = DaemonContext::new(logger, metrics);
+    let store = HttpStore::new(settings.platform.clone()).await;
+    let store = Rc::new(store.map_err(io::Error::other)?);
+    let vms = HttpVmList::new(settings.platform.clone()).await;
+    let vms = Rc::new(vms.map_err(io::Error::other)?);
+
+    let own = choose_incarnation(process, &store).await;
+    let member = member_record(process, own.clone());
+    let seeds = settings.seeds.clone();
+    let fleet = FleetServiceSettings { member, seeds };
+    let clock = Rc::new(SystemClock);
+    let (service, fleet) = FleetService::new(fleet, Rc::clone(&store), vms, clock, context.clone());
+    spawn(service.run());
+
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let control = ControlHandle::new(sender.clone());
+    let ledger = LedgerControl::new(own, settings.keeper.clone(), context.clone(), store, sender);
+    spawn(ledger.run(receiver));
+    spawn(follow_fleet(fleet.clone(), control.clone()));
+
+    let routes_control = control.clone();
+    let server = start_server(listener, process.workers, context.clone(), move |config| {
+        ledger_routes(config, routes_control.clone());
+        fleet.routes(config);
+    })?;
+    context.set_state(ProcessState::Ready);
+    if wait_for_stop_signal().await? == StopSignal::Graceful {
+        stop_gracefully(&settings, &context, &control).await;
+    }
+    server.stop(true).await;
+    Ok(())
+}
+
+/// Returns the name of this run, later than the registered one's if the store
+/// can tell which that is.
+async fn choose_incarnation(process: &ProcessSettings, store: &HttpStore) -> IncarnationId {
+    let role = ProcessRole::Keeper;
+    let key = FleetKey::Member(process.vm.clone(), role).to_string();
+    let stored = store.read(&key).await.ok().flatten();
+    let record = stored.and_then(|s| serde_json::from_slice::<MemberRecord>(&s.value).ok());
+    let earlier = record.as_ref().map(|record| &record.incarnation);
+    let wall = SystemClock.wall().duration_since(UNIX_EPOCH);
+    let wall_ns = wall.map_or(0, |wall| wall.as_nanos() as u64);
+    IncarnationId {
+        vm: process.vm.clone(),
+        role,
+        start: choose_start(wall_ns, earlier),
+    }
+}
+
+fn member_record(process: &ProcessSettings, incarnation: IncarnationId) -> MemberRecord {
+    MemberRecord {
+        incarnation,
+        data_centre: process.data_centre.clone(),
+        region: process.region.clone(),
+        address: process.listen,
+        peer_address: None,
+        weight: 1,
+        state: MemberState::Up,
+        listed_at: None,
+    }
+}
+
+/// Waits until commits in flight have ended and the shards are let go.
+async fn stop_gracefully(
+    settings: &DaemonSettings,
+    context: &DaemonContext,
+    control: &ControlHandle,
+) {
+    context.set_state(ProcessState::Stopping);
+    let (sender, stopped) = oneshot::channel();
+    control.send(ControlMessage::Stop(sender));
+    if timeout(settings.stop_within, stopped).await.is_err() {
+        error!(context.logger, "commits in flight did not end in time");
+    }
+}
--- /dev/null
+++ b/bin/keeper/tests/test_keeper.rs
@@ -0,0 +1,158 @@
+//! The keeper as a process, against the platform's stand-in.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::process::Child;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use ntex::time::sleep;
+use ntex::web::App;
+use ntex::web::test;
+use ntex::web::test::TestServer;
+use snipegate_fleet::FleetKey;
+use snipegate_fleet::FleetSettings;
+use snipegate_ledger::LEDGER_PATH;
+use snipegate_ledger::LedgerAnswer;
+use snipegate_ledger::LedgerBatch;
+use snipegate_ledger::LedgerOperation;
+use snipegate_ledger::OperationResult;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::ExpectedVersion;
+use snipegate_platform::HttpStore;
+use snipegate_platform::PlatformSettings;
+use snipegate_service::MessageClient;
+use snipegate_standin_platform::PlatformState;
+use snipegate_standin_platform::configure;
+use snipegate_types::BudgetId;
+use snipegate_types::OperationId;
+use snipegate_types::ShardId;
+use snipegate_types::TokenCount;
+
+/// Longest wait for something that has to happen in the end.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A keeper process that ends with the test.
+struct KeeperProcess {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for KeeperProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn start_keeper(vm: &str, platform: SocketAddr) -> KeeperProcess {
+    let address = free_address();
+    let child = Command::new(env!("CARGO_BIN_EXE_snipegate-keeper"))
+        .args(["--vm", vm, "--data-centre", "mvd-centro"])
+        .args(["--region", "uy-sur", "--log-level", "warning"])
+        .args(["--listen", &address.to_string()])
+        .args(["--guard", &free_address().to_string()])
+        .args(["--platform", &platform.to_string()])
+        .spawn()
+        .unwrap();
+    KeeperProcess { child, address }
+}
+
+async fn start_platform() -> (TestServer, HttpStore) {
+    let state = PlatformState::new(400, 2_000);
+    let server =
+        test::server(async move || App::new().state(state.clone()).configure(configure)).await;
+    let store = HttpStore::new(PlatformSettings {
+        address: server.addr(),
+        call_timeout: Duration::from_secs(3),
+        vm: "operator".parse().unwrap(),
+        data_centre: "mvd-centro".parse().unwrap(),
+    });
+    let store = store.await.unwrap();
+    let settings = FleetSettings {
+        ledger_shards: 1,
+        ..FleetSettings::default()
+    };
+    let key = FleetKey::Settings.to_string();
+    let value = serde_json::to_vec(&settings).unwrap();
+    let written = store.swap(&key, ExpectedVersion::Absent, value, None).await;
+    written.unwrap();
+    (server, store)
+}
+
+fn budget() -> BudgetId {
+    "depot".parse().unwrap()
+}
+
+fn top_up(number: u128, amount: u64) -> LedgerOperation {
+    LedgerOperation::TopUp {
+        operation: OperationId::from_number(number),
+        budget: budget(),
+        amount: TokenCount(amount),
+    }
+}
+
+fn grant(number: u128, wanted: u64) -> LedgerOperation {
+    LedgerOperation::Grant {
+        operation: OperationId::from_number(number),
+        budget: budget(),
+        wanted: TokenCount(wanted),
+        least: TokenCount(wanted),
+    }
+}
+
+/// Sends operations to each keeper in turn until one decides them.
+async fn decide(
+    keepers: &[&KeeperProcess],
+    operations: Vec<LedgerOperation>,
+) -> Vec<OperationResult> {
+    let client = MessageClient::new();
+    let batch = LedgerBatch {
+        shard: ShardId(0),
+        sender: "vm-1/router/1".parse().unwrap(),
+        operations,
+    };
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        for keeper in keepers {
+            let wait = Duration::from_secs(3);
+            let answer = client.call(keeper.address, LEDGER_PATH, &batch, wait).await;
+            if let Ok(LedgerAnswer::Results(results)) = answer {
+                return results;
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no keeper decided the operations");
+}
+
+fn granted(amount: u64, unassigned: u64) -> OperationResult {
+    OperationResult::Granted {
+        amount: TokenCount(amount),
+        unassigned: TokenCount(unassigned),
+    }
+}
+
+#[ntex::test]
+async fn shard_outlives_its_keeper() {
+    let (platform, store) = start_platform().await;
+    let first = start_keeper("vm-a", platform.addr());
+    let operations = vec![top_up(1, 1_000), grant(2, 300)];
+    let results = decide(&[&first], operations.clone()).await;
+    assert_eq!(results, [OperationResult::ToppedUp, granted(300, 700)]);
+    drop(first);
+
+    // A later run on the same VM takes over, and a repeat changes nothing.
+    let second = start_keeper("vm-a", platform.addr());
+    assert_eq!(decide(&[&second], operations).await, results);
+    let results = decide(&[&second], vec![grant(3, 700)]).await;
+    assert_eq!(results, [granted(700, 0)]);
+    let listing = store.list("shard/0/segment/", None).await.unwrap();
+    assert_eq!(listing.entries.len(), 4);
+}
--- a/lib/ledger/src/fence.rs
+++ b/lib/ledger/src/fence.rs
@@ -82,6 +82,14 @@
             .collect()
     }
 
+    /// Returns the routers that have not answered.
+    pub(crate) fn awaited(&self) -> impl Iterator<Item = &IncarnationId> {
+        self.rounds
+            .values()
+            .filter_map(|round| Some((round, round.routers.as_ref()?)))
+            .flat_map(|(round, routers)| routers.difference(&round.answered))
+    }
+
     /// Ends the rounds in which every router has answered or is proven dead
     /// itself, and returns their holders.
     pub(crate) fn take_finished(
--- a/lib/ledger/src/keeper.rs
+++ b/lib/ledger/src/keeper.rs
@@ -147,6 +147,15 @@
         matches!(self.stage, KeeperStage::Idle)
     }
 
+    /// Returns the incarnations whose death this keeper needs to hear of.
+    pub fn watched_incarnations(&self) -> impl Iterator<Item = &IncarnationId> {
+        let is_serving = self.is_serving();
+        self.ledger
+            .open_holders()
+            .chain(self.fences.awaited())
+            .filter(move |incarnation| is_serving && !self.proven_dead.contains(*incarnation))
+    }
+
     /// Tells whether nothing waits for the store.
     pub fn is_quiet(&self) -> bool {
         match &self.stage {
--- a/lib/ledger/src/ledger.rs
+++ b/lib/ledger/src/ledger.rs
@@ -183,6 +183,14 @@
             .map(|(incarnation, _)| incarnation)
     }
 
+    /// Returns the holders that take part.
+    pub fn open_holders(&self) -> impl Iterator<Item = &IncarnationId> {
+        self.holders
+            .iter()
+            .filter(|(_, state)| **state == HolderState::Open)
+            .map(|(incarnation, _)| incarnation)
+    }
+
     /// Returns the intent of a request.
     pub fn intent(&self, request: &RequestId) -> Option<&CallIntent> {
         self.intents.get(request)
