--- /dev/null
+++ b/testing/history/src/check_answers.rs
@@ -0,0 +1,41 @@
+//! Checks that callers got their own answers, whole.
+
+use indexmap::IndexMap;
+
+use crate::attempts::AttemptEnd;
+use crate::attempts::CallAttempt;
+use crate::event::AttemptId;
+use crate::event::RequestNature;
+use crate::violation::Violation;
+
+/// Checks each chat answer token by token.
+pub(crate) fn check_answers(
+    attempts: &IndexMap<AttemptId, CallAttempt>,
+    violations: &mut Vec<Violation>,
+) {
+    for (&attempt, call) in attempts {
+        let Some((_, AttemptEnd::Answered { usage, text })) = &call.end else {
+            continue;
+        };
+        let RequestNature::Chat { marker, digest } = &call.nature else {
+            continue;
+        };
+        let mut came = 0;
+        for token in text.split_whitespace() {
+            if token != format!("{marker}/{came}/{digest}") {
+                let token = token.to_owned();
+                violations.push(Violation::AnswerForeign { attempt, token });
+                break;
+            }
+            came += 1;
+        }
+        let told = usage.map_or(0, |usage| usage.completion);
+        if came != told {
+            violations.push(Violation::AnswerCut {
+                attempt,
+                came,
+                told,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/testing/history/src/summary.rs
@@ -0,0 +1,67 @@
+//! How much a history holds, so that an empty one is not taken for a proof.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+
+use crate::event::EventKind;
+use crate::event::HistoryEvent;
+use crate::event::LedgerEntry;
+
+/// Counts of a history's events.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HistorySummary {
+    /// Attempts that were sent.
+    pub sent: usize,
+    /// Whole answers.
+    pub answered: usize,
+    /// Refusals and failures, by result code.
+    pub refused: IndexMap<u16, usize>,
+    /// Connections that ended early.
+    pub broken: usize,
+    /// Pieces of work on upstreams.
+    pub work: usize,
+    /// Bills in the ledger's log.
+    pub bills: usize,
+    /// Tokens billed.
+    pub billed: u64,
+}
+
+impl HistorySummary {
+    /// Counts the events of a history.
+    pub fn new(events: &[HistoryEvent]) -> Self {
+        let mut summary = Self::default();
+        for event in events {
+            summary.count(&event.what);
+        }
+        summary
+    }
+
+    fn count(&mut self, what: &EventKind) {
+        match what {
+            EventKind::Sent { .. } => self.sent += 1,
+            EventKind::Answered { .. } => self.answered += 1,
+            EventKind::Refused { code, .. } => *self.refused.entry(*code).or_default() += 1,
+            EventKind::Broken { .. } | EventKind::NotConnected { .. } => self.broken += 1,
+            EventKind::Work { .. } => self.work += 1,
+            EventKind::Ledger {
+                entry: LedgerEntry::Bill { amount, .. },
+                ..
+            } => {
+                self.bills += 1;
+                self.billed += amount;
+            }
+            _ => {}
+        }
+    }
+}
+
+impl fmt::Display for HistorySummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} sent, {} answered, {} broken, {} runs, {} bills over {} tokens, refused {:?}",
+            self.sent, self.answered, self.broken, self.work, self.bills, self.billed, self.refused
+        )
+    }
+}
