fleet: no key comes back from a peer that missed its removal

Cause, found by test_no_version_goes_back_and_nothing_is_missed: a process that learnt of a key's removal only by not seeing the key in a listing took the key back from a peer's older reply. What a complete knowledge lacks up to its revision is now never news.

--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -68,8 +68,6 @@
     pub keeper: IncarnationId,
     /// With these changes the asker knows everything up to this revision.
     pub complete_to: StoreRevision,
-    /// Whether more remains that did not fit into this reply.
-    pub more: bool,
     /// The changes are all the keys that exist, because the keeper no longer
     /// knows which removals the asker has missed.
     pub full: bool,
--- a/lib/fleet/src/view_keeper.rs
+++ b/lib/fleet/src/view_keeper.rs
@@ -1,12 +1,12 @@
 //! Merging of everything that a process hears about the fleet.
 
 use std::collections::BTreeMap;
-use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use snipegate_platform::StoreKey;
 use snipegate_platform::StoreListing;
 use snipegate_platform::StoreRevision;
@@ -24,9 +24,6 @@
 use crate::view::FleetView;
 use crate::view::ViewIndex;
 
-/// Most bytes of records in one reply to a peer that is catching up.
-const MAX_REPLY_BYTES: usize = 256 << 10;
-
 /// What a merge did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MergeOutcome {
@@ -64,8 +61,8 @@
     revision: StoreRevision,
     /// When the first page was asked for.
     asked: Instant,
-    /// The key that the next page begins after.
-    after: Option<StoreKey>,
+    /// The keys on the pages read.
+    listed: IndexSet<StoreKey>,
 }
 
 /// What a process knows of the fleet, and how it takes in more.
@@ -161,59 +158,51 @@
     }
 
     /// Takes in one page of a listing of [`FleetKey::PREFIX`] that was asked at
-    /// `asked`; pages come in key order, each asked after the one before.
-    ///
-    /// A key that is known but missing from a page was removed by the page's
-    /// revision, unless what is known of it is newer.
+    /// `asked`; each page is asked after the one before.
     pub fn apply_page(&mut self, page: &StoreListing, asked: Instant) -> MergeOutcome {
-        let progress = self.listing.take().unwrap_or(ListingProgress {
+        let mut progress = self.listing.take().unwrap_or_else(|| ListingProgress {
             revision: page.revision,
             asked,
-            after: None,
+            listed: IndexSet::new(),
         });
-        let mut changed = self.bury_missing(&progress, page);
+        let mut changed = false;
         for (key, stored) in &page.entries {
             changed |= self.merge(key, stored.revision, Some(&stored.value));
+            progress.listed.insert(key.clone());
         }
         if page.more_after.is_some() {
-            self.listing = Some(ListingProgress {
-                after: page.more_after.clone(),
-                ..progress
-            });
+            self.listing = Some(progress);
             return outcome(changed);
         }
-        if !self.ready {
-            self.tombstones_from = progress.revision;
-        }
-        changed |= !self.ready;
-        self.ready = true;
+        let listed = progress.listed;
+        changed |= self.bury_unnamed(progress.revision, |key| listed.contains(key));
+        changed |= self.become_ready();
         self.advance(progress.revision, progress.asked);
         outcome(changed)
     }
 
-    fn bury_missing(&mut self, progress: &ListingProgress, page: &StoreListing) -> bool {
-        let from = match &progress.after {
-            Some(after) => Bound::Excluded(after.clone()),
-            None => Bound::Unbounded,
-        };
-        let to = match &page.more_after {
-            Some(last) => Bound::Included(last.clone()),
-            None => Bound::Unbounded,
-        };
-        let listed = |key: &StoreKey| page.entries.binary_search_by(|(k, _)| k.cmp(key)).is_ok();
-        let missing: Vec<StoreKey> = self
+    /// Removes the keys that a source with all keys at `revision` does not
+    /// name, unless what is known of them is newer.
+    fn bury_unnamed(&mut self, revision: StoreRevision, named: impl Fn(&str) -> bool) -> bool {
+        let gone: Vec<StoreKey> = self
             .entries
-            .range::<StoreKey, _>((from, to))
-            .filter(|(key, entry)| entry.record.is_some() && !listed(key))
+            .iter()
+            .filter(|(key, entry)| entry.record.is_some() && !named(key))
             .map(|(key, _)| key.clone())
             .collect();
-        let buried = missing
+        let buried = gone
             .iter()
-            .filter(|key| self.merge(key, page.revision, None))
+            .filter(|key| self.merge(key, revision, None))
             .count();
+        // Keys that came and went unseen have no tombstone here.
+        self.tombstones_from = self.tombstones_from.max(revision);
         buried > 0
     }
 
+    fn become_ready(&mut self) -> bool {
+        !std::mem::replace(&mut self.ready, true)
+    }
+
     /// Takes in a peer's reply to a query that was asked at `asked` for what
     /// comes after `after`.
     pub fn apply_reply(
@@ -231,47 +220,23 @@
         for mark in &reply.leave_marks {
             changed |= self.mark_leaving(mark.clone());
         }
-        if reply.full {
-            changed |= self.bury_unknown(reply);
-        } else if after > self.complete_to {
-            return MergeOutcome::Behind;
-        }
         let Some(age) = reply.age_ms else {
             return outcome(changed);
         };
-        if reply.more {
-            self.complete_to = self.complete_to.max(reply.complete_to);
-            return outcome(changed);
-        }
-        if !self.ready {
-            self.tombstones_from = reply.complete_to;
-            self.ready = true;
-            changed = true;
+        if reply.full {
+            let mut named: Vec<&str> = reply.changes.iter().map(|c| c.key.as_str()).collect();
+            named.sort_unstable();
+            changed |=
+                self.bury_unnamed(reply.complete_to, |key| named.binary_search(&key).is_ok());
+        } else if after > self.complete_to {
+            return MergeOutcome::Behind;
         }
-        let age = Duration::from_millis(age);
-        self.advance(reply.complete_to, asked.checked_sub(age).unwrap_or(asked));
+        changed |= self.become_ready();
+        let known = asked.checked_sub(Duration::from_millis(age));
+        self.advance(reply.complete_to, known.unwrap_or(asked));
         outcome(changed)
     }
 
-    /// Removes what a reply with all keys does not name.
-    fn bury_unknown(&mut self, reply: &ViewReply) -> bool {
-        let mut named: Vec<&str> = reply.changes.iter().map(|c| c.key.as_str()).collect();
-        named.sort_unstable();
-        let gone: Vec<StoreKey> = self
-            .entries
-            .iter()
-            .filter(|(key, entry)| {
-                entry.record.is_some() && named.binary_search(&key.as_str()).is_err()
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
-        let buried = gone
-            .iter()
-            .filter(|key| self.merge(key, reply.complete_to, None))
-            .count();
-        buried > 0
-    }
-
     /// Takes in an order that an upstream leaves; tells whether it is new.
     pub fn mark_leaving(&mut self, mark: LeaveMark) -> bool {
         match self.leave_marks.get(&mark.upstream) {
@@ -306,34 +271,20 @@
         after: StoreRevision,
         now: Instant,
     ) -> ViewReply {
-        let full = after > StoreRevision(0) && after < self.tombstones_from;
+        let full = after < self.tombstones_from;
+        let from = if full { StoreRevision(0) } else { after };
         let known_age = self.age(now).filter(|_| self.ready);
-        let mut reply = ViewReply {
+        let changes = known_age.map(|_| self.changes_after(from).collect());
+        ViewReply {
             keeper: keeper.clone(),
             complete_to: self.complete_to,
-            more: false,
             full,
             age_ms: known_age.map(|age| age.as_millis() as u64),
-            changes: Vec::new(),
+            changes: changes.unwrap_or_default(),
             leave_marks: self.leave_marks.values().cloned().collect(),
             liveness_version: 0,
             liveness: None,
-        };
-        let from = if full { StoreRevision(0) } else { after };
-        let mut bytes = 0;
-        for change in self.changes_after(from) {
-            let last = reply.changes.last().map_or(from, |sent| sent.revision);
-            // Keys that a listing found missing share one revision, which a
-            // cut may not divide.
-            if !full && bytes > MAX_REPLY_BYTES && change.revision > last {
-                reply.more = true;
-                reply.complete_to = last.min(self.complete_to);
-                break;
-            }
-            bytes += change.key.len() + change.value.as_ref().map_or(0, Vec::len);
-            reply.changes.push(change);
         }
-        reply
     }
 
     /// Iterates over the changes after `after`, lowest revision first.
@@ -395,7 +346,10 @@
         let Ok(fleet_key) = key.parse::<FleetKey>() else {
             return false;
         };
-        if self.revision_of(key).is_some_and(|kept| kept >= revision) {
+        // What a complete knowledge lacks up to its revision was replaced or
+        // removed; only what is newer can be news.
+        let known = self.revision_of(key).unwrap_or_default();
+        if revision <= self.complete_to.max(known) {
             return false;
         }
         let record = match value.map(|bytes| FleetRecord::parse(fleet_key, revision, bytes)) {
--- /dev/null
+++ b/lib/fleet/tests/test_view_keeper.rs
@@ -0,0 +1,326 @@
+//! Whatever the order in which a process hears things, no key goes back to an
+//! older version, and it misses nothing up to the revision that it claims.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use snipegate_fleet::FleetKey;
+use snipegate_fleet::MergeOutcome;
+use snipegate_fleet::ViewFreshness;
+use snipegate_fleet::ViewKeeper;
+use snipegate_fleet::ViewReply;
+use snipegate_platform::StoreChange;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
+use snipegate_platform::WatchBatch;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::ResultCode;
+
+const PROCESSES: usize = 4;
+const KEYS: u64 = 7;
+const PAGE_KEYS: usize = 2;
+const STEPS: usize = 120;
+const SEEDS: u64 = 400;
+const SEED_BYTES: u64 = 4_096;
+
+/// The store's whole history, from which any reply can be made.
+#[derive(Default)]
+struct FakeStore {
+    changes: Vec<StoreChange>,
+    compacted: u64,
+}
+
+impl FakeStore {
+    fn revision(&self) -> StoreRevision {
+        StoreRevision(self.changes.len() as u64)
+    }
+
+    fn write(&mut self, key: u64, value: Option<&str>) {
+        let revision = StoreRevision(self.changes.len() as u64 + 1);
+        let value = value.map(|text| {
+            text.replace("REVISION", &revision.0.to_string())
+                .into_bytes()
+        });
+        self.changes.push(StoreChange {
+            key: key_name(key),
+            revision,
+            value,
+        });
+    }
+
+    fn at(&self, revision: StoreRevision) -> BTreeMap<String, &StoreChange> {
+        let known = self.changes.iter().filter(|c| c.revision <= revision);
+        known.map(|change| (change.key.clone(), change)).collect()
+    }
+
+    fn page(&self, after: Option<&str>) -> StoreListing {
+        let entries: Vec<(String, StoredValue)> = self
+            .at(self.revision())
+            .into_iter()
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after))
+            .filter_map(|(key, change)| {
+                let value = change.value.clone()?;
+                let revision = change.revision;
+                Some((key, StoredValue { revision, value }))
+            })
+            .collect();
+        let cut = entries.len() > PAGE_KEYS;
+        let entries: Vec<_> = entries.into_iter().take(PAGE_KEYS).collect();
+        StoreListing {
+            revision: self.revision(),
+            more_after: cut.then(|| entries[entries.len() - 1].0.clone()),
+            entries,
+        }
+    }
+
+    fn watch(&self, after: StoreRevision) -> WatchBatch {
+        if after.0 < self.compacted {
+            return WatchBatch::Compacted;
+        }
+        let newer = self.changes.iter().filter(|c| c.revision > after);
+        WatchBatch::Changes {
+            revision: self.revision(),
+            changes: newer.cloned().collect(),
+        }
+    }
+}
+
+fn key_name(key: u64) -> String {
+    format!("{}p{key}", FleetKey::PROFILE_PREFIX)
+}
+
+const VALID: &str = r#"{"model":"m","priority":1,"default_output_tokens":1,
+    "max_output_tokens":9,"deadline_ms":REVISION,"requests_per_second":1,
+    "concurrent_requests":1}"#;
+const INVALID: &str = r#"{"model":"m"}"#;
+
+enum Message {
+    Watch(StoreRevision, WatchBatch),
+    Reply(StoreRevision, Box<ViewReply>),
+}
+
+struct Process {
+    keeper: ViewKeeper,
+    /// What each key's revision was when last looked at.
+    seen: BTreeMap<String, StoreRevision>,
+    listing_after: Option<String>,
+    /// Replies that have not arrived yet, with when they were asked for.
+    in_flight: Vec<(Message, Instant)>,
+}
+
+impl Process {
+    fn new() -> Self {
+        Self {
+            keeper: ViewKeeper::new(),
+            seen: BTreeMap::new(),
+            listing_after: None,
+            in_flight: Vec::new(),
+        }
+    }
+
+    fn list(&mut self, store: &FakeStore, now: Instant) {
+        if self.listing_after.is_none() {
+            self.keeper.begin_listing();
+        }
+        let page = store.page(self.listing_after.as_deref());
+        self.keeper.apply_page(&page, now);
+        self.listing_after = page.more_after;
+    }
+
+    fn arrive(&mut self, message: Message, asked: Instant) -> MergeOutcome {
+        match message {
+            Message::Watch(after, batch) => self.keeper.apply_watch(after, &batch, asked),
+            Message::Reply(after, reply) => self.keeper.apply_reply(after, &reply, asked),
+        }
+    }
+
+    /// Checks this process against the store's history.
+    fn check(&mut self, store: &FakeStore) {
+        for key in (0..KEYS).map(key_name) {
+            let revision = self.keeper.revision_of(&key).unwrap_or_default();
+            let before = self.seen.insert(key.clone(), revision).unwrap_or_default();
+            assert!(revision >= before, "{key} went from {before} to {revision}");
+            if let Some(record) = self.keeper.record(&key) {
+                let written = &store.changes[revision.0 as usize - 1];
+                let json = String::from_utf8(record.to_json()).expect("JSON is UTF-8");
+                assert_eq!(written.key, key, "record of another key");
+                assert!(json.contains(&format!("\"deadline_ms\":{revision},")));
+            }
+        }
+        for (key, change) in store.at(self.keeper.complete_to()) {
+            let kept = self.keeper.revision_of(&key).unwrap_or_default();
+            let rejected = self.keeper.rejected().get(&key).map(|r| r.revision);
+            let newest = kept.max(rejected.unwrap_or_default());
+            // A listing of several pages may already lack what was removed
+            // after its first page.
+            let removed = store.changes.iter().any(|later| {
+                later.key == key && later.value.is_none() && later.revision >= change.revision
+            });
+            let gone = removed && self.keeper.record(&key).is_none();
+            assert!(
+                gone || newest >= change.revision,
+                "{key}: complete to {} without {}",
+                self.keeper.complete_to(),
+                change.revision
+            );
+        }
+    }
+}
+
+fn me(process: usize) -> IncarnationId {
+    IncarnationId {
+        vm: format!("vm-{process}").parse().expect("a name"),
+        role: ProcessRole::Keeper,
+        start: 1,
+    }
+}
+
+fn run(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let start = Instant::now();
+    let mut store = FakeStore::default();
+    let mut processes: Vec<Process> = (0..PROCESSES).map(|_| Process::new()).collect();
+    for step in 0..STEPS {
+        let now = start + Duration::from_millis(step as u64);
+        let at = u.choose_index(PROCESSES)?;
+        match u.int_in_range(0..=13)? {
+            0..=2 => store.write(u.int_in_range(0..=KEYS - 1)?, Some(VALID)),
+            3 => store.write(u.int_in_range(0..=KEYS - 1)?, None),
+            4 => store.write(u.int_in_range(0..=KEYS - 1)?, Some(INVALID)),
+            5 => store.compacted = u.int_in_range(store.compacted..=store.revision().0)?,
+            6 => processes[at] = Process::new(),
+            7 | 8 => processes[at].list(&store, now),
+            9 => {
+                let after = processes[at].keeper.complete_to();
+                let message = Message::Watch(after, store.watch(after));
+                processes[at].in_flight.push((message, now));
+            }
+            10 | 11 => {
+                let peer = u.choose_index(PROCESSES)?;
+                let after = processes[at].keeper.complete_to();
+                let reply = processes[peer].keeper.reply_to(&me(peer), after, now);
+                let message = Message::Reply(after, Box::new(reply));
+                processes[at].in_flight.push((message, now));
+            }
+            _ => {
+                let waiting = processes[at].in_flight.len();
+                if waiting > 0 {
+                    let chosen = u.choose_index(waiting)?;
+                    let (message, asked) = processes[at].in_flight.swap_remove(chosen);
+                    processes[at].arrive(message, asked);
+                }
+            }
+        }
+        processes
+            .iter_mut()
+            .for_each(|process| process.check(&store));
+    }
+    converge(&store, &mut processes, start);
+    Ok(())
+}
+
+/// Lets every process hear the store, and checks that all know the same.
+fn converge(store: &FakeStore, processes: &mut [Process], now: Instant) {
+    for process in processes.iter_mut() {
+        process.listing_after = None;
+        process.list(store, now);
+        while process.listing_after.is_some() {
+            process.list(store, now);
+        }
+        process.check(store);
+        assert_eq!(process.keeper.complete_to(), store.revision());
+        for (key, change) in store.at(store.revision()) {
+            if change.value.is_none() {
+                assert!(process.keeper.record(&key).is_none(), "{key} came back");
+            }
+        }
+    }
+}
+
+#[test]
+fn test_no_version_goes_back_and_nothing_is_missed() {
+    for number in 0..SEEDS {
+        arbtest(run).seed(SEED_BYTES | number << 32);
+    }
+}
+
+fn caught_up(store: &FakeStore, now: Instant) -> ViewKeeper {
+    let mut process = Process::new();
+    process.list(store, now);
+    while process.listing_after.is_some() {
+        process.list(store, now);
+    }
+    process.keeper
+}
+
+#[test]
+fn test_removed_key_does_not_come_back_from_a_peer() {
+    let now = Instant::now();
+    let mut store = FakeStore::default();
+    store.write(0, Some(VALID));
+    let old = caught_up(&store, now);
+    store.write(0, None);
+    let mut keeper = caught_up(&store, now);
+    let reply = old.reply_to(&me(1), StoreRevision(0), now);
+    keeper.apply_reply(StoreRevision(0), &reply, now);
+    assert!(keeper.record(&key_name(0)).is_none());
+}
+
+#[test]
+fn test_nothing_is_served_before_a_configuration_is_known() {
+    let now = Instant::now();
+    let mut keeper = ViewKeeper::new();
+    assert_eq!(keeper.view().freshness(now), ViewFreshness::Missing);
+    let silent = ViewKeeper::new().reply_to(&me(1), StoreRevision(0), now);
+    keeper.apply_reply(StoreRevision(0), &silent, now);
+    let refusal = keeper.view().freshness(now).refusal();
+    assert_eq!(refusal, Some(ResultCode::ConfigMissing));
+}
+
+fn settled(policy: &str, now: Instant) -> ViewKeeper {
+    let value = format!(r#"{{"stale_policy":"{policy}"}}"#).into_bytes();
+    let revision = StoreRevision(1);
+    let page = StoreListing {
+        revision,
+        entries: vec![(
+            FleetKey::Settings.to_string(),
+            StoredValue { revision, value },
+        )],
+        more_after: None,
+    };
+    let mut keeper = ViewKeeper::new();
+    keeper.apply_page(&page, now);
+    keeper
+}
+
+#[test]
+fn test_stale_configuration_follows_the_policy() {
+    let now = Instant::now();
+    let old = now + Duration::from_secs(9);
+    let refusing = settled("refuse", now).view();
+    assert_eq!(refusing.freshness(now).refusal(), None);
+    assert_eq!(
+        refusing.freshness(old).refusal(),
+        Some(ResultCode::ConfigStale)
+    );
+    let serving = settled("serve", now).view();
+    assert_eq!(serving.freshness(old).refusal(), None);
+}
+
+#[test]
+fn test_knowledge_from_a_peer_is_as_old_as_the_peer_says() {
+    let now = Instant::now();
+    let peer = settled("refuse", now);
+    let later = now + Duration::from_secs(5);
+    let mut keeper = ViewKeeper::new();
+    keeper.apply_reply(
+        StoreRevision(0),
+        &peer.reply_to(&me(1), StoreRevision(0), later),
+        later,
+    );
+    assert!(keeper.age(later) >= Some(Duration::from_secs(5)));
+}
