--- /dev/null
+++ b/lib/fleet/tests/test_membership.rs
@@ -0,0 +1,366 @@
+//! Suspicion spreads and is refuted; only a VM that has gone or a later run
+//! proves death; a later run replaces an earlier one, never the reverse.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use snipegate_fleet::DeathCause;
+use snipegate_fleet::DeathWatch;
+use snipegate_fleet::FleetKey;
+use snipegate_fleet::FleetView;
+use snipegate_fleet::HEARTBEAT_PERIOD;
+use snipegate_fleet::LeavePhase;
+use snipegate_fleet::LeavePlan;
+use snipegate_fleet::MemberRecord;
+use snipegate_fleet::MemberState;
+use snipegate_fleet::MemberTable;
+use snipegate_fleet::Registration;
+use snipegate_fleet::RegistrationStep;
+use snipegate_fleet::SPREAD_BOUND;
+use snipegate_fleet::ViewKeeper;
+use snipegate_fleet::choose_start;
+use snipegate_platform::ExpectedVersion;
+use snipegate_platform::ListedVm;
+use snipegate_platform::StoreError;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
+use snipegate_platform::SwapOutcome;
+use snipegate_platform::VmListing;
+use snipegate_platform::VmState;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::ShardId;
+
+const SEEDS: u64 = 500;
+const SEED_BYTES: u64 = 1_024;
+
+fn run_of(vm: usize, role: ProcessRole, start: u64) -> IncarnationId {
+    let vm = format!("vm-{vm}").parse().expect("a name");
+    IncarnationId { vm, role, start }
+}
+
+fn record(incarnation: IncarnationId) -> MemberRecord {
+    MemberRecord {
+        incarnation,
+        data_centre: "mvd-centro".parse().expect("a name"),
+        region: "uy-sur".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        peer_address: None,
+        weight: 1,
+        state: MemberState::Up,
+        listed_at: None,
+    }
+}
+
+fn view_of(records: &[MemberRecord]) -> FleetView {
+    let entries = records.iter().enumerate().map(|(at, record)| {
+        let key = FleetKey::Member(record.incarnation.vm.clone(), record.incarnation.role);
+        let revision = StoreRevision(at as u64 + 1);
+        let value = serde_json::to_vec(record).expect("records are JSON");
+        (key.to_string(), StoredValue { revision, value })
+    });
+    let page = StoreListing {
+        revision: StoreRevision(records.len() as u64 + 1),
+        entries: entries.collect(),
+        more_after: None,
+    };
+    let mut keeper = ViewKeeper::new();
+    keeper.apply_page(&page, Instant::now());
+    keeper.view()
+}
+
+fn listing(version: u64, vms: &[usize]) -> VmListing {
+    let listed = |&vm: &usize| ListedVm {
+        vm: run_of(vm, ProcessRole::Keeper, 0).vm,
+        data_centre: "mvd-centro".parse().expect("a name"),
+        state: VmState::Live,
+    };
+    VmListing {
+        version,
+        as_of_ms: 0,
+        vms: vms.iter().map(listed).collect(),
+    }
+}
+
+/// Keepers that send each other heartbeats in rounds; `paused` ones are silent.
+struct Fleet {
+    members: Vec<IncarnationId>,
+    tables: Vec<MemberTable>,
+    now: Instant,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let keeper = |vm| run_of(vm, ProcessRole::Keeper, 1);
+        let members: Vec<_> = (0..size).map(keeper).collect();
+        let tables = members.iter().enumerate().map(|(seed, me)| {
+            let mut table = MemberTable::new(me.clone(), seed as u64);
+            table.set_members(members.iter());
+            table
+        });
+        Self {
+            tables: tables.collect(),
+            members,
+            now: Instant::now(),
+        }
+    }
+
+    fn round(&mut self, paused: Option<usize>) {
+        self.now += HEARTBEAT_PERIOD;
+        for from in (0..self.tables.len()).filter(|&from| Some(from) != paused) {
+            for member in self.tables[from].probes() {
+                let to = self
+                    .members
+                    .iter()
+                    .position(|m| *m == member)
+                    .expect("a member");
+                if Some(to) == paused {
+                    self.tables[from].probe_failed(&member, self.now);
+                    continue;
+                }
+                let beat = self.tables[from].heartbeat(&member);
+                self.tables[to].receive(&beat, self.now);
+                let answer = self.tables[to].heartbeat(&beat.sender);
+                self.tables[from].receive(&answer, self.now);
+            }
+        }
+    }
+
+    fn suspecting(&self, vm: usize) -> usize {
+        let suspects = |table: &MemberTable| {
+            let found = table.liveness(self.now);
+            found
+                .iter()
+                .any(|l| l.member == self.members[vm] && l.suspected)
+        };
+        self.tables.iter().filter(|table| suspects(table)).count()
+    }
+}
+
+#[test]
+fn test_suspicion_reaches_everybody_and_is_refuted() {
+    for size in [3, 9, 60] {
+        let mut fleet = Fleet::new(size);
+        (0..20).for_each(|_| fleet.round(None));
+        assert!((0..size).all(|vm| fleet.suspecting(vm) == 0));
+        (0..30).for_each(|_| fleet.round(Some(1)));
+        assert_eq!(fleet.suspecting(1), size - 1, "of {size}");
+        // The paused keeper wakes up, hears that it is suspected and refutes.
+        (0..30).for_each(|_| fleet.round(None));
+        assert_eq!(fleet.suspecting(1), 0, "of {size}");
+    }
+}
+
+#[test]
+fn test_paused_process_is_suspected_and_never_proven_dead() {
+    let records: Vec<_> = (0..3)
+        .map(|vm| record(run_of(vm, ProcessRole::Keeper, 1)))
+        .collect();
+    let view = view_of(&records);
+    let mut fleet = Fleet::new(3);
+    (0..100).for_each(|_| fleet.round(Some(1)));
+    assert_eq!(fleet.suspecting(1), 2);
+    let mut deaths = DeathWatch::new();
+    (1..50).for_each(|version| {
+        deaths.observe(listing(version, &[0, 1, 2]));
+    });
+    assert_eq!(deaths.proof(&records[1].incarnation, &view), None);
+}
+
+#[test]
+fn test_proof_of_death() {
+    let old = run_of(1, ProcessRole::Router, 5);
+    let view = view_of(&[record(run_of(1, ProcessRole::Router, 6))]);
+    let mut deaths = DeathWatch::new();
+    let by = run_of(1, ProcessRole::Router, 6);
+    assert_eq!(
+        deaths.proof(&old, &view),
+        Some(DeathCause::Succeeded { by: by.clone() })
+    );
+    // Not listed yet is not gone.
+    deaths.observe(listing(1, &[0]));
+    assert_eq!(deaths.proof(&by, &view), None);
+    deaths.observe(listing(2, &[0, 1]));
+    // An older listing says nothing, whenever it comes.
+    deaths.observe(listing(1, &[0]));
+    assert_eq!(deaths.proof(&by, &view), None);
+    deaths.observe(listing(3, &[0]));
+    assert_eq!(
+        deaths.proof(&by, &view),
+        Some(DeathCause::VmGone { version: 3 })
+    );
+}
+
+#[test]
+fn test_new_keeper_proves_death_from_the_record_that_a_vm_was_listed() {
+    let mut listed = record(run_of(1, ProcessRole::Keeper, 5));
+    listed.listed_at = Some(4);
+    let router = record(run_of(1, ProcessRole::Router, 5));
+    let view = view_of(&[listed, router.clone()]);
+    let mut deaths = DeathWatch::new();
+    deaths.observe(listing(4, &[0]));
+    assert_eq!(deaths.proof(&router.incarnation, &view), None);
+    deaths.observe(listing(5, &[0]));
+    let cause = deaths.proof(&router.incarnation, &view);
+    assert_eq!(cause, Some(DeathCause::VmGone { version: 5 }));
+}
+
+/// One key of a store whose replies may be lost.
+#[derive(Default)]
+struct FakeKey {
+    stored: Option<StoredValue>,
+    revision: u64,
+}
+
+impl FakeKey {
+    fn swap(&mut self, expected: ExpectedVersion, value: Vec<u8>) -> SwapOutcome {
+        let holds = match (&expected, &self.stored) {
+            (ExpectedVersion::Absent, None) => true,
+            (ExpectedVersion::At(at), Some(stored)) => stored.revision == *at,
+            _ => false,
+        };
+        if !holds {
+            return SwapOutcome::Conflict(self.stored.clone());
+        }
+        self.revision += 1;
+        let revision = StoreRevision(self.revision);
+        self.stored = Some(StoredValue { revision, value });
+        SwapOutcome::Swapped(revision)
+    }
+
+    fn start(&self) -> u64 {
+        let parse = |stored: &StoredValue| serde_json::from_slice::<MemberRecord>(&stored.value);
+        let record = self.stored.as_ref().map(|s| parse(s).expect("a record"));
+        record.map_or(0, |record| record.incarnation.start)
+    }
+}
+
+fn register(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let mut key = FakeKey::default();
+    let run = |start| Registration::new(record(run_of(1, ProcessRole::Router, start)));
+    let mut runs: Vec<Registration> = (1..=3).map(run).collect();
+    let mut highest = 0;
+    for _ in 0..60 {
+        let at = u.choose_index(runs.len())?;
+        let lost = u.ratio(1, 3)?;
+        match runs[at].step() {
+            RegistrationStep::Read => {
+                let answer = if lost {
+                    Err(StoreError::ReplyLost)
+                } else {
+                    Ok(key.stored.clone())
+                };
+                runs[at].read(answer);
+            }
+            RegistrationStep::Write { expected, value } => {
+                let outcome = key.swap(expected, value);
+                runs[at].written(if lost {
+                    Err(StoreError::ReplyLost)
+                } else {
+                    Ok(outcome)
+                });
+            }
+            RegistrationStep::Registered(_) => {
+                runs[at].change(|record| record.state = MemberState::Leaving);
+            }
+            RegistrationStep::Superseded(by) => assert!(by.start > at as u64 + 1),
+        }
+        assert!(
+            key.start() >= highest,
+            "an earlier run replaced a later one"
+        );
+        highest = key.start();
+    }
+    Ok(())
+}
+
+#[test]
+fn test_later_run_replaces_earlier_never_the_reverse() {
+    for number in 0..SEEDS {
+        arbtest(register).seed(SEED_BYTES | number << 32);
+    }
+}
+
+#[test]
+fn test_lost_reply_is_resolved_by_reading() {
+    let mut key = FakeKey::default();
+    let mut registration = Registration::new(record(run_of(1, ProcessRole::Router, 1)));
+    registration.read(Ok(None));
+    let RegistrationStep::Write { expected, value } = registration.step() else {
+        panic!("expected a write");
+    };
+    key.swap(expected, value);
+    registration.written(Err(StoreError::ReplyLost));
+    assert_eq!(registration.step(), RegistrationStep::Read);
+    registration.read(Ok(key.stored.clone()));
+    let registered = RegistrationStep::Registered(StoreRevision(1));
+    assert_eq!(registration.step(), registered);
+}
+
+#[test]
+fn test_start_rises_when_the_clock_is_set_back() {
+    let registered = run_of(1, ProcessRole::Router, 100);
+    assert_eq!(choose_start(50, Some(&registered)), 101);
+    assert_eq!(choose_start(500, Some(&registered)), 500);
+}
+
+#[test]
+fn test_only_shards_of_a_gone_keeper_move() {
+    let members: Vec<_> = (0..20)
+        .map(|vm| record(run_of(vm, ProcessRole::Keeper, 1)))
+        .collect();
+    let before = view_of(&members);
+    let after = view_of(&members[1..]);
+    let gone = &members[0].incarnation.vm;
+    for shard in (0..256).map(ShardId) {
+        let (old, new) = (before.keeper_of(shard), after.keeper_of(shard));
+        let old = &old.expect("a keeper").id.0;
+        assert_ne!(&new.expect("a keeper").id.0, gone);
+        assert!(
+            old == gone || old == &new.expect("a keeper").id.0,
+            "shard {shard}"
+        );
+    }
+}
+
+fn leave(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let start = Instant::now();
+    let keep = Duration::from_millis(u.int_in_range(0..=60_000)?);
+    let mut plan = LeavePlan::new(keep);
+    let mut now = start;
+    let mut announced = None;
+    let mut phases = VecDeque::new();
+    for _ in 0..40 {
+        now += Duration::from_millis(u.int_in_range(0..=5_000)?);
+        if announced.is_none() && u.ratio(1, 4)? {
+            plan.announced(now);
+            announced = Some(now);
+        }
+        let open = u.int_in_range(0..=2)?;
+        let phase = plan.phase(open, now);
+        let served_out = announced.is_some_and(|then| now >= then + SPREAD_BOUND + keep);
+        match phase {
+            LeavePhase::Announce => assert!(announced.is_none()),
+            LeavePhase::Serve => assert!(phases.iter().all(|p| *p != LeavePhase::Drain)),
+            LeavePhase::Drain => assert!(served_out && open > 0),
+            LeavePhase::Release => {
+                assert!(served_out && open == 0);
+                plan.released();
+            }
+            LeavePhase::End => assert!(phases.contains(&LeavePhase::Release) && open == 0),
+        }
+        phases.push_back(phase);
+    }
+    Ok(())
+}
+
+#[test]
+fn test_leaving_process_serves_until_answers_have_expired() {
+    for number in 0..SEEDS {
+        arbtest(leave).seed(SEED_BYTES | number << 32);
+    }
+}
