service: a connection closed after sending is a lost reply

ntex reports a peer that closes without an answer as a connect error (Disconnected without a cause), also after the request was written. MessageClient took it for "not sent", so a transfer or batch that took effect counted as having had none. Whoever sends through ntex's client should ask snipegate_platform::is_never_sent; the router's upstream client must too, before it says "not run".

--- a/lib/service/src/client.rs
+++ b/lib/service/src/client.rs
@@ -9,11 +9,11 @@
 use ntex::SharedCfg;
 use ntex::client::Client;
 use ntex::client::ClientBuilder;
-use ntex::client::error::ClientError;
 use ntex::time::Millis;
 use ntex::time::timeout;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use snipegate_platform::is_never_sent;
 
 use crate::message::MESSAGE_CONTENT_TYPE;
 use crate::message::decode_message;
@@ -134,9 +134,9 @@
         .content_type(MESSAGE_CONTENT_TYPE)
         .send_body(body)
         .await
-        .map_err(|error| match error {
-            ClientError::Connect(_) | ClientError::Url(_) => CallError::NotSent,
-            _ => CallError::ReplyLost,
+        .map_err(|error| match is_never_sent(&error) {
+            true => CallError::NotSent,
+            false => CallError::ReplyLost,
         })?;
     if !response.status().is_success() {
         return Err(CallError::Status(response.status().as_u16()));
