router: the request path from caller to upstream and bill

A traffic thread reads and checks the request, the control thread reserves, chooses and settles, and the answer's last part is held back until its bill is safe. Calls that may not be repeated run only under a durable intent. The paths of the fleet's own processes lie on a port of their own, so that no caller can send a transfer or a fence order.

Choosing the name of a run was the keeper's alone and is shared now.

--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -12,18 +12,15 @@
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::UNIX_EPOCH;
 
 use ntex::rt::spawn;
 use ntex::time::timeout;
 use slog::error;
-use snipegate_fleet::FleetKey;
 use snipegate_fleet::FleetService;
 use snipegate_fleet::FleetServiceSettings;
 use snipegate_fleet::MemberRecord;
 use snipegate_fleet::MemberState;
-use snipegate_fleet::choose_start;
-use snipegate_platform::ConfigStore;
+use snipegate_fleet::choose_incarnation;
 use snipegate_platform::HttpStore;
 use snipegate_platform::HttpVmList;
 use snipegate_service::DaemonContext;
@@ -38,7 +35,6 @@
 use snipegate_types::IncarnationId;
 use snipegate_types::ProcessRole;
 use snipegate_types::SystemClock;
-use snipegate_types::TimeSource;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -64,7 +60,7 @@
     let vms = HttpVmList::new(settings.platform.clone()).await;
     let vms = Rc::new(vms.map_err(io::Error::other)?);
 
-    let own = choose_incarnation(process, &store).await;
+    let own = choose_incarnation(&*store, &process.vm, ProcessRole::Keeper, &SystemClock).await;
     let member = member_record(process, own.clone());
     let seeds = settings.seeds.clone();
     let fleet = FleetServiceSettings { member, seeds };
@@ -91,23 +87,6 @@
     Ok(())
 }
 
-/// Returns the name of this run, later than the registered one's if the store
-/// can tell which that is.
-async fn choose_incarnation(process: &ProcessSettings, store: &HttpStore) -> IncarnationId {
-    let role = ProcessRole::Keeper;
-    let key = FleetKey::Member(process.vm.clone(), role).to_string();
-    let stored = store.read(&key).await.ok().flatten();
-    let record = stored.and_then(|s| serde_json::from_slice::<MemberRecord>(&s.value).ok());
-    let earlier = record.as_ref().map(|record| &record.incarnation);
-    let wall = SystemClock.wall().duration_since(UNIX_EPOCH);
-    let wall_ns = wall.map_or(0, |wall| wall.as_nanos() as u64);
-    IncarnationId {
-        vm: process.vm.clone(),
-        role,
-        start: choose_start(wall_ns, earlier),
-    }
-}
-
 fn member_record(process: &ProcessSettings, incarnation: IncarnationId) -> MemberRecord {
     MemberRecord {
         incarnation,
--- a/bin/router/src/main.rs
+++ b/bin/router/src/main.rs
@@ -1,3 +1,210 @@
-//! Placeholder until the process is built.
+//! `snipegate-router`: carries callers' requests to upstreams.
+//!
+//! The main thread is the control thread; the servers' threads carry traffic.
 
-fn main() {}
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ntex::rt::spawn;
+use ntex::time::sleep;
+use slog::warn;
+use snipegate_escrow::EscrowSettings;
+use snipegate_escrow::RouterEscrow;
+use snipegate_fleet::FleetView;
+use snipegate_fleet::FollowerSettings;
+use snipegate_fleet::MemberRecord;
+use snipegate_fleet::MemberState;
+use snipegate_fleet::ViewFollower;
+use snipegate_fleet::ViewSubscription;
+use snipegate_fleet::choose_incarnation;
+use snipegate_platform::HttpStore;
+use snipegate_platform::PlatformSettings;
+use snipegate_router::command::ControlCommand;
+use snipegate_router::command::ControlHandle;
+use snipegate_router::control::RouterControl;
+use snipegate_router::driver::ControlDriver;
+use snipegate_router::driver::ControlEnd;
+use snipegate_router::membership::MembershipHandle;
+use snipegate_router::paths::RouterShared;
+use snipegate_router::paths::caller_routes;
+use snipegate_router::peer_paths::PeerState;
+use snipegate_router::peer_paths::peer_routes;
+use snipegate_router::poller::LoadPoller;
+use snipegate_router::settings::RouterSettings;
+use snipegate_router::settings::command;
+use snipegate_router::stop::leave_fleet;
+use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteTable;
+use snipegate_service::DaemonContext;
+use snipegate_service::GuardPort;
+use snipegate_service::MetricRegistry;
+use snipegate_service::ProcessState;
+use snipegate_service::StopSignal;
+use snipegate_service::build_logger;
+use snipegate_service::start_server;
+use snipegate_service::wait_for_stop_signal;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::SystemClock;
+use snipegate_types::TimeSource;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+#[ntex::main]
+async fn main() -> io::Result<()> {
+    let settings = RouterSettings::from_matches(&command().get_matches());
+    let process = &settings.process;
+    let _guard = GuardPort::bind(process.guard)?;
+    let listener = TcpListener::bind(process.listen)?;
+    let peer_listener = TcpListener::bind(settings.peer_listen)?;
+    let logger = build_logger(process.log_format, process.log_level, "router");
+    let metrics = MetricRegistry::new("router", process.metrics)?;
+    let context = DaemonContext::new(logger, metrics);
+    let clock: Arc<dyn TimeSource> = Arc::new(SystemClock);
+    let store = HttpStore::new(platform_settings(&settings)).await;
+    let store = Rc::new(store.map_err(io::Error::other)?);
+    let role = ProcessRole::Router;
+    let own = choose_incarnation(&*store, &process.vm, role, &*clock).await;
+
+    let member = member_record(&settings, own.clone());
+    let membership = MembershipHandle::start(Rc::clone(&store), member, context.clone());
+    let (follower, subscription) = ViewFollower::new(
+        FollowerSettings {
+            process: own.clone(),
+            data_centre: process.data_centre.clone(),
+            keeper: settings.keeper,
+            seeds: settings.seeds.clone(),
+        },
+        Rc::new(SystemClock),
+    );
+    spawn(follower.run());
+
+    let (sender, commands) = mpsc::unbounded_channel();
+    let control = ControlHandle::new(sender.clone());
+    let (publish, views) = watch::channel(Arc::new(FleetView::default()));
+    let state = control_state(&settings, &own, &context, &clock);
+    let driver = ControlDriver::new(
+        state,
+        own.clone(),
+        Arc::clone(&clock),
+        context.clone(),
+        sender,
+        publish,
+    );
+    let (end, ended) = oneshot::channel();
+    spawn(async move {
+        let _ = end.send(driver.run(commands).await);
+    });
+    spawn(follow_view(
+        subscription.clone(),
+        control.clone(),
+        context.clone(),
+    ));
+    spawn(LoadPoller::new(control.clone(), views.clone()).run());
+
+    let shared = RouterShared {
+        context: context.clone(),
+        control: control.clone(),
+        views,
+        clock: Arc::clone(&clock),
+        max_body: settings.max_body,
+        body_wait: settings.body_wait,
+    };
+    let peers = PeerState {
+        own,
+        control: control.clone(),
+    };
+    let peer_server = start_server(peer_listener, 1, context.clone(), move |config| {
+        peer_routes(config, &peers);
+    })?;
+    let server = start_server(listener, process.workers, context.clone(), move |config| {
+        caller_routes(config, &shared);
+    })?;
+
+    let stop = async {
+        if wait_for_stop_signal().await? == StopSignal::Immediate {
+            return Ok(());
+        }
+        membership.leave();
+        let announced = || membership.is_announced();
+        leave_fleet(&context, &control, &subscription, &*clock, announced).await;
+        sleep(settings.release_wait).await;
+        warn!(context.logger, "holdings were not released in time");
+        Ok::<(), io::Error>(())
+    };
+    let outcome = tokio::select! {
+        result = stop => result,
+        end = ended => match end {
+            Ok(ControlEnd::Released) => Ok(()),
+            Ok(ControlEnd::Closed) | Err(_) => Err(io::Error::other("this run was declared dead")),
+        },
+    };
+    server.stop(true).await;
+    peer_server.stop(true).await;
+    outcome
+}
+
+fn platform_settings(settings: &RouterSettings) -> PlatformSettings {
+    PlatformSettings {
+        address: settings.platform,
+        call_timeout: settings.platform_timeout,
+        vm: settings.process.vm.clone(),
+        data_centre: settings.process.data_centre.clone(),
+    }
+}
+
+fn member_record(settings: &RouterSettings, incarnation: IncarnationId) -> MemberRecord {
+    MemberRecord {
+        incarnation,
+        data_centre: settings.process.data_centre.clone(),
+        region: settings.process.region.clone(),
+        address: settings.process.listen,
+        peer_address: Some(settings.peer_listen),
+        weight: 1,
+        state: MemberState::Up,
+        listed_at: None,
+    }
+}
+
+fn control_state(
+    settings: &RouterSettings,
+    own: &IncarnationId,
+    context: &DaemonContext,
+    clock: &Arc<dyn TimeSource>,
+) -> RouterControl {
+    let data_centre = settings.process.data_centre.clone();
+    let escrow = EscrowSettings::for_policy(settings.policy);
+    let escrow = RouterEscrow::new(own.clone(), data_centre.clone(), escrow, clock.now());
+    let policy = RoutePolicy {
+        own_data_centre: Some(data_centre),
+        ..RoutePolicy::default()
+    };
+    let table = RouteTable::new(policy, own.start);
+    RouterControl::new(
+        own.clone(),
+        escrow,
+        table,
+        Arc::clone(clock),
+        context.metrics.clone(),
+    )
+}
+
+/// Hands each new fleet view to the control thread.
+async fn follow_view(
+    subscription: ViewSubscription,
+    control: ControlHandle,
+    context: DaemonContext,
+) {
+    let mut views = subscription.views();
+    while views.changed().await.is_ok() {
+        let view = subscription.view();
+        let serves = view.freshness(SystemClock.now()).refusal().is_none();
+        if serves && context.state() == ProcessState::Starting {
+            context.set_state(ProcessState::Ready);
+        }
+        control.send(ControlCommand::ViewChanged(view));
+    }
+}
--- /dev/null
+++ b/bin/router/src/service_call.rs
@@ -0,0 +1,508 @@
+//! Calls to plain services, of which some may not be repeated.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ntex::rt::spawn;
+use ntex::util::Bytes;
+use sha2::Digest;
+use sha2::Sha256;
+use snipegate_ledger::CallOutcome;
+use snipegate_ledger::LedgerOperation;
+use snipegate_ledger::OperationResult;
+use snipegate_routing::AttemptOutcome;
+use snipegate_types::ByteCount;
+use snipegate_types::ModelName;
+use snipegate_types::RequestId;
+use snipegate_types::ResultCode;
+use snipegate_types::RunState;
+use snipegate_types::ShardId;
+use snipegate_types::TimeSource;
+use snipegate_types::TokenCount;
+
+use crate::call_register::CallDigest;
+use crate::call_register::CallStart;
+use crate::command::Admission;
+use crate::command::AdmitRequest;
+use crate::command::BillVerdict;
+use crate::command::ControlCommand;
+use crate::command::ControlHandle;
+use crate::command::FailureReport;
+use crate::command::RequestHandle;
+use crate::command::SendOrder;
+use crate::refusal::RequestRefusal;
+use crate::upstream_client::UpstreamCall;
+use crate::upstream_client::UpstreamClient;
+
+/// Largest answer of a plain service, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Largest answer that is recorded for retries, in bytes.
+const MAX_RECORDED_BYTES: usize = 4 << 10;
+
+/// How long an intent may take to become durable.
+const INTENT_WAIT: Duration = Duration::from_secs(2);
+
+/// How long an outcome is offered to the ledger before it is given up.
+const CONCLUDE_WAIT: Duration = Duration::from_secs(24 * 3600);
+
+/// One call to a plain service.
+#[derive(Clone)]
+pub struct ServiceCall {
+    /// The request.
+    pub request: RequestId,
+    /// The service.
+    pub service: ModelName,
+    /// The body and its content type, passed on as they are.
+    pub body: Bytes,
+    /// The content type.
+    pub content_type: String,
+    /// The caller's idempotency key, passed on.
+    pub idempotency_key: Option<String>,
+    /// Whether the call may be sent to an upstream again.
+    pub repeatable: bool,
+    /// What a call costs.
+    pub tokens: TokenCount,
+    /// The ledger shard of the workspace.
+    pub shard: ShardId,
+    /// When the whole answer has to be there.
+    pub deadline: Instant,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether this is the recorded answer of an earlier call.
+    pub recorded: bool,
+}
+
+/// Carries one call; kept alive by its own task, not by the caller's connection.
+pub struct CallRunner {
+    /// The call.
+    pub call: ServiceCall,
+    /// The way to the control thread.
+    pub control: ControlHandle,
+    /// The client for upstreams.
+    pub client: Rc<UpstreamClient>,
+    /// The clock.
+    pub clock: Arc<dyn TimeSource>,
+}
+
+/// Whose run of the call counts.
+enum CallClaim {
+    /// This one's.
+    Own,
+    /// An earlier one's, with its recorded answer.
+    Recorded(ServiceAnswer),
+}
+
+impl ServiceCall {
+    /// Returns the digest that tells this call from another with its key.
+    pub fn digest(&self) -> CallDigest {
+        let digest = Sha256::new()
+            .chain_update(self.service.as_str().as_bytes())
+            .chain_update([0])
+            .chain_update(&self.body)
+            .finalize();
+        let mut bytes = CallDigest::default();
+        bytes.copy_from_slice(&digest[..16]);
+        bytes
+    }
+}
+
+fn stopped() -> RequestRefusal {
+    RequestRefusal::failed(
+        ResultCode::Stopping,
+        RunState::Unknown,
+        "router has stopped",
+    )
+}
+
+fn outcome_unknown() -> RequestRefusal {
+    RequestRefusal::failed(
+        ResultCode::OutcomeUnknown,
+        RunState::Unknown,
+        "the call was sent and its outcome is not known; it will not be sent again",
+    )
+}
+
+fn key_reused() -> RequestRefusal {
+    RequestRefusal::not_run(
+        ResultCode::IdempotencyKeyReused,
+        "the idempotency key was used for another call",
+    )
+}
+
+impl CallRunner {
+    /// Admits and runs the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer where the call fails.
+    pub async fn run(self, admit: AdmitRequest) -> Result<ServiceAnswer, RequestRefusal> {
+        if self.call.repeatable {
+            let admission = self.admit(admit).await?;
+            return self.run_repeatable(admission).await;
+        }
+        let request = self.call.request;
+        let digest = self.call.digest();
+        let start = self
+            .control
+            .ask(|reply| ControlCommand::BeginCall {
+                request,
+                digest,
+                reply,
+            })
+            .await
+            .ok_or_else(stopped)?;
+        match start {
+            CallStart::New => self.run_once(admit).await,
+            CallStart::Reused => Err(key_reused()),
+            CallStart::Ended(outcome) => answer_of(outcome),
+            CallStart::Running => Err(RequestRefusal::failed(
+                ResultCode::StillRunning,
+                RunState::Unknown,
+                "the same call is in progress here",
+            )),
+        }
+    }
+
+    async fn admit(&self, admit: AdmitRequest) -> Result<Admission, RequestRefusal> {
+        self.control
+            .ask(|reply| ControlCommand::Admit {
+                request: Box::new(admit),
+                reply,
+            })
+            .await
+            .unwrap_or_else(|| Err(stopped()))
+    }
+
+    async fn run_repeatable(&self, admission: Admission) -> Result<ServiceAnswer, RequestRefusal> {
+        let handle = admission.handle;
+        let mut order = admission.order;
+        loop {
+            match self.send(&order).await {
+                Ok(answer) => return self.settle(handle, answer).await,
+                Err(outcome) => order = self.failed(handle, outcome).await?,
+            }
+        }
+    }
+
+    /// Runs a call that may not be repeated, under its intent.
+    async fn run_once(&self, admit: AdmitRequest) -> Result<ServiceAnswer, RequestRefusal> {
+        let admission = match self.admit(admit).await {
+            Ok(admission) => admission,
+            Err(refusal) => {
+                self.forget();
+                return Err(refusal);
+            }
+        };
+        let handle = admission.handle;
+        let mut order = admission.order;
+        let mut operations = vec![self.intend(&order)];
+        loop {
+            if let CallClaim::Recorded(answer) = self.claim(handle, operations).await? {
+                return Ok(answer);
+            }
+            match self.send(&order).await {
+                Ok(answer) => return self.conclude(handle, answer).await,
+                Err(outcome) if outcome.proves_not_run() => {
+                    let void = self.conclusion(CallOutcome::NotRun);
+                    match self.failed(handle, outcome).await {
+                        Ok(next) => {
+                            order = next;
+                            operations = vec![void, self.intend(&order)];
+                        }
+                        Err(refusal) => {
+                            self.void();
+                            return Err(refusal);
+                        }
+                    }
+                }
+                Err(outcome) => {
+                    // The reply to this report can only be a refusal, since the
+                    // call is not idempotent; the refusal here says more.
+                    let _ = self.failed(handle, outcome).await;
+                    self.record(CallOutcome::Unknown);
+                    return Err(outcome_unknown());
+                }
+            }
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.call
+            .deadline
+            .saturating_duration_since(self.clock.now())
+    }
+
+    fn intend(&self, order: &SendOrder) -> LedgerOperation {
+        LedgerOperation::Intend {
+            request: self.call.request,
+            upstream: order.upstream.clone(),
+            digest: self.call.digest(),
+        }
+    }
+
+    fn conclusion(&self, outcome: CallOutcome) -> LedgerOperation {
+        LedgerOperation::Conclude {
+            request: self.call.request,
+            outcome,
+        }
+    }
+
+    async fn post(
+        &self,
+        operations: Vec<LedgerOperation>,
+        wait: Duration,
+    ) -> Option<Vec<OperationResult>> {
+        let shard = self.call.shard;
+        let until = self.clock.now() + wait;
+        self.control
+            .ask(|reply| ControlCommand::Post {
+                shard,
+                operations,
+                until,
+                reply,
+            })
+            .await?
+            .ok()
+    }
+
+    /// Makes the intent durable; only then may the call be sent.
+    async fn claim(
+        &self,
+        handle: RequestHandle,
+        operations: Vec<LedgerOperation>,
+    ) -> Result<CallClaim, RequestRefusal> {
+        let left = self.time_left();
+        let results = self.post(operations, INTENT_WAIT.min(left)).await;
+        let last = results.and_then(|mut results| results.pop());
+        let refusal = match last {
+            Some(OperationResult::Intended) => return Ok(CallClaim::Own),
+            Some(OperationResult::AlreadyIntended {
+                digest, outcome, ..
+            }) => {
+                self.forget();
+                return self.already_intended(handle, digest, outcome).await;
+            }
+            Some(OperationResult::Refused(refused)) => {
+                self.forget();
+                RequestRefusal::not_run(refused.result_code(), "intent was refused")
+            }
+            Some(_) | None => {
+                // The intent may become durable later. It stays this router's,
+                // and this router will not run it.
+                self.void();
+                RequestRefusal::not_run(
+                    ResultCode::StoreUnavailable,
+                    "the call's intent could not be made durable",
+                )
+            }
+        };
+        self.control
+            .send(ControlCommand::Abandon { handle, used: None });
+        Err(refusal)
+    }
+
+    /// Answers a call that was claimed before.
+    async fn already_intended(
+        &self,
+        handle: RequestHandle,
+        digest: CallDigest,
+        outcome: Option<CallOutcome>,
+    ) -> Result<CallClaim, RequestRefusal> {
+        let abandon = || {
+            self.control
+                .send(ControlCommand::Abandon { handle, used: None });
+        };
+        if digest != self.call.digest() {
+            abandon();
+            return Err(key_reused());
+        }
+        match outcome {
+            Some(CallOutcome::Answered { status, body }) => {
+                // The first run's bill may have been lost with its router; the
+                // ledger counts the first bill of a request only.
+                let answer = ServiceAnswer {
+                    status,
+                    body,
+                    recorded: true,
+                };
+                self.settle(handle, answer).await.map(CallClaim::Recorded)
+            }
+            Some(CallOutcome::NotRun | CallOutcome::Unknown) | None => {
+                abandon();
+                Err(outcome_unknown())
+            }
+        }
+    }
+
+    async fn send(&self, order: &SendOrder) -> Result<ServiceAnswer, AttemptOutcome> {
+        let call = &self.call;
+        let mut headers = vec![
+            ("content-type", call.content_type.clone()),
+            ("x-request-id", call.request.to_string()),
+        ];
+        if let Some(key) = &call.idempotency_key {
+            headers.push(("idempotency-key", key.clone()));
+        }
+        let path = format!("/services/{}", call.service);
+        let left = self.time_left();
+        let sending = UpstreamCall {
+            address: order.address,
+            path: &path,
+            headers,
+            body: call.body.clone(),
+        };
+        let mut answer = self
+            .client
+            .post(sending, order.first_byte_timeout.min(left))
+            .await?;
+        // Another status than success is an answer too, unless the call may be
+        // sent elsewhere.
+        if call.repeatable
+            && let Some(outcome) = answer.failure()
+        {
+            return Err(outcome);
+        }
+        let body = answer
+            .read_all(order.progress_timeout, MAX_ANSWER_BYTES)
+            .await?;
+        Ok(ServiceAnswer {
+            status: answer.status(),
+            body,
+            recorded: false,
+        })
+    }
+
+    async fn failed(
+        &self,
+        handle: RequestHandle,
+        outcome: AttemptOutcome,
+    ) -> Result<SendOrder, RequestRefusal> {
+        let report = FailureReport {
+            outcome,
+            sent_to_caller: ByteCount::ZERO,
+            resumable: false,
+        };
+        self.control
+            .ask(|reply| ControlCommand::Failed {
+                handle,
+                report,
+                reply,
+            })
+            .await
+            .unwrap_or_else(|| Err(stopped()))
+    }
+
+    async fn conclude(
+        &self,
+        handle: RequestHandle,
+        answer: ServiceAnswer,
+    ) -> Result<ServiceAnswer, RequestRefusal> {
+        let mut body = answer.body.clone();
+        body.truncate(MAX_RECORDED_BYTES);
+        self.record(CallOutcome::Answered {
+            status: answer.status,
+            body,
+        });
+        self.settle(handle, answer).await
+    }
+
+    /// Bills an answer of success; another one costs nothing.
+    async fn settle(
+        &self,
+        handle: RequestHandle,
+        answer: ServiceAnswer,
+    ) -> Result<ServiceAnswer, RequestRefusal> {
+        let succeeded = (200..300).contains(&answer.status);
+        let used = match succeeded {
+            true => self.call.tokens,
+            false => TokenCount::ZERO,
+        };
+        if used.is_zero() {
+            self.control
+                .send(ControlCommand::Abandon { handle, used: None });
+            return Ok(answer);
+        }
+        let outcome = AttemptOutcome::Completed {
+            generated: TokenCount::ZERO,
+            cached: None,
+        };
+        let verdict = self
+            .control
+            .ask(|reply| ControlCommand::Complete {
+                handle,
+                used,
+                outcome,
+                reply,
+            })
+            .await;
+        match verdict {
+            Some(BillVerdict::Safe(_)) => Ok(answer),
+            Some(BillVerdict::Unsafe) | None => Err(RequestRefusal::failed(
+                ResultCode::BillUnconfirmed,
+                RunState::Ran,
+                "the call ran but its bill could not be made safe; ask again with its key",
+            )),
+        }
+    }
+
+    fn forget(&self) {
+        self.control
+            .send(ControlCommand::ForgetCall(self.call.request));
+    }
+
+    /// Voids an intent of which nothing was sent.
+    fn void(&self) {
+        self.record(CallOutcome::NotRun);
+    }
+
+    /// Records how the call ended, here at once and in the ledger as soon as it can.
+    fn record(&self, outcome: CallOutcome) {
+        let request = self.call.request;
+        self.control.send(ControlCommand::EndCall {
+            request,
+            outcome: outcome.clone(),
+        });
+        let shard = self.call.shard;
+        let operations = vec![self.conclusion(outcome)];
+        let control = self.control.clone();
+        let until = self.clock.now() + CONCLUDE_WAIT;
+        spawn(async move {
+            let posted = control
+                .ask(|reply| ControlCommand::Post {
+                    shard,
+                    operations,
+                    until,
+                    reply,
+                })
+                .await;
+            if matches!(posted, Some(Ok(_))) {
+                control.send(ControlCommand::ForgetCall(request));
+            }
+        });
+    }
+}
+
+fn answer_of(outcome: CallOutcome) -> Result<ServiceAnswer, RequestRefusal> {
+    match outcome {
+        CallOutcome::Answered { status, body } => Ok(ServiceAnswer {
+            status,
+            body,
+            recorded: true,
+        }),
+        CallOutcome::NotRun => Err(RequestRefusal::not_run(
+            ResultCode::StoreUnavailable,
+            "an earlier attempt was not run and its intent is still being voided",
+        )),
+        CallOutcome::Unknown => Err(outcome_unknown()),
+    }
+}
--- a/lib/escrow/src/sweep.rs
+++ b/lib/escrow/src/sweep.rs
@@ -68,29 +68,22 @@
         }
     }
 
-    /// Returns half of what is idle here, or all if no requests come.
-    ///
-    /// The keeper asks again while the shortage lasts, so that a budget near
-    /// its end moves to where it is used without stripping anyone at once.
+    /// Returns what a holding does not need within moments.
     pub(crate) fn recall(&mut self, budget: &BudgetId, now: Instant) {
         let Some(holding) = self.budgets.get(budget) else {
             return;
         };
-        let window = self.settings.rate_window;
-        let soon = holding.demand.rate(window, now).over(RECALL_KEEP);
-        let in_use = holding.demand.idle(now) < RECALL_KEEP;
-        let kept = match in_use {
+        let soon = holding
+            .demand
+            .rate(self.settings.rate_window, now)
+            .over(RECALL_KEEP);
+        let kept = match holding.demand.idle(now) < RECALL_KEEP {
             true => soon.saturating_add(holding.usual_claim),
-            false => TokenCount::ZERO,
+            false => soon,
         };
-        let idle = holding
-            .free
-            .saturating_sub(kept.max(holding.waiting_need()));
-        let amount = match in_use {
-            true => TokenCount(idle.0.div_ceil(2)),
-            false => idle,
-        };
-        self.give_back(budget, amount, now);
+        let kept = kept.max(holding.waiting_need());
+        let excess = holding.free.saturating_sub(kept);
+        self.give_back(budget, excess, now);
     }
 
     /// Returns tokens to the ledger, unless it can't be reached: then they
--- /dev/null
+++ b/lib/fleet/src/incarnation.rs
@@ -0,0 +1,34 @@
+//! The name that a new run of a process takes.
+
+use std::time::UNIX_EPOCH;
+
+use snipegate_platform::ConfigStore;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::TimeSource;
+use snipegate_types::VmId;
+
+use crate::key::FleetKey;
+use crate::member::MemberRecord;
+use crate::registration::choose_start;
+
+/// Returns the name of this run, later than that of the registered run if the
+/// store can tell which that is.
+pub async fn choose_incarnation<S: ConfigStore>(
+    store: &S,
+    vm: &VmId,
+    role: ProcessRole,
+    clock: &dyn TimeSource,
+) -> IncarnationId {
+    let key = FleetKey::Member(vm.clone(), role).to_string();
+    let stored = store.read(&key).await.ok().flatten();
+    let record = stored.and_then(|s| serde_json::from_slice::<MemberRecord>(&s.value).ok());
+    let earlier = record.as_ref().map(|record| &record.incarnation);
+    let wall = clock.wall().duration_since(UNIX_EPOCH);
+    let wall_ns = wall.map_or(0, |wall| wall.as_nanos() as u64);
+    IncarnationId {
+        vm: vm.clone(),
+        role,
+        start: choose_start(wall_ns, earlier),
+    }
+}
