directory: answers which router addresses to use

A member proven to have ended stayed in the view as if it were up, since the table forgot it; liveness now says so. VMs that the platform lists as leaving make their members leave.

--- a/bin/directory/src/main.rs
+++ b/bin/directory/src/main.rs
@@ -1,3 +1,103 @@
-//! Placeholder until the process is built.
+//! `snipegate-directory`: tells callers which router addresses to use.
 
-fn main() {}
+mod address_route;
+mod settings;
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use ntex::rt::spawn;
+use slog::error;
+use snipegate_fleet::FollowerSettings;
+use snipegate_fleet::MemberRecord;
+use snipegate_fleet::MemberState;
+use snipegate_fleet::Registration;
+use snipegate_fleet::ViewFollower;
+use snipegate_fleet::ViewSubscription;
+use snipegate_fleet::choose_incarnation;
+use snipegate_fleet::register_member;
+use snipegate_platform::HttpStore;
+use snipegate_service::DaemonContext;
+use snipegate_service::GuardPort;
+use snipegate_service::MetricRegistry;
+use snipegate_service::ProcessSettings;
+use snipegate_service::ProcessState;
+use snipegate_service::build_logger;
+use snipegate_service::start_server;
+use snipegate_service::wait_for_stop_signal;
+use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::SystemClock;
+
+use crate::address_route::address_routes;
+use crate::settings::DaemonSettings;
+
+#[ntex::main]
+async fn main() -> io::Result<()> {
+    let matches = settings::command().get_matches();
+    let settings = DaemonSettings::from_matches(&matches);
+    let process = &settings.process;
+    let _guard = GuardPort::bind(process.guard)?;
+    let listener = TcpListener::bind(process.listen)?;
+    let logger = build_logger(process.log_format, process.log_level, "directory");
+    let metrics = MetricRegistry::new("directory", process.metrics)?;
+    let context = DaemonContext::new(logger, metrics);
+    let store = HttpStore::new(settings.platform.clone())
+        .await
+        .map_err(io::Error::other)?;
+    let role = ProcessRole::Directory;
+    let own = choose_incarnation(&store, &SystemClock, &process.vm, role).await;
+
+    let follower = FollowerSettings {
+        process: own.clone(),
+        data_centre: process.data_centre.clone(),
+        keeper: settings.keeper,
+        seeds: settings.seeds.clone(),
+    };
+    let (follower, subscription) = ViewFollower::new(follower, Rc::new(SystemClock));
+    spawn(follower.run());
+    spawn(become_ready(context.clone(), subscription.clone()));
+    spawn(register(context.clone(), store, member(process, own)));
+
+    let routes = subscription.clone();
+    let server = start_server(listener, process.workers, context.clone(), move |config| {
+        address_routes(config, routes.clone());
+    })?;
+    wait_for_stop_signal().await?;
+    // Answers are short, and callers ask another directory.
+    context.set_state(ProcessState::Stopping);
+    server.stop(true).await;
+    Ok(())
+}
+
+fn member(process: &ProcessSettings, incarnation: IncarnationId) -> MemberRecord {
+    MemberRecord {
+        incarnation,
+        data_centre: process.data_centre.clone(),
+        region: process.region.clone(),
+        address: process.listen,
+        peer_address: None,
+        weight: 1,
+        state: MemberState::Up,
+        listed_at: None,
+    }
+}
+
+/// Registers the directory, so that operators see it.
+async fn register(context: DaemonContext, store: HttpStore, member: MemberRecord) {
+    let mut registration = Registration::new(member);
+    if let Err(by) = register_member(&store, &mut registration).await {
+        error!(context.logger, "superseded"; "by" => by.to_string());
+        context.set_state(ProcessState::Stopping);
+    }
+}
+
+/// Reports the process as ready once it knows the fleet.
+async fn become_ready(context: DaemonContext, subscription: ViewSubscription) {
+    let mut views = subscription.views();
+    let known = views.wait_for(|view| view.settings().is_some()).await;
+    if known.is_ok() && context.state() == ProcessState::Starting {
+        context.set_state(ProcessState::Ready);
+    }
+}
--- a/lib/fleet/src/death_watch.rs
+++ b/lib/fleet/src/death_watch.rs
@@ -2,7 +2,9 @@
 
 use indexmap::IndexMap;
 use snipegate_platform::VmListing;
+use snipegate_platform::VmState;
 use snipegate_types::IncarnationId;
+use snipegate_types::ProcessRole;
 use snipegate_types::VmId;
 use strum::Display;
 
@@ -25,13 +27,23 @@
     },
 }
 
+/// The roles that a VM may run.
+const ROLES: [ProcessRole; 3] = [
+    ProcessRole::Router,
+    ProcessRole::Keeper,
+    ProcessRole::Directory,
+];
+
 /// What a keeper has seen of the VM list.
 ///
 /// Suspicion, a missed heartbeat or a lapsed lease are never proof: the
 /// process may be paused.
 #[derive(Clone, Debug, Default)]
 pub struct DeathWatch {
-    newest: Option<VmListing>,
+    /// Version of the newest listing seen.
+    newest: Option<u64>,
+    /// The VMs of that listing.
+    listed: IndexMap<VmId, VmState>,
     /// The first version in which each VM was seen here.
     seen: IndexMap<VmId, u64>,
 }
@@ -44,8 +56,10 @@
 
     /// Takes in a listing; tells whether it is newer than the newest seen.
     pub fn observe(&mut self, listing: VmListing) -> bool {
-        let known = self.newest.as_ref().map(|newest| newest.version);
-        if known.is_some_and(|version| version >= listing.version) {
+        if self
+            .newest
+            .is_some_and(|version| version >= listing.version)
+        {
             return false;
         }
         for listed in &listing.vms {
@@ -53,20 +67,20 @@
                 .entry(listed.vm.clone())
                 .or_insert(listing.version);
         }
-        self.newest = Some(listing);
+        self.newest = Some(listing.version);
+        let listed = listing.vms.into_iter().map(|l| (l.vm, l.state));
+        self.listed = listed.collect();
         true
     }
 
-    /// Returns the newest listing seen.
-    pub fn newest(&self) -> Option<&VmListing> {
-        self.newest.as_ref()
+    /// Returns the state of a VM in the newest listing seen.
+    pub fn vm_state(&self, vm: &VmId) -> Option<VmState> {
+        self.listed.get(vm).copied()
     }
 
     /// Returns the version of the newest listing, if it holds `vm`.
     pub fn listed_at(&self, vm: &VmId) -> Option<u64> {
-        let newest = self.newest.as_ref()?;
-        let listed = newest.vms.iter().any(|listed| &listed.vm == vm);
-        listed.then_some(newest.version)
+        self.listed.get(vm).and(self.newest)
     }
 
     /// Returns the proof that a run has ended, if there is one.
@@ -78,20 +92,18 @@
             let by = entry.record.incarnation.clone();
             return Some(DeathCause::Succeeded { by });
         }
-        let newest = self.newest.as_ref()?;
+        let version = self.newest?;
         let first_seen = self.first_listed(&member.vm, view)?;
-        let gone = first_seen < newest.version && self.listed_at(&member.vm).is_none();
-        gone.then_some(DeathCause::VmGone {
-            version: newest.version,
-        })
+        let gone = first_seen < version && !self.listed.contains_key(&member.vm);
+        gone.then_some(DeathCause::VmGone { version })
     }
 
     /// Returns a version of the list that is known to have held `vm`: seen here,
     /// or recorded by a process of that VM.
     fn first_listed(&self, vm: &VmId, view: &FleetView) -> Option<u64> {
-        let recorded = view
-            .all_members()
-            .filter(|entry| &entry.id.0 == vm)
+        let recorded = ROLES
+            .into_iter()
+            .filter_map(|role| view.member(vm, role))
             .filter_map(|entry| entry.record.listed_at);
         self.seen.get(vm).copied().into_iter().chain(recorded).min()
     }
--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -31,6 +31,20 @@
     pub suspected: bool,
     /// It has said that it stops.
     pub leaving: bool,
+    /// It is proven to have ended; its record is a remnant.
+    pub ended: bool,
+}
+
+impl MemberLiveness {
+    /// Makes the row of a member that is up.
+    pub fn up(member: IncarnationId) -> Self {
+        Self {
+            member,
+            suspected: false,
+            leaving: false,
+            ended: false,
+        }
+    }
 }
 
 /// One key as a peer knows it.
--- a/lib/fleet/src/lib.rs
+++ b/lib/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The decisions are pure: [`ViewKeeper`] merges what the store, peers and
 //! listings say, [`FleetView`] is the snapshot that traffic threads read.
 
+mod address_answer;
 mod back_off;
 mod death_watch;
 mod exchange;
@@ -30,6 +31,8 @@
 mod view_keeper;
 mod workspace;
 
+pub use address_answer::AddressAnswer;
+pub use address_answer::NamedAddress;
 pub use back_off::BackOff;
 pub use death_watch::DeathCause;
 pub use death_watch::DeathWatch;
@@ -67,6 +70,7 @@
 pub use record::ConfigEntry;
 pub use record::FleetRecord;
 pub use record::RecordError;
+pub use register::choose_incarnation;
 pub use register::register_member;
 pub use registration::Registration;
 pub use registration::RegistrationStep;
--- a/lib/fleet/src/member_table.rs
+++ b/lib/fleet/src/member_table.rs
@@ -246,9 +246,9 @@
         self.rows
             .values()
             .map(|row| MemberLiveness {
-                member: row.update.member.clone(),
                 suspected: row.is_suspected(now),
                 leaving: row.update.leaving,
+                ..MemberLiveness::up(row.update.member.clone())
             })
             .filter(|found| found.suspected || found.leaving)
             .collect()
--- a/lib/fleet/src/service.rs
+++ b/lib/fleet/src/service.rs
@@ -16,6 +16,7 @@
 use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreRevision;
 use snipegate_platform::VmList;
+use snipegate_platform::VmState;
 use snipegate_service::DaemonContext;
 use snipegate_types::IncarnationId;
 use snipegate_types::TimeSource;
@@ -24,6 +25,7 @@
 
 use crate::death_watch::DeathWatch;
 use crate::exchange::LeaveMark;
+use crate::exchange::MemberLiveness;
 use crate::exchange::ViewQuery;
 use crate::exchange::ViewReply;
 use crate::fleet_handle::FleetHandle;
@@ -100,6 +102,29 @@
     followers: IndexMap<IncarnationId, FollowerRow>,
 }
 
+impl FleetState {
+    /// Returns every member that is not simply up: as keepers tell each other,
+    /// as the VM list says of its VM, and by proof of its end.
+    fn liveness(&self, view: &FleetView, now: Instant) -> Vec<MemberLiveness> {
+        let told = self.table.liveness(now).into_iter();
+        let mut members: IndexMap<IncarnationId, MemberLiveness> =
+            told.map(|found| (found.member.clone(), found)).collect();
+        for entry in view.all_members() {
+            let member = &entry.record.incarnation;
+            let ended = self.deaths.proof(member, view).is_some();
+            let leaving = self.deaths.vm_state(&member.vm) == Some(VmState::Leaving);
+            if ended || leaving {
+                let row = members
+                    .entry(member.clone())
+                    .or_insert_with(|| MemberLiveness::up(member.clone()));
+                row.ended |= ended;
+                row.leaving |= leaving;
+            }
+        }
+        members.into_values().collect()
+    }
+}
+
 /// What the loops of a [`FleetService`] share.
 pub(crate) struct FleetCore {
     pub settings: FleetServiceSettings,
@@ -146,7 +171,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.table.suspect_silent(now);
-        let members = state.table.liveness(now);
+        let members = state.liveness(&self.view(), now);
         if state.keeper.set_liveness(members) {
             state.liveness_version += 1;
             drop(state);
@@ -193,7 +218,7 @@
         reply.liveness_version = state.liveness_version;
         let wanted = query.liveness_version;
         if wanted.is_some_and(|known| known != state.liveness_version) {
-            reply.liveness = Some(state.table.liveness(now));
+            reply.liveness = Some(state.keeper.liveness().cloned().collect());
         }
         reply
     }
--- a/lib/fleet/src/view.rs
+++ b/lib/fleet/src/view.rs
@@ -269,6 +269,12 @@
         entry.record.state == MemberState::Leaving || said.is_some_and(|found| found.leaving)
     }
 
+    /// Tells whether a member is proven to have ended.
+    pub fn is_ended(&self, entry: &MemberEntry) -> bool {
+        self.liveness(&entry.record.incarnation)
+            .is_some_and(|found| found.ended)
+    }
+
     /// Tells whether a member is suspected to be down, which proves nothing.
     ///
     /// Keepers watch each other; a VM whose keeper is suspected is suspected
@@ -284,8 +290,10 @@
 
     /// Iterates over the members of a role that are up and not leaving.
     pub fn usable_members(&self, role: ProcessRole) -> impl Iterator<Item = &Arc<MemberEntry>> {
-        self.members(role)
-            .filter(|entry| !self.is_member_leaving(entry) && !self.is_suspected(entry))
+        self.members(role).filter(|entry| {
+            let gone = self.is_ended(entry) || self.is_suspected(entry);
+            !gone && !self.is_member_leaving(entry)
+        })
     }
 
     /// Returns the keeper that a shard falls to, among those that are up.
--- a/lib/fleet/src/view_keeper.rs
+++ b/lib/fleet/src/view_keeper.rs
@@ -262,6 +262,11 @@
         true
     }
 
+    /// Iterates over the members that are not simply up.
+    pub fn liveness(&self) -> impl Iterator<Item = &MemberLiveness> {
+        self.liveness.values()
+    }
+
     /// Returns what a peer that knows everything up to `after` lacks.
     ///
     /// The liveness part is left to the caller.
