--- a/bin/directory/src/main.rs
+++ b/bin/directory/src/main.rs
@@ -47,7 +47,7 @@
         .await
         .map_err(io::Error::other)?;
     let role = ProcessRole::Directory;
-    let own = choose_incarnation(&store, &SystemClock, &process.vm, role).await;
+    let own = choose_incarnation(&store, &process.vm, role, &SystemClock).await;
 
     let follower = FollowerSettings {
         process: own.clone(),
--- a/lib/fleet/src/lib.rs
+++ b/lib/fleet/src/lib.rs
@@ -70,7 +70,6 @@
 pub use record::ConfigEntry;
 pub use record::FleetRecord;
 pub use record::RecordError;
-pub use register::choose_incarnation;
 pub use register::register_member;
 pub use registration::Registration;
 pub use registration::RegistrationStep;
