--- a/lib/fleet/src/lib.rs
+++ b/lib/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod address_answer;
 mod back_off;
+mod config_edit;
 mod death_watch;
 mod exchange;
 mod fleet_handle;
@@ -34,6 +35,12 @@
 pub use address_answer::AddressAnswer;
 pub use address_answer::NamedAddress;
 pub use back_off::BackOff;
+pub use config_edit::ChangeNote;
+pub use config_edit::ConfigEdit;
+pub use config_edit::EditError;
+pub use config_edit::EditStep;
+pub use config_edit::change_note;
+pub use config_edit::set_field;
 pub use death_watch::DeathCause;
 pub use death_watch::DeathWatch;
 pub use exchange::LeaveMark;
--- a/lib/fleet/src/record.rs
+++ b/lib/fleet/src/record.rs
@@ -13,6 +13,7 @@
 use snipegate_types::VmId;
 use snipegate_types::WorkspaceId;
 
+use crate::config_edit::CHANGE_FIELD;
 use crate::key::FleetKey;
 use crate::member::MemberRecord;
 use crate::profile::ProfileRecord;
@@ -213,8 +214,18 @@
     })
 }
 
+/// Reads a record and leaves its [`ChangeNote`](crate::ChangeNote) out.
 fn decode<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
-    serde_json::from_slice(bytes).map_err(|error| RecordError::Malformed {
+    let malformed = |error: serde_json::Error| RecordError::Malformed {
         reason: error.to_string(),
-    })
+    };
+    let mut fields: serde_json::Value = serde_json::from_slice(bytes).map_err(malformed)?;
+    let noted = fields
+        .as_object_mut()
+        .and_then(|fields| fields.shift_remove(CHANGE_FIELD));
+    match noted {
+        Some(_) => serde_json::from_value(fields).map_err(malformed),
+        // Read from the text again, for errors with line and column.
+        None => serde_json::from_slice(bytes).map_err(malformed),
+    }
 }
