router: tests of the control state by event, and of the process

The control state is driven without sockets against the ledger's own state. Deriving limits and upstreams from the view anew once a second would cost with the number of workspaces; it is done only where the view's content changed.

--- a/bin/router/src/control.rs
+++ b/bin/router/src/control.rs
@@ -119,6 +119,11 @@
         self.open.len() + self.waiting.len() + self.bills.len() + self.calls.len()
     }
 
+    /// Returns how many attempts at upstreams have not ended.
+    pub fn outstanding_attempts(&self) -> usize {
+        self.table.pool().outstanding()
+    }
+
     /// Returns the view that decisions are taken under.
     pub fn view(&self) -> &Arc<FleetView> {
         &self.view
@@ -506,13 +511,16 @@
     }
 
     fn view_changed(&mut self, view: Arc<FleetView>, now: Instant) {
+        let before = std::mem::replace(&mut self.view, Arc::clone(&view));
+        if view.has_same_content(&before) {
+            return;
+        }
         self.table.upstreams_changed(upstream_specs(&view), now);
         self.table
             .limits_changed(workspace_limits(&view), profile_limits(&view));
         let peers = peer_entries(&view, &self.own);
         self.escrow.handle(EscrowEvent::PeersChanged(peers), now);
         self.metrics.set("view.revision", view.revision().0);
-        self.view = view;
     }
 
     fn route_refusal(
--- /dev/null
+++ b/bin/router/tests/common/mod.rs
@@ -0,0 +1,304 @@
+//! A router's control state with a ledger at hand, without sockets.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use snipegate_escrow::BatchOutcome;
+use snipegate_escrow::EscrowEffect;
+use snipegate_escrow::EscrowPolicy;
+use snipegate_escrow::EscrowSettings;
+use snipegate_escrow::RouterEscrow;
+use snipegate_fleet::FleetView;
+use snipegate_fleet::ViewKeeper;
+use snipegate_ledger::LedgerAnswer;
+use snipegate_ledger::LedgerBatch;
+use snipegate_ledger::LedgerOperation;
+use snipegate_ledger::ShardLedger;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
+use snipegate_router::command::Admission;
+use snipegate_router::command::AdmitRequest;
+use snipegate_router::command::BillVerdict;
+use snipegate_router::command::ControlCommand;
+use snipegate_router::command::FailureReport;
+use snipegate_router::command::RequestHandle;
+use snipegate_router::command::SendOrder;
+use snipegate_router::control::RouterControl;
+use snipegate_router::refusal::RequestRefusal;
+use snipegate_routing::AttemptOutcome;
+use snipegate_routing::PromptPrefix;
+use snipegate_routing::RequestPhase;
+use snipegate_routing::RequestPriority;
+use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteRequest;
+use snipegate_routing::RouteTable;
+use snipegate_routing::UpstreamKind;
+use snipegate_service::MetricRegistry;
+use snipegate_types::BudgetId;
+use snipegate_types::ByteCount;
+use snipegate_types::IncarnationId;
+use snipegate_types::ManualClock;
+use snipegate_types::OperationId;
+use snipegate_types::RequestId;
+use snipegate_types::ShardId;
+use snipegate_types::TimeSource;
+use snipegate_types::TokenCount;
+use tokio::sync::oneshot;
+
+/// The budget of the tests.
+pub fn budget() -> BudgetId {
+    "b1".parse().unwrap()
+}
+
+/// A fleet view of one workspace, one profile and the upstreams named.
+pub fn view(upstreams: &[(&str, &str)], now: Instant) -> Arc<FleetView> {
+    let mut records: Vec<(String, Value)> = vec![
+        (
+            "fleet/config/fleet".into(),
+            json!({
+                "ledger_shards": 1, "retry_window_ms": 600_000, "grant_horizon_ms": 60_000,
+                "deployment_policy": "favour_service", "staleness_bound_ms": 8_000,
+                "stale_policy": "refuse", "address_keep_ms": 2_000, "watchers_per_data_centre": 2,
+            }),
+        ),
+        (
+            "fleet/config/profile/chat".into(),
+            json!({
+                "model": "m1", "priority": 5, "default_output_tokens": 10,
+                "max_output_tokens": 100, "deadline_ms": 60_000,
+                "requests_per_second": 1_000, "concurrent_requests": 1_000,
+            }),
+        ),
+        (
+            "fleet/config/workspace/depots".into(),
+            json!({
+                "key_digests": [], "budgets": ["b1"], "default_budget": "b1",
+                "requests_per_second": 1_000, "concurrent_requests": 2,
+                "max_output_tokens": 100, "profiles": ["chat"], "default_profile": "chat",
+            }),
+        ),
+    ];
+    records.extend(upstreams.iter().enumerate().map(|(at, (name, state))| {
+        let record = json!({
+            "data_centre": "d1", "address": format!("127.0.0.1:{}", 9_000 + at),
+            "kind": "model_engine", "models": ["m1"], "capacity_slots": 8, "state": state,
+        });
+        (format!("fleet/config/upstream/{name}"), record)
+    }));
+    records.sort_by(|one, other| one.0.cmp(&other.0));
+    let entries = records
+        .into_iter()
+        .enumerate()
+        .map(|(at, (key, value))| {
+            let stored = StoredValue {
+                revision: StoreRevision(at as u64 + 1),
+                value: value.to_string().into_bytes(),
+            };
+            (key, stored)
+        })
+        .collect();
+    let mut keeper = ViewKeeper::new();
+    keeper.begin_listing();
+    keeper.apply_page(
+        &StoreListing {
+            revision: StoreRevision(100),
+            entries,
+            more_after: None,
+        },
+        now,
+    );
+    assert!(keeper.rejected().is_empty(), "{:?}", keeper.rejected());
+    Arc::new(keeper.view())
+}
+
+/// What becomes of batches on their way to the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LedgerLink {
+    /// They arrive and are answered.
+    Up,
+    /// They do not arrive.
+    Down,
+}
+
+/// A control state and the ledger that it talks to.
+pub struct ControlFixture {
+    pub control: RouterControl,
+    pub ledger: ShardLedger,
+    pub link: LedgerLink,
+    pub clock: ManualClock,
+    own: IncarnationId,
+    topped_up: u128,
+}
+
+impl ControlFixture {
+    /// Makes a router whose view names the upstreams given.
+    pub fn new(upstreams: &[(&str, &str)]) -> Self {
+        let clock = ManualClock::new();
+        let own: IncarnationId = "vm-1/router/1".parse().unwrap();
+        let settings = EscrowSettings::for_policy(EscrowPolicy::AvoidRefusals);
+        let place = "d1".parse().unwrap();
+        let escrow = RouterEscrow::new(own.clone(), place, settings, clock.now());
+        let table = RouteTable::new(RoutePolicy::default(), 1);
+        let metrics = MetricRegistry::new("router", None).unwrap();
+        let shared = Arc::new(clock.clone());
+        let mut fixture = Self {
+            control: RouterControl::new(own.clone(), escrow, table, shared, metrics),
+            ledger: ShardLedger::new(),
+            link: LedgerLink::Up,
+            clock,
+            own,
+            topped_up: 0,
+        };
+        fixture.show(upstreams);
+        fixture
+    }
+
+    /// Gives the control state a view that names the upstreams given.
+    pub fn show(&mut self, upstreams: &[(&str, &str)]) {
+        let view = view(upstreams, self.clock.now());
+        self.send(ControlCommand::ViewChanged(view));
+    }
+
+    /// Adds tokens to the budget.
+    pub fn top_up(&mut self, amount: u64) {
+        self.topped_up += 1;
+        let operation = LedgerOperation::TopUp {
+            operation: OperationId::from_number(self.topped_up),
+            budget: budget(),
+            amount: TokenCount(amount),
+        };
+        self.ledger.apply(&self.own, &operation, &mut Vec::new());
+    }
+
+    /// Sends a command and lets batches and answers go back and forth.
+    pub fn send(&mut self, command: ControlCommand) {
+        self.control.handle(command, self.clock.now());
+        self.exchange();
+    }
+
+    /// Lets time pass in steps of 50 ms.
+    pub fn pass(&mut self, span: Duration) {
+        const STEP: Duration = Duration::from_millis(50);
+        let mut left = span;
+        while !left.is_zero() {
+            self.clock.advance(STEP.min(left));
+            left = left.saturating_sub(STEP);
+            self.control.tick(self.clock.now());
+            self.exchange();
+        }
+    }
+
+    fn exchange(&mut self) {
+        loop {
+            let effects = self.control.take_effects(self.clock.now());
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                if let EscrowEffect::SendBatch { id, batch } = effect {
+                    let shard = batch.shard;
+                    let outcome = self.carry(&batch);
+                    let command = ControlCommand::BatchEnded { shard, id, outcome };
+                    self.control.handle(command, self.clock.now());
+                }
+            }
+        }
+    }
+
+    fn carry(&mut self, batch: &LedgerBatch) -> BatchOutcome {
+        if self.link == LedgerLink::Down {
+            return BatchOutcome::Lost;
+        }
+        let results = batch
+            .operations
+            .iter()
+            .map(|operation| self.ledger.apply(&batch.sender, operation, &mut Vec::new()))
+            .collect();
+        assert!(self.ledger.is_conserved());
+        BatchOutcome::Answered(LedgerAnswer::Results(results))
+    }
+
+    /// Asks for admission; the answer may come later.
+    pub fn admit(
+        &mut self,
+        number: u128,
+        worst_case: u64,
+    ) -> oneshot::Receiver<Result<Admission, RequestRefusal>> {
+        let (reply, answer) = oneshot::channel();
+        let request = Box::new(self.request(number, worst_case));
+        self.send(ControlCommand::Admit { request, reply });
+        answer
+    }
+
+    fn request(&self, number: u128, worst_case: u64) -> AdmitRequest {
+        AdmitRequest {
+            request: RequestId::from_number(number),
+            budget: budget(),
+            shard: ShardId(0),
+            worst_case: TokenCount(worst_case),
+            route: RouteRequest {
+                workspace: "depots".parse().unwrap(),
+                profile: "chat".parse().unwrap(),
+                kind: UpstreamKind::ModelRunner,
+                model: "m1".parse().unwrap(),
+                version: None,
+                adapter: None,
+                phase: RequestPhase::Whole,
+                priority: RequestPriority::Normal,
+                deadline: Some(self.clock.now() + Duration::from_secs(60)),
+                idempotent: true,
+                prompt_tokens: TokenCount(10),
+                max_tokens: TokenCount(10),
+                prefix: PromptPrefix::default(),
+                avoid: Vec::new(),
+            },
+        }
+    }
+
+    /// Reports a failed attempt.
+    pub fn fail(
+        &mut self,
+        handle: RequestHandle,
+        outcome: AttemptOutcome,
+        sent: u64,
+    ) -> Result<SendOrder, RequestRefusal> {
+        let (reply, mut answer) = oneshot::channel();
+        let report = FailureReport {
+            outcome,
+            sent_to_caller: ByteCount(sent),
+            resumable: sent > 0,
+        };
+        self.send(ControlCommand::Failed {
+            handle,
+            report,
+            reply,
+        });
+        answer.try_recv().expect("failures are answered at once")
+    }
+
+    /// Completes a request.
+    pub fn complete(&mut self, handle: RequestHandle, used: u64) -> oneshot::Receiver<BillVerdict> {
+        let (reply, verdict) = oneshot::channel();
+        let outcome = AttemptOutcome::Completed {
+            generated: TokenCount(used),
+            cached: None,
+        };
+        self.send(ControlCommand::Complete {
+            handle,
+            used: TokenCount(used),
+            outcome,
+            reply,
+        });
+        verdict
+    }
+
+    /// Returns what the ledger has billed and what it still holds for others.
+    pub fn billed(&self) -> u64 {
+        let balance = self.ledger.balance(&budget());
+        balance.map_or(0, |balance| balance.billed)
+    }
+}
--- a/lib/fleet/src/view.rs
+++ b/lib/fleet/src/view.rs
@@ -132,6 +132,14 @@
 }
 
 impl FleetView {
+    /// Tells whether this view holds the same records and says the same of every
+    /// member as `other`, so that nothing derived from it has to be derived anew.
+    pub fn has_same_content(&self, other: &FleetView) -> bool {
+        Arc::ptr_eq(&self.index, &other.index)
+            && self.leave_marks == other.leave_marks
+            && (Arc::ptr_eq(&self.liveness, &other.liveness) || self.liveness == other.liveness)
+    }
+
     /// Returns the revision up to which this view knows everything.
     pub fn revision(&self) -> StoreRevision {
         self.revision
