--- a/bin/keeper/src/ledger_control.rs
+++ b/bin/keeper/src/ledger_control.rs
@@ -73,6 +73,7 @@
     shards: IndexMap<ShardId, ShardKeeper>,
     replies: IndexMap<BatchId, oneshot::Sender<LedgerAnswer>>,
     next_batch: u64,
+    next_wake: Option<Instant>,
     stopped: Option<oneshot::Sender<()>>,
 }
 
@@ -96,6 +97,7 @@
             shards: IndexMap::new(),
             replies: IndexMap::new(),
             next_batch: 0,
+            next_wake: None,
             stopped: None,
         }
     }
@@ -152,21 +154,19 @@
         let Some(fleet) = self.view.settings().cloned() else {
             return;
         };
-        self.settings.retry_window = fleet.retry_window();
         for shard in (0..fleet.ledger_shards).map(ShardId) {
-            self.open_shard(shard);
+            self.open_shard(shard, fleet.retry_window(), now);
             let keeper = self.view.keeper_of(shard);
             let keeper = keeper.map(|entry| entry.record.incarnation.clone());
             self.tell(shard, KeeperEvent::Chosen { keeper }, now);
         }
     }
 
-    fn open_shard(&mut self, shard: ShardId) {
-        if self.shards.contains_key(&shard) {
-            return;
-        }
-        let keeper = ShardKeeper::new(shard, self.own.clone(), self.settings.clone());
-        self.shards.insert(shard, keeper);
+    fn open_shard(&mut self, shard: ShardId, retry_window: Duration, now: Instant) {
+        let keeper = self.shards.entry(shard).or_insert_with(|| {
+            ShardKeeper::new(shard, self.own.clone(), self.settings.clone(), now)
+        });
+        keeper.set_retry_window(retry_window);
     }
 
     /// Tells each shard keeper which of the incarnations that matter to it are
@@ -196,11 +196,28 @@
             return;
         };
         let effects = keeper.handle(event, now);
+        if let Some(wake) = keeper.next_wake() {
+            self.wake_at(wake, now);
+        }
         for effect in effects {
             self.carry_out(shard, effect);
         }
     }
 
+    /// Has a tick sent at `wake`, unless a regular one comes before.
+    fn wake_at(&mut self, wake: Instant, now: Instant) {
+        let is_set = self.next_wake.is_some_and(|set| now < set && set <= wake);
+        if is_set || wake >= now + TICK_PERIOD {
+            return;
+        }
+        self.next_wake = Some(wake);
+        let sender = self.sender.clone();
+        spawn(async move {
+            sleep(wake.saturating_duration_since(now)).await;
+            let _ = sender.send(ControlMessage::Tick);
+        });
+    }
+
     fn carry_out(&mut self, shard: ShardId, effect: KeeperEffect) {
         match effect {
             KeeperEffect::Swap {
--- a/bin/keeper/src/settings.rs
+++ b/bin/keeper/src/settings.rs
@@ -60,6 +60,11 @@
             "1s",
             "Longest wait of a ledger batch before it is answered as undecided",
         ))
+        .arg(duration_setting(
+            "commit-interval",
+            "50ms",
+            "Shortest time between two segments of a shard, which bounds the store's writes",
+        ))
         .arg(duration_setting(
             "store-retry",
             "250ms",
@@ -95,6 +100,7 @@
         };
         let keeper = KeeperSettings {
             answer_within: value(matches, "answer-within"),
+            commit_interval: value(matches, "commit-interval"),
             store_retry: value(matches, "store-retry"),
             takeover_pause: value(matches, "takeover-pause"),
             snapshot_every: value::<u64>(matches, "snapshot-every").max(1),
--- a/lib/ledger/src/ledger.rs
+++ b/lib/ledger/src/ledger.rs
@@ -417,14 +417,28 @@
             balance.change_holding(holder, -moved)?;
         }
         let open = |intent: &CallIntent| intent.claimant == holder && intent.outcome.is_none();
-        for (request, intent) in self.intents.iter_mut().filter(|(_, i)| open(i)) {
+        for intent in self.intents.values_mut().filter(|intent| open(intent)) {
             intent.outcome = Some((CallOutcome::Unknown, self.sequence));
-            let id = RecentId::Outcome(*request);
-            self.recent.push_back((self.sequence, id));
         }
         Ok(())
     }
 
+    /// Remembers the intents that ended with the reclaim of `holder` in the
+    /// segment at `sequence`.
+    fn remember_reclaimed(&mut self, sequence: SegmentSequence, holder: HolderNumber) {
+        let ended = (CallOutcome::Unknown, sequence);
+        let mut requests: Vec<RequestId> = self
+            .intents
+            .iter()
+            .filter(|(_, intent)| intent.claimant == holder)
+            .filter(|(_, intent)| intent.outcome.as_ref() == Some(&ended))
+            .map(|(request, _)| *request)
+            .collect();
+        requests.sort_unstable();
+        let ids = requests.into_iter().map(RecentId::Outcome);
+        self.recent.extend(ids.map(|id| (sequence, id)));
+    }
+
     fn remember(
         &mut self,
         sequence: SegmentSequence,
@@ -475,11 +489,13 @@
                 budget,
                 amount,
             } => (operation, OperationKind::TopUp, budget, amount),
-            OpenHolder { .. }
-            | OpenBudget { .. }
-            | Intend { .. }
-            | CloseHolder { .. }
-            | Reclaim { .. } => return Ok(()),
+            Reclaim { holder } => {
+                self.remember_reclaimed(sequence, *holder);
+                return Ok(());
+            }
+            OpenHolder { .. } | OpenBudget { .. } | Intend { .. } | CloseHolder { .. } => {
+                return Ok(());
+            }
         };
         let operation = RecentOperation {
             kind,
--- a/lib/ledger/src/lib.rs
+++ b/lib/ledger/src/lib.rs
@@ -1,5 +1,6 @@
 //! The budget ledger: a sharded log of segments in the configuration store.
 
+mod commit;
 mod decide;
 mod event;
 mod fence;
@@ -9,9 +10,14 @@
 mod message;
 mod operation;
 mod pending;
+mod queue;
 mod recall;
 mod record;
 mod settings;
+mod snapshot;
+mod snapshot_write;
+mod trail;
+mod upkeep;
 
 pub use event::BatchId;
 pub use event::CallId;
@@ -44,3 +50,6 @@
 pub use record::SegmentSequence;
 pub use record::segment_prefix;
 pub use settings::KeeperSettings;
+pub use snapshot::SnapshotHead;
+pub use snapshot::snapshot_key;
+pub use snapshot::snapshot_part_prefix;
--- a/lib/ledger/src/pending.rs
+++ b/lib/ledger/src/pending.rs
@@ -68,13 +68,11 @@
         }
     }
 
-    /// Tells whether the segment waits for the store to come back.
-    pub(crate) fn is_retrying(&self) -> bool {
-        matches!(self.step, PendingStep::Retrying(_))
-    }
-
-    /// Tells whether it is time to send the segment again.
-    pub(crate) fn is_due(&self, now: Instant) -> bool {
-        matches!(self.step, PendingStep::Retrying(at) if at <= now)
+    /// Returns when the segment is sent again, if it waits for the store.
+    pub(crate) fn retry_at(&self) -> Option<Instant> {
+        match self.step {
+            PendingStep::Retrying(at) => Some(at),
+            PendingStep::Swapping(_) | PendingStep::Checking(_) => None,
+        }
     }
 }
--- /dev/null
+++ b/lib/ledger/src/queue.rs
@@ -0,0 +1,240 @@
+//! Batches that wait to be decided, and how groups of them are.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use snipegate_types::IncarnationId;
+
+use crate::event::BatchId;
+use crate::event::KeeperEffect;
+use crate::event::KeeperNotice;
+use crate::keeper::KeeperStage;
+use crate::keeper::OwnWork;
+use crate::keeper::ShardKeeper;
+use crate::operation::CallOutcome;
+use crate::operation::LedgerAnswer;
+use crate::operation::LedgerBatch;
+use crate::operation::LedgerOperation;
+use crate::operation::OperationRefusal;
+use crate::operation::OperationResult;
+use crate::pending::WaitingBatch;
+use crate::record::SegmentRecord;
+
+/// Estimated size of an operation's records, in bytes.
+const OPERATION_BYTES: usize = 64;
+
+/// A batch that was not looked at yet.
+#[derive(Debug)]
+pub(crate) struct QueuedBatch {
+    id: BatchId,
+    batch: LedgerBatch,
+    since: Instant,
+}
+
+/// Batches that were not looked at yet, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct BatchQueue {
+    batches: VecDeque<QueuedBatch>,
+    operations: usize,
+}
+
+impl BatchQueue {
+    fn push(&mut self, queued: QueuedBatch) {
+        self.operations += queued.batch.operations.len();
+        self.batches.push_back(queued);
+    }
+
+    fn pop(&mut self) -> Option<QueuedBatch> {
+        let queued = self.batches.pop_front()?;
+        self.operations -= queued.batch.operations.len();
+        Some(queued)
+    }
+
+    /// Takes the oldest batch if it came before `limit`.
+    fn pop_older(&mut self, limit: Duration, now: Instant) -> Option<QueuedBatch> {
+        let oldest = self.batches.front()?;
+        match now.duration_since(oldest.since) >= limit {
+            true => self.pop(),
+            false => None,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.batches.is_empty()
+    }
+}
+
+impl ShardKeeper {
+    pub(crate) fn has_work(&self) -> bool {
+        !(self.queue.is_empty() && self.own_work.is_empty())
+    }
+
+    pub(crate) fn enqueue(&mut self, id: BatchId, batch: LedgerBatch, now: Instant) {
+        if !self.is_chosen() {
+            return self.refuse(id);
+        }
+        let operations = self.queue.operations + batch.operations.len();
+        let is_full = operations > self.settings.max_queued_operations;
+        if self.store_failed || (is_full && !self.queue.is_empty()) {
+            self.reply_undecided(id, self.settings.store_retry);
+            return;
+        }
+        self.queue.push(QueuedBatch {
+            id,
+            batch,
+            since: now,
+        });
+    }
+
+    /// Decides what has queued up, if no segment is in flight and the last one
+    /// was opened long enough ago.
+    pub(crate) fn decide_queue(&mut self, now: Instant) {
+        while matches!(self.stage, KeeperStage::Serving(None))
+            && self.has_work()
+            && self.next_commit <= now
+        {
+            self.decide_group(now);
+        }
+    }
+
+    fn decide_group(&mut self, now: Instant) {
+        let mut records = Vec::new();
+        let mut waiting = Vec::new();
+        let mut weight = 0;
+        let mut operations = 0;
+        self.ledger.begin_segment(self.committed.next());
+        self.do_own_work(&mut records);
+        while weight < self.settings.max_segment_bytes
+            && let Some(queued) = self.queue.pop()
+        {
+            operations += queued.batch.operations.len();
+            weight += weigh(&queued.batch);
+            let results = self.decide_batch(&queued.batch, &mut records, now);
+            waiting.push(WaitingBatch {
+                id: queued.id,
+                results,
+                since: queued.since,
+            });
+        }
+        if records.is_empty() {
+            self.ledger.begin_segment(self.committed);
+            let replies = waiting.into_iter().map(WaitingBatch::reply);
+            self.effects.extend(replies);
+            return;
+        }
+        let forget_before = self.trail.forget(self.running, self.settings.retry_window);
+        if let Some(forget_before) = forget_before {
+            self.ledger.forget_ids(forget_before);
+        }
+        self.next_commit = now + self.settings.commit_interval;
+        let pending = self.open_segment(false, records, waiting, operations);
+        self.stage = KeeperStage::Serving(pending);
+    }
+
+    fn decide_batch(
+        &mut self,
+        batch: &LedgerBatch,
+        records: &mut Vec<SegmentRecord>,
+        now: Instant,
+    ) -> Vec<OperationResult> {
+        let mut results = Vec::with_capacity(batch.operations.len());
+        for operation in &batch.operations {
+            let result = self.ledger.apply(&batch.sender, operation, records);
+            if let OperationResult::Refused(OperationRefusal::BudgetShort { .. }) = result {
+                self.recall(&batch.sender, operation, now);
+            }
+            results.push(result);
+        }
+        results
+    }
+
+    fn recall(&mut self, sender: &IncarnationId, operation: &LedgerOperation, now: Instant) {
+        if let LedgerOperation::Grant { budget, wanted, .. } = operation {
+            let interval = self.settings.recall_interval;
+            let asked = self
+                .recalls
+                .recall(&self.ledger, sender, budget, *wanted, now, interval);
+            self.effects.extend(asked);
+        }
+    }
+
+    fn do_own_work(&mut self, records: &mut Vec<SegmentRecord>) {
+        for work in std::mem::take(&mut self.own_work) {
+            match work {
+                OwnWork::Declare(holder) => {
+                    if self.ledger.holder_state(&holder).is_some() {
+                        let operation = LedgerOperation::DeclareDead { holder };
+                        self.ledger.apply(&self.own, &operation, records);
+                    }
+                }
+                OwnWork::Reclaim(holder) => {
+                    self.ledger.reclaim_holder(&holder, records);
+                    self.notice(KeeperNotice::Reclaimed { holder });
+                }
+            }
+        }
+    }
+
+    /// Answers batches that have waited too long; their operations may still
+    /// take effect, and are found by their ids when they come again.
+    pub(crate) fn answer_overdue(&mut self, now: Instant) {
+        let limit = self.settings.answer_within;
+        let pause = self.settings.store_retry;
+        if let Some(pending) = self.pending_segment() {
+            let overdue: Vec<_> = pending
+                .waiting
+                .extract_if(.., |waiting| now.duration_since(waiting.since) >= limit)
+                .collect();
+            self.answer_undecided(overdue, pause);
+        }
+        while let Some(queued) = self.queue.pop_older(limit, now) {
+            self.reply_undecided(queued.id, pause);
+        }
+    }
+
+    /// Answers the whole queue as undecided.
+    pub(crate) fn answer_queue_undecided(&mut self, pause: Duration) {
+        while let Some(queued) = self.queue.pop() {
+            self.reply_undecided(queued.id, pause);
+        }
+    }
+
+    /// Points the whole queue to the shard's keeper.
+    pub(crate) fn refuse_queue(&mut self) {
+        while let Some(queued) = self.queue.pop() {
+            self.refuse(queued.id);
+        }
+    }
+
+    fn refuse(&mut self, batch: BatchId) {
+        let keeper = self.chosen.clone().filter(|keeper| *keeper != self.own);
+        let answer = LedgerAnswer::NotKeeper { keeper };
+        self.effects.push(KeeperEffect::Reply { batch, answer });
+    }
+
+    pub(crate) fn answer_undecided(&mut self, waiting: Vec<WaitingBatch>, pause: Duration) {
+        for waiting in waiting {
+            self.reply_undecided(waiting.id, pause);
+        }
+    }
+
+    fn reply_undecided(&mut self, batch: BatchId, pause: Duration) {
+        let answer = LedgerAnswer::Undecided {
+            retry_after_ms: pause.as_millis() as u64,
+        };
+        self.effects.push(KeeperEffect::Reply { batch, answer });
+    }
+}
+
+/// Estimates what the records of a batch take in a segment, in bytes.
+fn weigh(batch: &LedgerBatch) -> usize {
+    let weigh_operation = |operation: &LedgerOperation| match operation {
+        LedgerOperation::Conclude {
+            outcome: CallOutcome::Answered { body, .. },
+            ..
+        } => OPERATION_BYTES + 2 * body.len(),
+        _ => OPERATION_BYTES,
+    };
+    batch.operations.iter().map(weigh_operation).sum()
+}
--- a/lib/ledger/src/settings.rs
+++ b/lib/ledger/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct KeeperSettings {
     /// How long a batch may wait before it is answered as undecided.
     pub answer_within: Duration,
+    /// Shortest time between two segments, which bounds the store's writes.
+    pub commit_interval: Duration,
     /// Pause before the store is tried again after it failed.
     pub store_retry: Duration,
     /// Pause before a shard is taken over again after another keeper took it.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             answer_within: Duration::from_millis(1_000),
+            commit_interval: Duration::from_millis(50),
             store_retry: Duration::from_millis(250),
             takeover_pause: Duration::from_millis(500),
             retry_window: Duration::from_secs(15 * 60),
--- /dev/null
+++ b/lib/ledger/src/snapshot.rs
@@ -0,0 +1,139 @@
+//! Snapshots of a shard's ledger: balances, holders and intents, but no ids of
+//! bills and operations, which stay in the segments until they are forgotten.
+
+use serde::Deserialize;
+use serde::Serialize;
+use snipegate_types::BudgetId;
+use snipegate_types::IncarnationId;
+use snipegate_types::RequestId;
+use snipegate_types::ShardId;
+
+use crate::ledger::BudgetBalance;
+use crate::ledger::CallIntent;
+use crate::ledger::HolderState;
+use crate::ledger::ShardLedger;
+use crate::record::SegmentError;
+use crate::record::SegmentSequence;
+
+/// Tells the snapshots of a shard apart; written as `<through>.<nonce>.<vm>.<start>`.
+pub(crate) fn generation_name(
+    through: SegmentSequence,
+    nonce: u64,
+    writer: &IncarnationId,
+) -> String {
+    format!("{through}.{nonce:x}.{}.{:x}", writer.vm, writer.start)
+}
+
+/// Returns the last segment that the generation in a part's key covers.
+pub(crate) fn through_of_part(key: &str) -> Option<SegmentSequence> {
+    let generation = key.rsplit('/').nth(1)?;
+    generation.split('.').next()?.parse().ok()
+}
+
+/// Returns the key of a shard's snapshot head.
+pub fn snapshot_key(shard: ShardId) -> String {
+    format!("shard/{shard}/snapshot")
+}
+
+/// Returns the prefix of the keys of a shard's snapshot parts.
+pub fn snapshot_part_prefix(shard: ShardId) -> String {
+    format!("shard/{shard}/snapshot/")
+}
+
+/// Names a whole snapshot; written after all its parts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotHead {
+    /// The last segment that the snapshot covers.
+    pub through: SegmentSequence,
+    /// Ids in segments before this one are forgotten, so these segments may go.
+    pub forget_before: SegmentSequence,
+    /// Part of the keys of its parts; no two snapshots share it.
+    pub generation: String,
+    /// Number of parts.
+    pub parts: u32,
+}
+
+impl SnapshotHead {
+    /// Returns the key of a part.
+    pub fn part_key(&self, shard: ShardId, part: u32) -> String {
+        let prefix = snapshot_part_prefix(shard);
+        format!("{prefix}{}/{part:08x}", self.generation)
+    }
+
+    /// Encodes the head for the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the encoder refuses a value.
+    pub fn encode(&self) -> Result<Vec<u8>, SegmentError> {
+        rmp_serde::to_vec(self).map_err(SegmentError::Encode)
+    }
+
+    /// Decodes a head read from the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a snapshot head.
+    pub fn decode(bytes: &[u8]) -> Result<Self, SegmentError> {
+        rmp_serde::from_slice(bytes).map_err(SegmentError::Decode)
+    }
+}
+
+/// One entry of a snapshot; entries of a kind stand in the order of their numbers.
+#[derive(Debug, Serialize, Deserialize)]
+enum SnapshotItem {
+    #[serde(rename = "b")]
+    Budget(BudgetId, BudgetBalance),
+    #[serde(rename = "h")]
+    Holder(IncarnationId, HolderState),
+    #[serde(rename = "i")]
+    Intent(RequestId, CallIntent),
+}
+
+/// Encodes the ledger in parts of about `part_bytes` each.
+///
+/// # Errors
+///
+/// Fails only if the encoder refuses a value.
+pub(crate) fn encode_parts(
+    ledger: &ShardLedger,
+    part_bytes: usize,
+) -> Result<Vec<Vec<u8>>, SegmentError> {
+    let budgets = ledger.budgets.iter();
+    let holders = ledger.holders.iter();
+    let intents = ledger.intents.iter();
+    let items = budgets
+        .map(|(id, balance)| SnapshotItem::Budget(id.clone(), balance.clone()))
+        .chain(holders.map(|(id, state)| SnapshotItem::Holder(id.clone(), *state)))
+        .chain(intents.map(|(id, intent)| SnapshotItem::Intent(*id, intent.clone())));
+    // A part is a run of items without a header, so that it can be cut anywhere.
+    let mut parts = vec![Vec::new()];
+    for item in items {
+        let bytes = rmp_serde::to_vec(&item).map_err(SegmentError::Encode)?;
+        match parts.last_mut() {
+            Some(part) if part.is_empty() || part.len() + bytes.len() <= part_bytes => {
+                part.extend(bytes);
+            }
+            _ => parts.push(bytes),
+        }
+    }
+    Ok(parts)
+}
+
+/// Adds the entries of a part to a ledger that is being loaded.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a snapshot part.
+pub(crate) fn decode_part(ledger: &mut ShardLedger, bytes: &[u8]) -> Result<(), SegmentError> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let item = rmp_serde::from_read(&mut rest).map_err(SegmentError::Decode)?;
+        match item {
+            SnapshotItem::Budget(id, balance) => drop(ledger.budgets.insert(id, balance)),
+            SnapshotItem::Holder(id, state) => drop(ledger.holders.insert(id, state)),
+            SnapshotItem::Intent(id, intent) => drop(ledger.intents.insert(id, intent)),
+        }
+    }
+    Ok(())
+}
