--- /dev/null
+++ b/bin/ctl/src/budget_command.rs
@@ -0,0 +1,169 @@
+//! `budget show` and `budget top-up`.
+
+use clap::ArgMatches;
+use serde_json::Value;
+use serde_json::json;
+use snipegate_fleet::FleetView;
+use snipegate_fleet::MemberEntry;
+use snipegate_ledger::LEDGER_PATH;
+use snipegate_ledger::LedgerAnswer;
+use snipegate_ledger::LedgerBatch;
+use snipegate_ledger::LedgerOperation;
+use snipegate_ledger::OperationResult;
+use snipegate_types::BudgetId;
+use snipegate_types::IncarnationId;
+use snipegate_types::OperationId;
+use snipegate_types::ProcessRole;
+use snipegate_types::ShardId;
+use snipegate_types::TokenCount;
+use snipegate_types::WorkspaceId;
+
+use crate::fleet_client::FleetClient;
+use crate::outcome::CommandError;
+use crate::outcome::CommandReport;
+
+/// How often a batch without a decision is sent again.
+const LEDGER_TRIES: u32 = 10;
+
+/// Runs one of the commands on budgets.
+pub(crate) async fn run(
+    client: &FleetClient,
+    matches: &ArgMatches,
+) -> Result<CommandReport, CommandError> {
+    let (action, matches) = matches.subcommand().expect("required");
+    let text = matches.get_one::<String>("budget").expect("required");
+    let budget: BudgetId = text.parse().map_err(|_| CommandError::NotFound {
+        what: format!("budget {text}"),
+    })?;
+    let view = client.view().await?;
+    let workspace = owner(&view, &budget, matches.get_one::<String>("workspace"))?;
+    let shards = view.settings().map_or(1, |s| s.ledger_shards);
+    let shard = ShardId::of_workspace(&workspace, shards);
+    match action {
+        "show" => show(client, &view, shard, &budget).await,
+        "top-up" => {
+            let amount = *matches.get_one::<TokenCount>("tokens").expect("required");
+            let operation = *matches.get_one("operation").expect("required");
+            top_up(client, &view, shard, budget, amount, operation).await
+        }
+        other => unreachable!("command {other} is not declared"),
+    }
+}
+
+fn owner(
+    view: &FleetView,
+    budget: &BudgetId,
+    named: Option<&String>,
+) -> Result<WorkspaceId, CommandError> {
+    let mut owners = view.workspaces().filter(|entry| {
+        let named = named.is_none_or(|name| entry.id.as_str() == name);
+        named && entry.record.budgets.contains(budget)
+    });
+    match (owners.next(), owners.next()) {
+        (Some(entry), None) => Ok(entry.id.clone()),
+        (None, _) => Err(CommandError::NotFound {
+            what: format!("a workspace with budget {budget}"),
+        }),
+        (Some(_), Some(_)) => Err(CommandError::Fixed {
+            what: format!("budget {budget} is in several workspaces, name one by --workspace"),
+        }),
+    }
+}
+
+fn keeper(view: &FleetView, shard: ShardId) -> Result<&MemberEntry, CommandError> {
+    let keeper = view.keeper_of(shard);
+    keeper
+        .map(AsRef::as_ref)
+        .ok_or_else(|| CommandError::Fleet {
+            what: format!("shard {shard}"),
+            error: "no keeper is up".to_owned(),
+        })
+}
+
+async fn show(
+    client: &FleetClient,
+    view: &FleetView,
+    shard: ShardId,
+    budget: &BudgetId,
+) -> Result<CommandReport, CommandError> {
+    let keeper = keeper(view, shard)?;
+    let path = format!("/budgets/{budget}?shard={shard}");
+    let answer = client.fetch(keeper.record.peer(), &path, None).await;
+    let balance: Value = answer.map_err(|error| CommandError::call(keeper.id.0.as_str(), error))?;
+    let text = format!("{balance:#}");
+    Ok(CommandReport::done(balance, text))
+}
+
+async fn top_up(
+    client: &FleetClient,
+    view: &FleetView,
+    shard: ShardId,
+    budget: BudgetId,
+    amount: TokenCount,
+    operation: OperationId,
+) -> Result<CommandReport, CommandError> {
+    let batch = LedgerBatch {
+        shard,
+        sender: operator_name(),
+        operations: vec![LedgerOperation::TopUp {
+            operation,
+            budget: budget.clone(),
+            amount,
+        }],
+    };
+    match decide(client, view, &batch, operation).await? {
+        OperationResult::ToppedUp => {
+            let fields = json!({
+                "budget": budget.as_str(),
+                "amount": amount,
+                "operation": operation.to_string(),
+            });
+            let text = format!("{budget}: {amount} tokens added by operation {operation}");
+            Ok(CommandReport::done(fields, text))
+        }
+        other => Err(CommandError::Ledger {
+            reason: format!("{other:?}"),
+        }),
+    }
+}
+
+/// Sends a batch of one operation until it is decided. Repeating it is safe,
+/// since the ledger knows operations by their ids.
+async fn decide(
+    client: &FleetClient,
+    view: &FleetView,
+    batch: &LedgerBatch,
+    operation: OperationId,
+) -> Result<OperationResult, CommandError> {
+    let mut address = keeper(view, batch.shard)?.record.peer();
+    for _ in 0..LEDGER_TRIES {
+        let call = client
+            .messages
+            .call(address, LEDGER_PATH, batch, client.timeout);
+        let wait_ms = match call.await {
+            Ok(LedgerAnswer::Results(mut results)) if !results.is_empty() => {
+                return Ok(results.swap_remove(0));
+            }
+            Ok(LedgerAnswer::NotKeeper { keeper: Some(next) }) => {
+                address = view.peer_address(&next).unwrap_or(address);
+                100
+            }
+            Ok(LedgerAnswer::Undecided { retry_after_ms }) => retry_after_ms,
+            Ok(LedgerAnswer::NotKeeper { keeper: None } | LedgerAnswer::Results(_)) | Err(_) => 300,
+        };
+        ntex::time::sleep(std::time::Duration::from_millis(wait_ms)).await;
+    }
+    Err(CommandError::OutcomeUnknown {
+        what: format!("shard {}", batch.shard),
+        operation: operation.to_string(),
+    })
+}
+
+/// The sender of operators' batches; it holds and bills nothing.
+fn operator_name() -> IncarnationId {
+    IncarnationId {
+        vm: "operator".parse().expect("a name"),
+        role: ProcessRole::Directory,
+        start: 0,
+    }
+}
