--- a/lib/ledger/src/decide.rs
+++ b/lib/ledger/src/decide.rs
@@ -5,13 +5,11 @@
 use snipegate_types::OperationId;
 use snipegate_types::RequestId;
 use snipegate_types::TokenCount;
-use snipegate_types::UpstreamId;
 
 use crate::ledger::HolderState;
 use crate::ledger::OperationKind;
 use crate::ledger::RecentOperation;
 use crate::ledger::ShardLedger;
-use crate::operation::CallOutcome;
 use crate::operation::LedgerOperation;
 use crate::operation::OperationRefusal;
 use crate::operation::OperationResult;
@@ -23,7 +21,7 @@
 const MAX_AMOUNT: u64 = i64::MAX as u64;
 
 /// The result of an operation, or why it is refused.
-type Decision = Result<OperationResult, OperationRefusal>;
+pub(crate) type Decision = Result<OperationResult, OperationRefusal>;
 
 impl ShardLedger {
     /// Applies `operation` of `sender` and appends what changed to `records`.
@@ -63,8 +61,8 @@
 }
 
 /// A ledger and the records of the changes made to it.
-struct LedgerChange<'a> {
-    ledger: &'a mut ShardLedger,
+pub(crate) struct LedgerChange<'a> {
+    pub(crate) ledger: &'a mut ShardLedger,
     records: &'a mut Vec<SegmentRecord>,
 }
 
@@ -293,69 +291,6 @@
         Ok(OperationResult::ToppedUp)
     }
 
-    /// Claims a call. The claimant may ask again after a lost answer, so it has
-    /// to see to it itself that it runs the call once.
-    fn intend(
-        &mut self,
-        sender: &IncarnationId,
-        request: RequestId,
-        upstream: &UpstreamId,
-        digest: [u8; 16],
-    ) -> Decision {
-        if let Some(intent) = self.ledger.intents.get(&request) {
-            let outcome = intent.outcome.as_ref().map(|(outcome, _)| outcome.clone());
-            let own = self.ledger.number_of(sender) == Some(intent.claimant)
-                && intent.upstream == *upstream
-                && intent.digest == digest;
-            let is_void = outcome == Some(CallOutcome::NotRun);
-            if own && outcome.is_none() {
-                self.check_sender(sender)?;
-                return Ok(OperationResult::Intended);
-            }
-            if !is_void {
-                return Ok(OperationResult::AlreadyIntended {
-                    claimant: self.incarnation(intent.claimant),
-                    upstream: intent.upstream.clone(),
-                    digest: intent.digest,
-                    outcome,
-                });
-            }
-        }
-        self.check_sender(sender)?;
-        let claimant = self.open_holder(sender);
-        self.record(SegmentRecord::Intend {
-            request,
-            claimant,
-            upstream: upstream.clone(),
-            digest,
-        });
-        Ok(OperationResult::Intended)
-    }
-
-    fn conclude(
-        &mut self,
-        sender: &IncarnationId,
-        request: RequestId,
-        outcome: &CallOutcome,
-    ) -> Decision {
-        let claimant = self.ledger.number_of(sender);
-        let intent = self.ledger.intents.get(&request);
-        let intent = intent.filter(|intent| Some(intent.claimant) == claimant);
-        let intent = intent.ok_or(OperationRefusal::IntentUnknown)?;
-        match &intent.outcome {
-            Some((recorded, _)) if recorded == outcome => return Ok(OperationResult::Concluded),
-            // The claimant may learn later what became of its call.
-            Some((CallOutcome::Unknown, _)) | None => {}
-            Some(_) => return Err(OperationRefusal::IdReused),
-        }
-        self.check_sender(sender)?;
-        self.record(SegmentRecord::Conclude {
-            request,
-            outcome: outcome.clone(),
-        });
-        Ok(OperationResult::Concluded)
-    }
-
     /// Begins to close a holder, also one that the ledger has not met: it may
     /// be named later by a message that is still on its way.
     fn close(&mut self, holder: &IncarnationId) {
@@ -384,7 +319,7 @@
         }
     }
 
-    fn check_sender(&self, sender: &IncarnationId) -> Result<(), OperationRefusal> {
+    pub(crate) fn check_sender(&self, sender: &IncarnationId) -> Result<(), OperationRefusal> {
         match self.ledger.holder_state(sender) {
             None | Some(HolderState::Open) => Ok(()),
             Some(HolderState::Closing | HolderState::Closed) => Err(OperationRefusal::HolderClosed),
@@ -414,7 +349,7 @@
             .ok_or(OperationRefusal::HoldingShort)
     }
 
-    fn open_holder(&mut self, incarnation: &IncarnationId) -> HolderNumber {
+    pub(crate) fn open_holder(&mut self, incarnation: &IncarnationId) -> HolderNumber {
         self.ledger.number_of(incarnation).unwrap_or_else(|| {
             let number = HolderNumber(self.ledger.holders.len() as u32);
             self.record(SegmentRecord::OpenHolder {
@@ -424,12 +359,12 @@
         })
     }
 
-    fn incarnation(&self, holder: HolderNumber) -> IncarnationId {
+    pub(crate) fn incarnation(&self, holder: HolderNumber) -> IncarnationId {
         self.ledger.holders.keys()[holder.0 as usize].clone()
     }
 
     /// Makes a change that the checks before it have shown to fit.
-    fn record(&mut self, record: SegmentRecord) {
+    pub(crate) fn record(&mut self, record: SegmentRecord) {
         let absorbed = self.ledger.absorb(&record);
         debug_assert!(absorbed.is_ok(), "unchecked record {record:?}");
         self.records.push(record);
--- a/lib/ledger/src/lib.rs
+++ b/lib/ledger/src/lib.rs
@@ -1,7 +1,9 @@
 //! The budget ledger: a sharded log of segments in the configuration store.
 
+mod balance;
 mod commit;
 mod decide;
+mod decide_call;
 mod event;
 mod fence;
 mod keeper;
@@ -13,19 +15,20 @@
 mod queue;
 mod recall;
 mod record;
+mod replay;
 mod settings;
 mod snapshot;
 mod snapshot_write;
 mod trail;
 mod upkeep;
 
+pub use balance::BudgetBalance;
 pub use event::BatchId;
 pub use event::CallId;
 pub use event::KeeperEffect;
 pub use event::KeeperEvent;
 pub use event::KeeperNotice;
 pub use keeper::ShardKeeper;
-pub use ledger::BudgetBalance;
 pub use ledger::CallIntent;
 pub use ledger::HolderState;
 pub use ledger::ShardLedger;
--- a/lib/ledger/src/snapshot.rs
+++ b/lib/ledger/src/snapshot.rs
@@ -8,7 +8,7 @@
 use snipegate_types::RequestId;
 use snipegate_types::ShardId;
 
-use crate::ledger::BudgetBalance;
+use crate::balance::BudgetBalance;
 use crate::ledger::CallIntent;
 use crate::ledger::HolderState;
 use crate::ledger::ShardLedger;
