--- /dev/null
+++ b/lib/routing/examples/routing_experiment/engine.rs
@@ -0,0 +1,229 @@
+//! A small model of an engine: a batch with chunked prompts and a prefix cache.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+/// Tokens in one cached block.
+pub const BLOCK_TOKENS: u64 = 64;
+
+/// Prompt tokens processed in one step.
+const CHUNK_TOKENS: u64 = 512;
+
+/// Time of a step without work.
+const STEP_BASE: Duration = Duration::from_millis(15);
+
+/// Added for each stream that generates in a step.
+const STEP_STREAM: Duration = Duration::from_micros(500);
+
+/// Added for each prompt token in a step.
+const STEP_PROMPT_TOKEN: Duration = Duration::from_micros(150);
+
+/// A request in an engine.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub attempt: u64,
+    pub blocks: Vec<u64>,
+    pub prompt_tokens: u64,
+    pub answer_tokens: u64,
+    /// Prompt tokens to process; known once the job is in the batch.
+    unprocessed: u64,
+    cached: u64,
+    generated: u64,
+}
+
+impl Job {
+    pub fn new(attempt: u64, blocks: Vec<u64>, prompt_tokens: u64, answer_tokens: u64) -> Self {
+        Self {
+            attempt,
+            blocks,
+            prompt_tokens,
+            answer_tokens,
+            unprocessed: prompt_tokens,
+            cached: 0,
+            generated: 0,
+        }
+    }
+}
+
+/// A token that an engine generated.
+#[derive(Clone, Copy, Debug)]
+pub struct Token {
+    pub attempt: u64,
+    pub first: bool,
+    pub last: bool,
+    pub cached: u64,
+    pub generated: u64,
+}
+
+/// What changed in a cache during a step.
+#[derive(Clone, Debug, Default)]
+pub struct CacheDelta {
+    pub stored: Vec<u64>,
+    pub removed: Vec<u64>,
+}
+
+/// Blocks with the least recently used going first.
+#[derive(Clone, Debug)]
+struct LruCache {
+    capacity: usize,
+    stamps: IndexMap<u64, u64>,
+    order: BTreeMap<u64, u64>,
+    clock: u64,
+}
+
+impl LruCache {
+    fn touch(&mut self, block: u64, delta: &mut CacheDelta) {
+        self.clock += 1;
+        match self.stamps.insert(block, self.clock) {
+            Some(stamp) => {
+                self.order.remove(&stamp);
+            }
+            None => delta.stored.push(block),
+        }
+        self.order.insert(self.clock, block);
+        while self.stamps.len() > self.capacity {
+            let Some((_, oldest)) = self.order.pop_first() else {
+                break;
+            };
+            self.stamps.swap_remove(&oldest);
+            delta.removed.push(oldest);
+        }
+    }
+
+    fn held(&self, blocks: &[u64]) -> u64 {
+        let held = blocks.iter().take_while(|b| self.stamps.contains_key(*b));
+        held.count() as u64
+    }
+}
+
+/// A model of an engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub slots: usize,
+    /// How many times longer steps take.
+    pub slowness: f64,
+    pub dead: bool,
+    pub is_stepping: bool,
+    queue: VecDeque<Job>,
+    batch: Vec<Job>,
+    cache: LruCache,
+    /// Prompt tokens that the step under way processes for each job.
+    chunks: Vec<(u64, u64)>,
+}
+
+impl Engine {
+    pub fn new(slots: usize, cache_blocks: usize) -> Self {
+        Self {
+            slots,
+            slowness: 1.0,
+            dead: false,
+            is_stepping: false,
+            queue: VecDeque::new(),
+            batch: Vec::new(),
+            cache: LruCache {
+                capacity: cache_blocks,
+                stamps: IndexMap::new(),
+                order: BTreeMap::new(),
+                clock: 0,
+            },
+            chunks: Vec::new(),
+        }
+    }
+
+    pub fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+    }
+
+    pub fn cancel(&mut self, attempt: u64) {
+        self.queue.retain(|job| job.attempt != attempt);
+        self.batch.retain(|job| job.attempt != attempt);
+    }
+
+    /// Drops everything and returns the attempts that were there.
+    pub fn crash(&mut self) -> Vec<u64> {
+        self.dead = true;
+        self.cache.stamps.clear();
+        self.cache.order.clear();
+        let jobs = self.queue.drain(..).chain(self.batch.drain(..));
+        jobs.map(|job| job.attempt).collect()
+    }
+
+    pub fn attempts(&self) -> Vec<u64> {
+        let jobs = self.queue.iter().chain(&self.batch);
+        jobs.map(|job| job.attempt).collect()
+    }
+
+    pub fn running(&self) -> u32 {
+        self.batch.len() as u32
+    }
+
+    pub fn queued(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    pub fn backlog(&self) -> u64 {
+        let jobs = self.queue.iter().chain(&self.batch);
+        jobs.map(|job| job.unprocessed).sum()
+    }
+
+    /// Starts a step and returns how long it takes, or `None` without work.
+    pub fn start_step(&mut self) -> Option<Duration> {
+        while self.batch.len() < self.slots {
+            let Some(mut job) = self.queue.pop_front() else {
+                break;
+            };
+            let held = self.cache.held(&job.blocks) * BLOCK_TOKENS;
+            job.cached = held.min(job.prompt_tokens - 1);
+            job.unprocessed = job.prompt_tokens - job.cached;
+            self.batch.push(job);
+        }
+        if self.batch.is_empty() {
+            return None;
+        }
+        let mut left = CHUNK_TOKENS;
+        self.chunks.clear();
+        for job in self.batch.iter().filter(|job| job.unprocessed > 0) {
+            let chunk = job.unprocessed.min(left);
+            left -= chunk;
+            self.chunks.push((job.attempt, chunk));
+        }
+        let streams = self.batch.iter().filter(|job| job.unprocessed == 0).count();
+        let step = STEP_BASE
+            + STEP_STREAM * streams as u32
+            + STEP_PROMPT_TOKEN * (CHUNK_TOKENS - left) as u32;
+        Some(step.mul_f64(self.slowness))
+    }
+
+    /// Ends a step: every stream has one more token.
+    pub fn end_step(&mut self) -> (Vec<Token>, CacheDelta) {
+        let mut delta = CacheDelta::default();
+        let mut tokens = Vec::new();
+        for job in &mut self.batch {
+            let chunk = self.chunks.iter().find(|chunk| chunk.0 == job.attempt);
+            if let Some(&(_, chunk)) = chunk {
+                job.unprocessed -= chunk;
+                if job.unprocessed > 0 {
+                    continue;
+                }
+                for &block in &job.blocks {
+                    self.cache.touch(block, &mut delta);
+                }
+            } else if job.unprocessed > 0 {
+                continue;
+            }
+            job.generated += 1;
+            tokens.push(Token {
+                attempt: job.attempt,
+                first: job.generated == 1,
+                last: job.generated >= job.answer_tokens,
+                cached: job.cached,
+                generated: job.generated,
+            });
+        }
+        self.batch.retain(|job| job.generated < job.answer_tokens);
+        (tokens, delta)
+    }
+}
--- /dev/null
+++ b/lib/routing/examples/routing_experiment/main.rs
@@ -0,0 +1,138 @@
+//! Compares the routing policy with baselines in virtual time.
+//!
+//! Usage: `routing_experiment [--seeds N] [--json FILE]`. The same seeds give
+//! the same figures on every machine.
+
+mod chooser;
+mod engine;
+mod load;
+mod report;
+mod world;
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use snipegate_routing::RoutePolicy;
+use strum::IntoEnumIterator;
+
+use crate::chooser::PolicyName;
+use crate::load::PromptKind;
+use crate::load::arrivals;
+use crate::report::RunReport;
+use crate::report::round;
+use crate::world::Condition;
+use crate::world::World;
+use crate::world::WorldSize;
+
+const SPAN: Duration = Duration::from_secs(60);
+
+const SIZE: WorldSize = WorldSize {
+    routers: 6,
+    engines: 10,
+    slots: 8,
+    cache_blocks: 400,
+};
+
+/// Share of requests that must be answered in time at capacity.
+const CAPACITY_SHARE: f64 = 0.99;
+
+/// Part of the capacity that the comparisons offer.
+const NORMAL_PART: f64 = 0.7;
+
+fn run(
+    name: PolicyName,
+    kind: PromptKind,
+    condition: Condition,
+    rate: f64,
+    seeds: u64,
+) -> RunReport {
+    let policy = RoutePolicy::default();
+    let mut whole = RunReport::new(SIZE.engines);
+    for seed in 1..=seeds {
+        let requests = arrivals(kind, rate, SPAN, SIZE.routers, seed);
+        let world = World::new(name, &policy, SIZE, requests, condition, seed);
+        whole.add(world.run(SPAN));
+    }
+    whole
+}
+
+/// Finds the highest rate at which nearly all requests are answered in time.
+fn find_capacity(name: PolicyName, kind: PromptKind, seeds: u64) -> f64 {
+    let mut rate = 10.0;
+    while run(name, kind, Condition::Normal, rate + 2.0, seeds).served_share() >= CAPACITY_SHARE {
+        rate += 2.0;
+    }
+    rate
+}
+
+fn line(label: &str, report: &RunReport) {
+    println!(
+        "{label:44} goodput {:7.2}/s served {:6.3} first p50 {:8.1} p95 {:8.1} p99 {:8.1} ms hits {:5.3}",
+        report.goodput(),
+        report.served_share(),
+        report.first_ms(0.5),
+        report.first_ms(0.95),
+        report.first_ms(0.99),
+        report.hit_share(),
+    );
+}
+
+fn compare(kind: PromptKind, rate: f64, seeds: u64) -> Value {
+    let mut conditions = serde_json::Map::new();
+    for condition in Condition::iter() {
+        let mut policies = serde_json::Map::new();
+        for name in PolicyName::iter() {
+            let report = run(name, kind, condition, rate, seeds);
+            line(&format!("{kind:?} {condition} {name}"), &report);
+            policies.insert(name.to_string(), report.to_json());
+        }
+        conditions.insert(condition.to_string(), policies.into());
+    }
+    json!({ "rate_per_s": round(rate), "conditions": conditions })
+}
+
+fn overload(kind: PromptKind, rate: f64, seeds: u64) -> Value {
+    let mut factors = serde_json::Map::new();
+    for factor in [1.0, 1.5, 2.0, 3.0] {
+        let mut policies = serde_json::Map::new();
+        for name in [PolicyName::Snipegate, PolicyName::LeastOutstanding] {
+            let report = run(name, kind, Condition::Normal, rate * factor, seeds);
+            line(&format!("{kind:?} {factor} x capacity {name}"), &report);
+            policies.insert(name.to_string(), report.to_json());
+        }
+        factors.insert(format!("{factor}"), policies.into());
+    }
+    factors.into()
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let value_of = |flag: &str| {
+        let at = arguments.iter().position(|argument| argument == flag)?;
+        arguments.get(at + 1).cloned()
+    };
+    let seeds = value_of("--seeds").map_or(5, |text| text.parse().expect("--seeds takes a number"));
+    let mut results = serde_json::Map::new();
+    for kind in [PromptKind::SharedPrefix, PromptKind::NoPrefix] {
+        let capacity = find_capacity(PolicyName::Snipegate, kind, 1);
+        let baseline = find_capacity(PolicyName::LeastOutstanding, kind, 1);
+        println!("{kind:?}: capacity {capacity}/s, of least outstanding {baseline}/s");
+        // Both policies must be able to carry the rate they are compared at.
+        let rate = NORMAL_PART * capacity.min(baseline);
+        results.insert(
+            format!("{kind:?}"),
+            json!({
+                "capacity_per_s": capacity,
+                "capacity_least_outstanding_per_s": baseline,
+                "comparison": compare(kind, rate, seeds),
+                "overload": overload(kind, capacity, seeds),
+            }),
+        );
+    }
+    if let Some(path) = value_of("--json") {
+        let whole = json!({ "seeds": seeds, "span_s": SPAN.as_secs(), "results": results });
+        let text = serde_json::to_string_pretty(&whole).expect("figures are JSON");
+        std::fs::write(path, text + "\n").expect("the file of --json can be written");
+    }
+}
