routing: believe a load report only beyond chance

Every router acted on the same reports, so that engines which looked idle were flooded: without shared prefixes p95 first token grew from 272 to 319 ms as the half-life of reports grew from 150 ms to 2 s. Now a reported load counts as the set's mean unless it lies three standard deviations off, reported prompt backlogs are ignored (they are processed before the report arrives), and a fuller batch weighs with the request's own prompt time.

Tried and left: two deviations (270 ms without prefixes), tolerances of 0.1 and 0.2 (272 ms), tolerance 0.03 with reports weighed in full (308 ms).

--- a/lib/routing/src/score.rs
+++ b/lib/routing/src/score.rs
@@ -101,7 +101,7 @@
         UpstreamKind::ServiceRunner => (latency.service, 0.0),
     };
     let queue_wait = (busy + 1.0 - slots).max(0.0) * latency.service / slots;
-    let backlog_wait = track.backlog(policy, now) * token;
+    let backlog_wait = track.backlog() * token;
     let expected_first = queue_wait + backlog_wait + uncached as f64 * token + base;
     // The spread of normal answers is no reason to prefer one upstream.
     let slowness = match track.slowness(now) {
@@ -110,8 +110,8 @@
     };
     let travel = 2.0 * policy.distance(&track.spec.data_centre).as_secs_f64();
     let answer = request.max_tokens.0 as f64 * latency.answer_share * latency.between;
-    // A fuller batch generates more slowly, also before a queue forms.
-    let crowding = base * busy / slots;
+    // A fuller batch takes longer for each step, also before a queue forms.
+    let crowding = (base + uncached as f64 * token) * busy / slots;
     // A placement draws requests only while it has little more than its part.
     let bounded = busy <= policy.affinity_bound * (mean_busy + mean_others) + 1.0;
     let placement = match bounded {
--- a/lib/routing/src/track.rs
+++ b/lib/routing/src/track.rs
@@ -19,6 +19,9 @@
 /// Time in which slowness without new samples goes half-way back to normal.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Standard deviations up to which a reported load counts as the mean.
+const CHANCE_DEVIATIONS: f64 = 3.0;
+
 /// Most that one sample of slowness counts.
 const MAX_SLOWNESS_SAMPLE: f64 = 20.0;
 
@@ -47,8 +50,6 @@
 struct ReceivedLoad {
     /// Work of other routers, in requests.
     others: f64,
-    /// Prompt tokens of other routers that wait.
-    backlog: f64,
     /// When the engine made the report.
     taken_at: Instant,
 }
@@ -201,7 +202,6 @@
         let total = f64::from(report.running) + f64::from(report.queued);
         self.load = Some(ReceivedLoad {
             others: (total - f64::from(self.outstanding)).max(0.0),
-            backlog: (report.prefill_backlog.0 as f64 - self.prefill_tokens as f64).max(0.0),
             taken_at: now.checked_sub(report.age).unwrap_or(now),
         });
     }
@@ -215,14 +215,20 @@
     /// Estimates the requests there now; `mean_others` stands in for an old report.
     pub fn busy(&self, policy: &RoutePolicy, mean_others: f64, now: Instant) -> f64 {
         let weight = self.load_weight(policy, now);
-        let others = self.load.map_or(0.0, |load| load.others);
-        f64::from(self.outstanding) + weight * others + (1.0 - weight) * mean_others
+        let others = self.load.map_or(mean_others, |load| load.others);
+        // What lies within chance is gone before it can be acted on, and every
+        // router that acts on the same report makes the next one differ.
+        let chance = CHANCE_DEVIATIONS * mean_others.max(1.0).sqrt();
+        let deviation = others - mean_others;
+        let excess = deviation - deviation.clamp(-chance, chance);
+        f64::from(self.outstanding) + mean_others + weight * excess
     }
 
-    /// Estimates the prompt tokens that wait there.
-    pub fn backlog(&self, policy: &RoutePolicy, now: Instant) -> f64 {
-        let others = self.load.map_or(0.0, |load| load.backlog);
-        self.prefill_tokens as f64 + self.load_weight(policy, now) * others
+    /// Returns the prompt tokens of this router that wait there.
+    ///
+    /// Those of others are processed before a report of them arrives.
+    pub fn backlog(&self) -> f64 {
+        self.prefill_tokens as f64
     }
 
     /// Returns the last reported work of other routers.
