routing: a report of a full engine counts in full

A queue outlasts the report of it. Before, a report of 11 requests at an engine of 8 places was taken for chance (test reported_load_counts_until_it_is_old failed).

--- a/lib/routing/src/track.rs
+++ b/lib/routing/src/track.rs
@@ -220,7 +220,11 @@
         // router that acts on the same report makes the next one differ.
         let chance = CHANCE_DEVIATIONS * mean_others.max(1.0).sqrt();
         let deviation = others - mean_others;
-        let excess = deviation - deviation.clamp(-chance, chance);
+        let excess = match others >= self.slots() {
+            // A queue outlasts its report.
+            true => deviation,
+            false => deviation - deviation.clamp(-chance, chance),
+        };
         f64::from(self.outstanding) + mean_others + weight * excess
     }
 
