ledger: an end of a call names the claim that it ends

Cause: Conclude named the request and its sender only. A router whose first claim was void and which claimed the call anew could have its running claim ended by a late copy of the earlier end, and another router could then run the call a second time. Intents and ends carry the claim's own id now.

Fails first: with the comparison of the ids left out, late_end_of_an_earlier_claim_does_not_end_a_newer_one sees Concluded in place of a refusal.

--- a/bin/router/src/service_call.rs
+++ b/bin/router/src/service_call.rs
@@ -15,6 +15,7 @@
 use snipegate_routing::AttemptOutcome;
 use snipegate_types::ByteCount;
 use snipegate_types::ModelName;
+use snipegate_types::OperationId;
 use snipegate_types::RequestId;
 use snipegate_types::ResultCode;
 use snipegate_types::RunState;
@@ -116,6 +117,11 @@
     }
 }
 
+/// Names a claim as none before it.
+fn new_attempt() -> OperationId {
+    OperationId::from_number(fastrand::u128(..))
+}
+
 fn stopped() -> RequestRefusal {
     RequestRefusal::failed(
         ResultCode::Stopping,
@@ -205,22 +211,24 @@
         };
         let handle = admission.handle;
         let mut order = admission.order;
-        let mut operations = vec![self.intend(&order)];
+        let mut attempt = new_attempt();
+        let mut operations = vec![self.intend(attempt, &order)];
         loop {
-            if let CallClaim::Recorded(answer) = self.claim(handle, operations).await? {
+            if let CallClaim::Recorded(answer) = self.claim(handle, attempt, operations).await? {
                 return Ok(answer);
             }
             match self.send(&order).await {
-                Ok(answer) => return self.conclude(handle, answer).await,
+                Ok(answer) => return self.conclude(handle, attempt, answer).await,
                 Err(outcome) if outcome.proves_not_run() => {
-                    let void = self.conclusion(CallOutcome::NotRun);
+                    let void = self.conclusion(attempt, CallOutcome::NotRun);
                     match self.failed(handle, outcome).await {
                         Ok(next) => {
                             order = next;
-                            operations = vec![void, self.intend(&order)];
+                            attempt = new_attempt();
+                            operations = vec![void, self.intend(attempt, &order)];
                         }
                         Err(refusal) => {
-                            self.void();
+                            self.record(attempt, CallOutcome::NotRun);
                             return Err(refusal);
                         }
                     }
@@ -229,7 +237,7 @@
                     // The reply to this report can only be a refusal, since the
                     // call is not idempotent; the refusal here says more.
                     let _ = self.failed(handle, outcome).await;
-                    self.record(CallOutcome::Unknown);
+                    self.record(attempt, CallOutcome::Unknown);
                     return Err(outcome_unknown());
                 }
             }
@@ -242,17 +250,19 @@
             .saturating_duration_since(self.clock.now())
     }
 
-    fn intend(&self, order: &SendOrder) -> LedgerOperation {
+    fn intend(&self, attempt: OperationId, order: &SendOrder) -> LedgerOperation {
         LedgerOperation::Intend {
             request: self.call.request,
+            attempt,
             upstream: order.upstream.clone(),
             digest: self.call.digest(),
         }
     }
 
-    fn conclusion(&self, outcome: CallOutcome) -> LedgerOperation {
+    fn conclusion(&self, attempt: OperationId, outcome: CallOutcome) -> LedgerOperation {
         LedgerOperation::Conclude {
             request: self.call.request,
+            attempt,
             outcome,
         }
     }
@@ -279,6 +289,7 @@
     async fn claim(
         &self,
         handle: RequestHandle,
+        attempt: OperationId,
         operations: Vec<LedgerOperation>,
     ) -> Result<CallClaim, RequestRefusal> {
         let left = self.time_left();
@@ -299,7 +310,7 @@
             Some(_) | None => {
                 // The intent may become durable later. It stays this router's,
                 // and this router will not run it.
-                self.void();
+                self.record(attempt, CallOutcome::NotRun);
                 RequestRefusal::not_run(
                     ResultCode::StoreUnavailable,
                     "the call's intent could not be made durable",
@@ -405,14 +416,16 @@
     async fn conclude(
         &self,
         handle: RequestHandle,
+        attempt: OperationId,
         answer: ServiceAnswer,
     ) -> Result<ServiceAnswer, RequestRefusal> {
         let mut body = answer.body.clone();
         body.truncate(MAX_RECORDED_BYTES);
-        self.record(CallOutcome::Answered {
+        let outcome = CallOutcome::Answered {
             status: answer.status,
             body,
-        });
+        };
+        self.record(attempt, outcome);
         self.settle(handle, answer).await
     }
 
@@ -460,20 +473,15 @@
             .send(ControlCommand::ForgetCall(self.call.request));
     }
 
-    /// Voids an intent of which nothing was sent.
-    fn void(&self) {
-        self.record(CallOutcome::NotRun);
-    }
-
     /// Records how the call ended, here at once and in the ledger as soon as it can.
-    fn record(&self, outcome: CallOutcome) {
+    fn record(&self, attempt: OperationId, outcome: CallOutcome) {
         let request = self.call.request;
         self.control.send(ControlCommand::EndCall {
             request,
             outcome: outcome.clone(),
         });
         let shard = self.call.shard;
-        let operations = vec![self.conclusion(outcome)];
+        let operations = vec![self.conclusion(attempt, outcome)];
         let control = self.control.clone();
         let until = self.clock.now() + CONCLUDE_WAIT;
         spawn(async move {
--- a/lib/ledger/src/decide.rs
+++ b/lib/ledger/src/decide.rs
@@ -100,12 +100,15 @@
             } => self.top_up(*operation, budget, *amount),
             LedgerOperation::Intend {
                 request,
+                attempt,
                 upstream,
                 digest,
-            } => self.intend(sender, *request, upstream, *digest),
-            LedgerOperation::Conclude { request, outcome } => {
-                self.conclude(sender, *request, outcome)
-            }
+            } => self.intend(sender, *request, *attempt, upstream, *digest),
+            LedgerOperation::Conclude {
+                request,
+                attempt,
+                outcome,
+            } => self.conclude(sender, *request, *attempt, outcome),
             LedgerOperation::Release => {
                 self.close(sender);
                 Ok(OperationResult::Released)
--- a/lib/ledger/src/decide_call.rs
+++ b/lib/ledger/src/decide_call.rs
@@ -1,6 +1,7 @@
 //! Decides operations on calls that may not be repeated.
 
 use snipegate_types::IncarnationId;
+use snipegate_types::OperationId;
 use snipegate_types::RequestId;
 use snipegate_types::UpstreamId;
 
@@ -18,14 +19,14 @@
         &mut self,
         sender: &IncarnationId,
         request: RequestId,
+        attempt: OperationId,
         upstream: &UpstreamId,
         digest: [u8; 16],
     ) -> Decision {
         if let Some(intent) = self.ledger.intents.get(&request) {
             let outcome = intent.outcome.as_ref().map(|(outcome, _)| outcome.clone());
-            let own = self.ledger.number_of(sender) == Some(intent.claimant)
-                && intent.upstream == *upstream
-                && intent.digest == digest;
+            let own =
+                self.ledger.number_of(sender) == Some(intent.claimant) && intent.attempt == attempt;
             let is_void = outcome == Some(CallOutcome::NotRun);
             if own && outcome.is_none() {
                 self.check_sender(sender)?;
@@ -45,6 +46,7 @@
         self.record(SegmentRecord::Intend {
             request,
             claimant,
+            attempt,
             upstream: upstream.clone(),
             digest,
         });
@@ -55,11 +57,14 @@
         &mut self,
         sender: &IncarnationId,
         request: RequestId,
+        attempt: OperationId,
         outcome: &CallOutcome,
     ) -> Decision {
         let claimant = self.ledger.number_of(sender);
         let intent = self.ledger.intents.get(&request);
-        let intent = intent.filter(|intent| Some(intent.claimant) == claimant);
+        // An end of an earlier claim may come late, and must not end this one.
+        let intent =
+            intent.filter(|intent| Some(intent.claimant) == claimant && intent.attempt == attempt);
         let intent = intent.ok_or(OperationRefusal::IntentUnknown)?;
         match &intent.outcome {
             Some((recorded, _)) if recorded == outcome => return Ok(OperationResult::Concluded),
--- a/lib/ledger/src/ledger.rs
+++ b/lib/ledger/src/ledger.rs
@@ -34,6 +34,8 @@
 pub struct CallIntent {
     /// Who claimed it.
     pub claimant: HolderNumber,
+    /// Identifies the claim.
+    pub attempt: OperationId,
     /// Where it runs.
     pub upstream: UpstreamId,
     /// Digest of the call.
--- a/lib/ledger/src/operation.rs
+++ b/lib/ledger/src/operation.rs
@@ -88,6 +88,9 @@
     Intend {
         /// The request.
         request: RequestId,
+        /// Identifies this claim; another claim of the same sender has another,
+        /// so that an old message can't be taken for a new one.
+        attempt: OperationId,
         /// Where it will run.
         upstream: UpstreamId,
         /// Digest of the call, to tell a retry from another call with its key.
@@ -97,6 +100,8 @@
     Conclude {
         /// The request.
         request: RequestId,
+        /// The claim that ended.
+        attempt: OperationId,
         /// How it ended.
         outcome: CallOutcome,
     },
--- a/lib/ledger/src/record.rs
+++ b/lib/ledger/src/record.rs
@@ -159,6 +159,9 @@
         request: RequestId,
         /// Who claimed it.
         claimant: HolderNumber,
+        /// Identifies the claim.
+        #[serde(with = "operation_bytes")]
+        attempt: OperationId,
         /// Where it runs.
         upstream: UpstreamId,
         /// Digest of the call.
--- a/lib/ledger/src/replay.rs
+++ b/lib/ledger/src/replay.rs
@@ -146,11 +146,13 @@
             Intend {
                 request,
                 claimant,
+                attempt,
                 upstream,
                 digest,
             } => {
                 let intent = CallIntent {
                     claimant: *claimant,
+                    attempt: *attempt,
                     upstream: upstream.clone(),
                     digest: *digest,
                     outcome: None,
--- a/lib/ledger/tests/test_keeper.rs
+++ b/lib/ledger/tests/test_keeper.rs
@@ -70,11 +70,13 @@
         },
         10 => LedgerOperation::Intend {
             request,
+            attempt: OperationId::from_number(u128::from(amount.0 % 2)),
             upstream: "booking-1".parse().unwrap(),
             digest: [1; 16],
         },
         11 => LedgerOperation::Conclude {
             request,
+            attempt: OperationId::from_number(u128::from(amount.0 % 2)),
             outcome: match u.int_in_range(0..=2)? {
                 0 => CallOutcome::NotRun,
                 1 => CallOutcome::Unknown,
--- a/lib/ledger/tests/test_ledger.rs
+++ b/lib/ledger/tests/test_ledger.rs
@@ -73,8 +73,13 @@
 }
 
 fn intend(number: u8) -> LedgerOperation {
+    intend_again(number, 1)
+}
+
+fn intend_again(number: u8, attempt: u128) -> LedgerOperation {
     LedgerOperation::Intend {
         request: request(number),
+        attempt: OperationId::from_number(attempt),
         upstream: "booking-1".parse().unwrap(),
         digest: [7; 16],
     }
@@ -83,6 +88,7 @@
 fn conclude(number: u8, outcome: CallOutcome) -> LedgerOperation {
     LedgerOperation::Conclude {
         request: request(number),
+        attempt: OperationId::from_number(1),
         outcome,
     }
 }
@@ -349,3 +355,21 @@
     assert_eq!(result, OperationResult::Concluded);
     assert_eq!(logged.one(1, intend(1)), OperationResult::Intended);
 }
+
+#[test]
+fn late_end_of_an_earlier_claim_does_not_end_a_newer_one() {
+    let mut logged = LoggedLedger::default();
+    let void = conclude(1, CallOutcome::NotRun);
+    logged.one(0, intend(1));
+    assert_eq!(logged.one(0, void.clone()), OperationResult::Concluded);
+    assert_eq!(logged.one(0, intend_again(1, 2)), OperationResult::Intended);
+    let unknown = OperationResult::Refused(OperationRefusal::IntentUnknown);
+    assert_eq!(logged.one(0, void), unknown);
+    for other in [intend(1), intend_again(1, 3)] {
+        assert!(matches!(
+            logged.one(0, other),
+            OperationResult::AlreadyIntended { outcome: None, .. }
+        ));
+    }
+    assert_eq!(logged.one(0, intend_again(1, 2)), OperationResult::Intended);
+}
--- a/lib/ledger/tests/world/reference.rs
+++ b/lib/ledger/tests/world/reference.rs
@@ -118,7 +118,9 @@
                 assert!(is_free, "{request} was claimed twice");
                 claims.push(claimant);
             }
-            Conclude { request, outcome } => {
+            Conclude {
+                request, outcome, ..
+            } => {
                 if *outcome == CallOutcome::NotRun {
                     self.void.insert(*request);
                 }
@@ -220,7 +222,12 @@
                             || recorded.is_some_and(|recorded| recorded.contains(outcome))
                     })
             }
-            (Conclude { request, outcome }, OperationResult::Concluded) => {
+            (
+                Conclude {
+                    request, outcome, ..
+                },
+                OperationResult::Concluded,
+            ) => {
                 *outcome == CallOutcome::Unknown
                     || self
                         .outcomes
