--- a/bin/router/src/caller.rs
+++ b/bin/router/src/caller.rs
@@ -17,6 +17,7 @@
 use snipegate_types::WorkspaceId;
 
 use crate::refusal::RequestRefusal;
+use crate::request_names::RequestNames;
 use crate::view_input::request_priority;
 
 /// Header with the caller's idempotency key.
@@ -124,11 +125,11 @@
         })
     }
 
-    /// Returns the request's id: from the caller's key, or a random one.
-    pub fn request_id(&self) -> RequestId {
+    /// Returns the request's id: from the caller's key, or one of its own.
+    pub fn request_id(&self, names: &RequestNames) -> RequestId {
         match &self.idempotency_key {
             Some(key) => RequestId::from_idempotency_key(&self.workspace.id, key),
-            None => RequestId::from_number(fastrand::u128(..)),
+            None => names.next(&self.workspace.id),
         }
     }
 
--- a/bin/router/src/lib.rs
+++ b/bin/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod poller;
 pub mod refusal;
 pub mod relay;
+pub mod request_names;
 pub mod service_call;
 pub mod settings;
 pub mod stop;
--- a/bin/router/src/main.rs
+++ b/bin/router/src/main.rs
@@ -32,6 +32,7 @@
 use snipegate_router::peer_paths::PeerState;
 use snipegate_router::peer_paths::peer_routes;
 use snipegate_router::poller::LoadPoller;
+use snipegate_router::request_names::RequestNames;
 use snipegate_router::settings::RouterSettings;
 use snipegate_router::settings::command;
 use snipegate_router::stop::leave_fleet;
@@ -109,6 +110,7 @@
         context: context.clone(),
         control: control.clone(),
         views,
+        names: Arc::new(RequestNames::new(own.clone())),
         clock: Arc::clone(&clock),
         max_body: settings.max_body,
         body_wait: settings.body_wait,
--- a/bin/router/src/paths.rs
+++ b/bin/router/src/paths.rs
@@ -47,6 +47,7 @@
 use crate::relay::AnswerPart;
 use crate::relay::ChatRelay;
 use crate::relay::RelayRequest;
+use crate::request_names::RequestNames;
 use crate::service_call::CallRunner;
 use crate::service_call::ServiceAnswer;
 use crate::service_call::ServiceCall;
@@ -61,6 +62,8 @@
     pub control: ControlHandle,
     /// The newest fleet view.
     pub views: watch::Receiver<Arc<FleetView>>,
+    /// Ids of requests whose callers chose none.
+    pub names: Arc<RequestNames>,
     /// The clock.
     pub clock: Arc<dyn TimeSource>,
     /// Largest body of a request.
@@ -182,7 +185,7 @@
     let chat = ChatRequest::parse(&body)?;
     let stream = chat.stream;
     let include_usage = chat.include_usage;
-    let (admit, relay) = plan_chat(&state.view(), &caller, chat)?;
+    let (admit, relay) = plan_chat(&state.view(), &caller, chat, &state.shared.names)?;
     let control = &state.shared.control;
     let admission = control
         .ask(|reply| ControlCommand::Admit {
@@ -215,6 +218,7 @@
     view: &FleetView,
     caller: &CallerIdentity,
     chat: ChatRequest,
+    names: &RequestNames,
 ) -> Result<(AdmitRequest, RelayRequest), RequestRefusal> {
     let profile = &caller.profile.record;
     let model = chat.model.clone().unwrap_or_else(|| profile.model.clone());
@@ -243,7 +247,7 @@
         profile.version.as_deref().unwrap_or_default(),
         profile.adapter.as_ref().map_or("", |name| name.as_str()),
     );
-    let request = caller.request_id();
+    let request = caller.request_id(names);
     let route = RouteRequest {
         workspace: caller.workspace_id().clone(),
         profile: caller.profile.id.clone(),
@@ -366,7 +370,7 @@
 ) -> Result<HttpResponse, RequestRefusal> {
     let caller = state.identify(request)?;
     let body = state.body(payload).await?;
-    let (admit, call) = plan_service(&state.view(), &caller, request, name, body)?;
+    let (admit, call) = plan_service(state, &caller, request, name, body)?;
     let id = call.request;
     let runner = CallRunner {
         call,
@@ -390,7 +394,7 @@
 }
 
 fn plan_service(
-    view: &FleetView,
+    state: &TrafficState,
     caller: &CallerIdentity,
     request: &HttpRequest,
     name: &str,
@@ -406,6 +410,8 @@
             format!("service {name:?} does not exist"),
         )
     };
+    let view = state.view();
+    let names = &state.shared.names;
     let service: ModelName = name.parse().map_err(|_| unknown())?;
     let offer = view
         .upstreams_of_service(&service)
@@ -421,7 +427,7 @@
             "a call that may not be repeated needs an Idempotency-Key",
         ));
     }
-    let id = caller.request_id();
+    let id = caller.request_id(names);
     let route = RouteRequest {
         workspace: caller.workspace_id().clone(),
         profile: caller.profile.id.clone(),
