--- a/lib/ledger/src/keeper.rs
+++ b/lib/ledger/src/keeper.rs
@@ -210,9 +210,8 @@
                 self.step_down(now);
             }
         }
-        // A snapshot is begun between two segments, so before the next is opened.
-        self.keep_up(now);
         self.decide_queue(now);
+        self.keep_up(now);
         std::mem::take(&mut self.effects)
     }
 
--- a/lib/ledger/src/lib.rs
+++ b/lib/ledger/src/lib.rs
@@ -54,6 +54,5 @@
 pub use record::segment_prefix;
 pub use settings::KeeperSettings;
 pub use snapshot::SnapshotHead;
-pub use snapshot::encode_snapshot;
 pub use snapshot::snapshot_key;
 pub use snapshot::snapshot_part_prefix;
--- a/lib/ledger/src/snapshot.rs
+++ b/lib/ledger/src/snapshot.rs
@@ -95,7 +95,7 @@
 /// # Errors
 ///
 /// Fails only if the encoder refuses a value.
-pub fn encode_snapshot(
+pub(crate) fn encode_parts(
     ledger: &ShardLedger,
     part_bytes: usize,
 ) -> Result<Vec<Vec<u8>>, SegmentError> {
--- a/testing/engine/src/prompt.rs
+++ b/testing/engine/src/prompt.rs
@@ -96,13 +96,18 @@
             answer_tokens: word(LENGTH_PREFIX)
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(MIN_ANSWER_TOKENS + digest % ANSWER_TOKEN_SPREAD),
-            blocks: block_hashes(model, prompt.as_bytes()),
+            blocks: block_hashes(&format!("{model}//"), prompt.as_bytes()),
         }
     }
 
     /// Returns the answer's token with this index, from 0.
     pub fn token(&self, index: u64) -> String {
-        format!("{}/{index}/{:08x} ", self.marker, self.digest as u32)
+        format!("{}/{index}/{} ", self.marker, self.digest_text())
+    }
+
+    /// Returns the digest as tokens show it.
+    pub fn digest_text(&self) -> String {
+        format!("{:08x}", self.digest as u32)
     }
 
     /// Returns the first `tokens` tokens of the answer.
@@ -111,7 +116,7 @@
     }
 }
 
-/// Hashes the full blocks of a prompt; `scope` keeps models apart.
+/// Hashes the full blocks of a prompt as routers do; `scope` keeps models apart.
 fn block_hashes(scope: &str, prompt: &[u8]) -> Vec<u64> {
     let mut last = chain(0, scope.as_bytes());
     prompt
--- a/testing/history/src/attempts.rs
+++ b/testing/history/src/attempts.rs
@@ -30,6 +30,7 @@
     },
     Refused(RunState),
     Broken,
+    GaveUp,
     NotConnected,
 }
 
@@ -101,6 +102,7 @@
         }
         EventKind::Refused { attempt, run, .. } => Some((*attempt, AttemptEnd::Refused(*run))),
         EventKind::Broken { attempt } => Some((*attempt, AttemptEnd::Broken)),
+        EventKind::GaveUp { attempt } => Some((*attempt, AttemptEnd::GaveUp)),
         EventKind::NotConnected { attempt } => Some((*attempt, AttemptEnd::NotConnected)),
         _ => None,
     }
--- a/testing/history/src/event.rs
+++ b/testing/history/src/event.rs
@@ -58,6 +58,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// A caller waited long enough and closed the connection itself.
+    GaveUp {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// A caller could not connect, so nothing was sent.
     NotConnected {
         /// The attempt.
@@ -132,6 +137,8 @@
         marker: String,
         /// The prompt's digest.
         digest: String,
+        /// Tokens of the right answer.
+        tokens: u64,
     },
     /// A call of a plain service.
     Service {
--- a/testing/history/src/summary.rs
+++ b/testing/history/src/summary.rs
@@ -19,6 +19,8 @@
     pub refused: IndexMap<u16, usize>,
     /// Connections that ended early.
     pub broken: usize,
+    /// Connections that callers closed.
+    pub given_up: usize,
     /// Pieces of work on upstreams.
     pub work: usize,
     /// Bills in the ledger's log.
@@ -43,6 +45,7 @@
             EventKind::Answered { .. } => self.answered += 1,
             EventKind::Refused { code, .. } => *self.refused.entry(*code).or_default() += 1,
             EventKind::Broken { .. } | EventKind::NotConnected { .. } => self.broken += 1,
+            EventKind::GaveUp { .. } => self.given_up += 1,
             EventKind::Work { .. } => self.work += 1,
             EventKind::Ledger {
                 entry: LedgerEntry::Bill { amount, .. },
@@ -60,8 +63,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} sent, {} answered, {} broken, {} runs, {} bills over {} tokens, refused {:?}",
-            self.sent, self.answered, self.broken, self.work, self.bills, self.billed, self.refused
+            "{} sent, {} answered, {} broken, {} given up, {} runs, {} bills over {} tokens, refused {:?}",
+            self.sent,
+            self.answered,
+            self.broken,
+            self.given_up,
+            self.work,
+            self.bills,
+            self.billed,
+            self.refused
         )
     }
 }
--- a/testing/history/src/violation.rs
+++ b/testing/history/src/violation.rs
@@ -66,14 +66,14 @@
         /// The token.
         token: String,
     },
-    /// A caller's answer lacks tokens at its end.
+    /// A caller's answer has not as many tokens as the right one.
     AnswerCut {
         /// The attempt.
         attempt: AttemptId,
         /// Tokens that came.
         came: u64,
-        /// Tokens told in the usage.
-        told: u64,
+        /// Tokens of the right answer.
+        whole: u64,
     },
     /// An attempt ended more than once.
     EndedTwice {
@@ -163,8 +163,10 @@
             AnswerCut {
                 attempt,
                 came,
-                told,
-            } => write!(f, "attempt {attempt} got {came} of {told} tokens"),
+                whole,
+            } => {
+                write!(f, "attempt {attempt} got {came} of {whole} tokens")
+            }
             EndedTwice { attempt } => write!(f, "attempt {attempt} ended twice"),
             RanThoughNotRun { request, upstream } => {
                 write!(f, "request {request} refused as not run, ran on {upstream}")
