--- a/bin/load/src/main.rs
+++ b/bin/load/src/main.rs
@@ -1,3 +1,167 @@
-//! Placeholder until the process is built.
+//! `snipegate-load`: load and experiments.
 
-fn main() {}
+use std::error::Error;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use serde::de::DeserializeOwned;
+use snipegate_load::AddressBook;
+use snipegate_load::ExperimentName;
+use snipegate_load::LoadMix;
+use snipegate_load::RunComparison;
+use snipegate_load::RunPlan;
+use snipegate_load::RunReport;
+use snipegate_load::TargetKind;
+use snipegate_load::TraceExpectation;
+use snipegate_load::TraceRecord;
+use snipegate_load::command;
+use snipegate_load::plot_reports;
+use snipegate_load::read_trace;
+use snipegate_load::run_open_loop;
+use snipegate_load::values;
+use snipegate_types::ModelName;
+use snipegate_types::ProfileName;
+
+/// Exit code where the results are not as stated.
+const NOT_AS_STATED: u8 = 1;
+
+/// Exit code where the input is wrong.
+const WRONG_INPUT: u8 = 2;
+
+type CommandResult = Result<ExitCode, Box<dyn Error>>;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let result = match matches.subcommand() {
+        Some(("run", matches)) => run(TargetKind::Router, matches).await,
+        Some(("direct", matches)) => run(TargetKind::Direct, matches).await,
+        Some(("check", matches)) => check(matches),
+        Some(("compare", matches)) => compare(matches),
+        _ => unreachable!("a subcommand is required"),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("snipegate-load: {error}");
+        ExitCode::from(WRONG_INPUT)
+    })
+}
+
+async fn run(kind: TargetKind, matches: &ArgMatches) -> CommandResult {
+    let (records, speed) = load(matches)?;
+    let addresses = match (values(matches, "router"), values(matches, "directory")) {
+        (_, directories) if !directories.is_empty() => AddressBook::from_directories(directories),
+        (routers, _) if !routers.is_empty() => AddressBook::fixed(routers),
+        _ => AddressBook::fixed(values(matches, "engine")),
+    };
+    let plan = RunPlan {
+        kind,
+        addresses,
+        keys: values(matches, "key").into_iter().collect(),
+        speed,
+    };
+    let (outcomes, span) = run_open_loop(plan, records.clone()).await;
+    let label: &String = required(matches, "label");
+    let seed = *required(matches, "seed");
+    let report = RunReport::new(label, seed, &records, &outcomes, span);
+    print_report(&report);
+    if let Some(path) = matches.get_one::<PathBuf>("json") {
+        let text = serde_json::to_string_pretty(&report)?;
+        write_file(path, &(text + "\n"))?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("svg") {
+        write_file(path, &plot_reports(std::slice::from_ref(&report))?)?;
+    }
+    match matches.get_one::<PathBuf>("expected") {
+        Some(path) => check_report(&report, &read_json(path)?),
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+/// Returns the requests to send and how much faster than recorded.
+fn load(matches: &ArgMatches) -> Result<(Vec<TraceRecord>, f64), Box<dyn Error>> {
+    if let Some(path) = matches.get_one::<PathBuf>("trace") {
+        return Ok((read_trace(path)?, *required(matches, "speed")));
+    }
+    let experiment: &String = required(matches, "experiment");
+    let mix = LoadMix {
+        experiment: experiment.parse::<ExperimentName>()?,
+        rate: *required(matches, "rate"),
+        span: Duration::from_secs_f64(*required(matches, "seconds")),
+        seed: *required(matches, "seed"),
+        workspaces: values(matches, "workspace"),
+        profile: required::<ProfileName>(matches, "profile").clone(),
+        model: required::<ModelName>(matches, "model").clone(),
+        max_tokens: *required(matches, "max-tokens"),
+    };
+    Ok((mix.records(), 1.0))
+}
+
+fn required<'a, T: Clone + Send + Sync + 'static>(matches: &'a ArgMatches, name: &str) -> &'a T {
+    matches
+        .get_one(name)
+        .unwrap_or_else(|| unreachable!("{name} is required or has a default"))
+}
+
+fn print_report(report: &RunReport) {
+    println!(
+        "{} requests in {:.1} s, {:.1} whole answers/s, {} tokens billed",
+        report.requests, report.seconds, report.goodput, report.billed_tokens
+    );
+    for (name, times) in [
+        ("first token", &report.first_token),
+        ("between tokens", &report.between_tokens),
+        ("total", &report.total),
+    ] {
+        println!(
+            "{name:15} p50 {:9.2} ms  p95 {:9.2} ms  p99 {:9.2} ms",
+            times.p50, times.p95, times.p99
+        );
+    }
+    for (name, count) in &report.results {
+        println!("{count:8} {name}");
+    }
+}
+
+fn check(matches: &ArgMatches) -> CommandResult {
+    let report = read_json(required::<PathBuf>(matches, "result"))?;
+    let expected = read_json(required::<PathBuf>(matches, "expected"))?;
+    check_report(&report, &expected)
+}
+
+fn check_report(report: &RunReport, expected: &TraceExpectation) -> CommandResult {
+    let differences = expected.differences(report);
+    for difference in &differences {
+        println!("not as stated: {difference}");
+    }
+    Ok(match differences.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(NOT_AS_STATED),
+    })
+}
+
+fn compare(matches: &ArgMatches) -> CommandResult {
+    let before: RunReport = read_json(required::<PathBuf>(matches, "before"))?;
+    let after: RunReport = read_json(required::<PathBuf>(matches, "after"))?;
+    let comparison = RunComparison {
+        before: &before,
+        after: &after,
+    };
+    print!("{comparison}");
+    if let Some(path) = matches.get_one::<PathBuf>("svg") {
+        write_file(path, &plot_reports(&[before, after])?)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, Box<dyn Error>> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    serde_json::from_str(&text).map_err(|error| format!("{}: {error}", path.display()).into())
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), Box<dyn Error>> {
+    fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()).into())
+}
