fleet, keeper: shards leave a keeper that has lost the store

Cause: the choice of a shard's keeper looked only at heartbeats between keepers. One that is cut off from the store but not from its peers stayed chosen, so grants, bills, intents and top-ups of its shards stood still for as long as the cut lasted.

Where none does, the store itself is out and every shard stays where it is. A keeper that lost the store watches it until it answers. Ruled out: letting routers go to the next keeper by themselves, since each would decide it at another moment.

--- a/bin/keeper/src/ledger_control.rs
+++ b/bin/keeper/src/ledger_control.rs
@@ -26,6 +26,7 @@
 use snipegate_ledger::ReturnReply;
 use snipegate_ledger::ShardKeeper;
 use snipegate_platform::ConfigStore;
+use snipegate_platform::StoreError;
 use snipegate_service::DaemonContext;
 use snipegate_service::MessageClient;
 use snipegate_types::BudgetId;
@@ -54,6 +55,7 @@
     settings: KeeperSettings,
     context: DaemonContext,
     store: Rc<S>,
+    fleet: FleetHandle,
     client: Rc<MessageClient>,
     sender: mpsc::UnboundedSender<ControlMessage>,
     view: Arc<FleetView>,
@@ -71,6 +73,7 @@
         settings: KeeperSettings,
         context: DaemonContext,
         store: Rc<S>,
+        fleet: FleetHandle,
         sender: mpsc::UnboundedSender<ControlMessage>,
     ) -> Self {
         Self {
@@ -78,6 +81,7 @@
             settings,
             context,
             store,
+            fleet,
             client: Rc::new(MessageClient::new()),
             sender,
             view: Arc::default(),
@@ -115,7 +119,10 @@
                 self.take_view(view, now);
                 self.prove_deaths(&deaths, now);
             }
-            ControlMessage::Event(shard, event) => self.tell(shard, event, now),
+            ControlMessage::Event(shard, event) => {
+                self.note_store_call(&event);
+                self.tell(shard, event, now);
+            }
             ControlMessage::Tick => self.tell_all(&KeeperEvent::Tick, now),
             ControlMessage::Stop(stopped) => {
                 self.stopped = Some(stopped);
@@ -308,6 +315,18 @@
         });
     }
 
+    /// Lets the fleet service know whether the store answered.
+    fn note_store_call(&self, event: &KeeperEvent) {
+        let error = match event {
+            KeeperEvent::SwapEnded { result, .. } => result.as_ref().err(),
+            KeeperEvent::ReadEnded { result, .. } => result.as_ref().err(),
+            KeeperEvent::ListEnded { result, .. } => result.as_ref().err(),
+            _ => return,
+        };
+        let silent = matches!(error, Some(StoreError::Unreachable | StoreError::ReplyLost));
+        self.fleet.note_store_call(!silent);
+    }
+
     fn ask_return(&self, order: ReturnOrder) {
         let Some(address) = self.view.peer_address(&order.holder) else {
             return;
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -71,7 +71,9 @@
 
     let (sender, receiver) = mpsc::unbounded_channel();
     let control = ControlHandle::new(sender.clone());
-    let ledger = LedgerControl::new(own, settings.keeper.clone(), context.clone(), store, sender);
+    let keeper = settings.keeper.clone();
+    let handle = fleet.clone();
+    let ledger = LedgerControl::new(own, keeper, context.clone(), store, handle, sender);
     spawn(ledger.run(receiver));
     spawn(follow_fleet(fleet.clone(), control.clone()));
 
--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -31,6 +31,8 @@
     pub suspected: bool,
     /// It has said that it stops.
     pub leaving: bool,
+    /// It has said that the store does not answer it.
+    pub store_lost: bool,
     /// It is proven to have ended; its record is a remnant.
     pub ended: bool,
 }
@@ -42,6 +44,7 @@
             member,
             suspected: false,
             leaving: false,
+            store_lost: false,
             ended: false,
         }
     }
--- a/lib/fleet/src/fleet_handle.rs
+++ b/lib/fleet/src/fleet_handle.rs
@@ -49,6 +49,9 @@
     Status {
         reply: oneshot::Sender<FleetStatus>,
     },
+    StoreCalled {
+        answered: bool,
+    },
 }
 
 /// Reaches a keeper's [`FleetService`](crate::FleetService) from any thread.
@@ -97,6 +100,12 @@
             .route(FLEET_STATUS_PATH, web::get().to(status));
     }
 
+    /// Tells whether the store answered a call of this keeper, so that its
+    /// shards go to others where it does not.
+    pub fn note_store_call(&self, answered: bool) {
+        let _ = self.requests.send(FleetRequest::StoreCalled { answered });
+    }
+
     async fn ask<R>(&self, request: impl FnOnce(oneshot::Sender<R>) -> FleetRequest) -> Option<R> {
         let (reply, answer) = oneshot::channel();
         self.requests.send(request(reply)).ok()?;
--- a/lib/fleet/src/lib.rs
+++ b/lib/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod service_store;
 mod settings;
 mod source_plan;
+mod store_health;
 mod upstream;
 mod view;
 mod view_keeper;
--- a/lib/fleet/src/member_table.rs
+++ b/lib/fleet/src/member_table.rs
@@ -42,6 +42,8 @@
     pub suspected: bool,
     /// It has said that it stops; never taken back within a run.
     pub leaving: bool,
+    /// It has said that the store does not answer it.
+    pub store_lost: bool,
 }
 
 /// A heartbeat between keepers, and its answer: `POST /heartbeat`.
@@ -74,6 +76,7 @@
                 number: 0,
                 suspected: false,
                 leaving: false,
+                store_lost: false,
             },
             suspected_since: None,
             asked_here: None,
@@ -225,6 +228,19 @@
         }
     }
 
+    /// Notes whether the store answers this keeper, to tell the others.
+    pub fn set_store_lost(&mut self, lost: bool) {
+        let sends = self.sends();
+        if let Some(row) = self.rows.get_mut(&key_of(&self.me))
+            && row.update.member == self.me
+            && row.update.store_lost != lost
+        {
+            row.update.store_lost = lost;
+            row.update.number += 1;
+            row.sends_left = sends;
+        }
+    }
+
     /// Suspects processes that have followed this keeper and fallen silent.
     pub fn suspect_silent(&mut self, now: Instant) {
         let sends = self.sends();
@@ -248,9 +264,10 @@
             .map(|row| MemberLiveness {
                 suspected: row.is_suspected(now),
                 leaving: row.update.leaving,
+                store_lost: row.update.store_lost,
                 ..MemberLiveness::up(row.update.member.clone())
             })
-            .filter(|found| found.suspected || found.leaving)
+            .filter(|found| found.suspected || found.leaving || found.store_lost)
             .collect()
     }
 
@@ -278,6 +295,10 @@
             number: update.number.max(known.number),
             suspected,
             leaving: update.leaving || known.leaving,
+            store_lost: match newer && update.member != me {
+                true => update.store_lost,
+                false => known.store_lost,
+            },
         };
         if merged == row.update {
             return;
--- a/lib/fleet/src/service.rs
+++ b/lib/fleet/src/service.rs
@@ -35,6 +35,7 @@
 use crate::member_table::MemberTable;
 use crate::registration::Registration;
 use crate::source_plan::WatcherSet;
+use crate::store_health::StoreHealth;
 use crate::view::FleetView;
 use crate::view_keeper::MergeOutcome;
 use crate::view_keeper::ViewKeeper;
@@ -98,6 +99,7 @@
     pub watchers: WatcherSet,
     /// When a peer last told something fresh.
     pub peer_answered: Option<Instant>,
+    pub store_health: StoreHealth,
     liveness_version: u64,
     followers: IndexMap<IncarnationId, FollowerRow>,
 }
@@ -171,6 +173,8 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.table.suspect_silent(now);
+        let lost = state.store_health.is_lost(now);
+        state.table.set_store_lost(lost);
         let members = state.liveness(&self.view(), now);
         if state.keeper.set_liveness(members) {
             state.liveness_version += 1;
@@ -235,6 +239,11 @@
         self.reply_now(query)
     }
 
+    pub fn note_store_call(&self, answered: bool) {
+        let now = self.clock.now();
+        self.state.borrow_mut().store_health.note(answered, now);
+    }
+
     fn status(&self) -> FleetStatus {
         let state = self.state.borrow();
         let now = self.clock.now();
@@ -283,6 +292,7 @@
             FleetRequest::Status { reply } => {
                 let _ = reply.send(self.status());
             }
+            FleetRequest::StoreCalled { answered } => self.note_store_call(answered),
         }
     }
 }
@@ -317,6 +327,7 @@
             registration: Registration::new(settings.member.clone()),
             watchers: WatcherSet::default(),
             peer_answered: None,
+            store_health: StoreHealth::default(),
             // Differs from what a follower has of an earlier run.
             liveness_version: me.start,
             followers: IndexMap::new(),
--- a/lib/fleet/src/service_store.rs
+++ b/lib/fleet/src/service_store.rs
@@ -52,6 +52,7 @@
             }
             match self.hear_store(store).await {
                 Ok(()) => {
+                    self.note_store_call(true);
                     if back_off.failures() > 0 {
                         info!(self.context.logger, "configuration store answers");
                     }
@@ -59,6 +60,7 @@
                     self.write_leave_marks(store).await;
                 }
                 Err(error) => {
+                    self.note_store_call(matches!(error, StoreError::RateLimited { .. }));
                     self.context.metrics.count("fleet.store_failures");
                     if back_off.failures() == 0 {
                         warn!(self.context.logger, "configuration store fails";
@@ -75,7 +77,9 @@
         let heard = state
             .peer_answered
             .is_some_and(|then| now.saturating_duration_since(then) < PEER_SILENCE);
-        !state.keeper.is_ready() || !heard || state.watchers.contains(&self.me().vm)
+        // A keeper that has lost the store has to hear when it is back.
+        let lost = state.store_health.is_lost(now);
+        !state.keeper.is_ready() || !heard || lost || state.watchers.contains(&self.me().vm)
     }
 
     async fn hear_store<S: ConfigStore>(&self, store: &S) -> Result<(), StoreError> {
--- a/lib/fleet/src/view.rs
+++ b/lib/fleet/src/view.rs
@@ -304,13 +304,24 @@
         })
     }
 
-    /// Returns the keeper that a shard falls to, among those that are up.
+    /// Tells whether a member has said that the store does not answer it.
+    pub fn has_lost_store(&self, entry: &MemberEntry) -> bool {
+        self.liveness(&entry.record.incarnation)
+            .is_some_and(|found| found.store_lost)
+    }
+
+    /// Returns the keeper that a shard falls to, among those that are up and
+    /// reach the store.
     ///
-    /// A wrong answer costs time, never safety: the ledger's slots decide.
+    /// Where none reaches it, the store itself is out, and the shards stay
+    /// where they are. A wrong answer costs time, never safety: the ledger's
+    /// slots decide.
     pub fn keeper_of(&self, shard: ShardId) -> Option<&Arc<MemberEntry>> {
         let name = shard.to_string();
-        let keepers = self.usable_members(ProcessRole::Keeper);
-        rendezvous_owner(&name, keepers, |entry| entry.id.0.as_str())
+        let usable = || self.usable_members(ProcessRole::Keeper);
+        let reaching = usable().filter(|entry| !self.has_lost_store(entry));
+        rendezvous_owner(&name, reaching, |entry| entry.id.0.as_str())
+            .or_else(|| rendezvous_owner(&name, usable(), |entry| entry.id.0.as_str()))
     }
 
     /// Returns where the fleet's processes reach a member.
--- a/lib/fleet/tests/test_addresses.rs
+++ b/lib/fleet/tests/test_addresses.rs
@@ -86,6 +86,7 @@
             member: record.incarnation.clone(),
             suspected: u.ratio(1, 4)?,
             leaving: u.ratio(1, 6)?,
+            store_lost: u.ratio(1, 4)?,
             ended: u.ratio(1, 6)?,
         });
     }
--- a/lib/fleet/tests/test_membership.rs
+++ b/lib/fleet/tests/test_membership.rs
@@ -14,6 +14,7 @@
 use snipegate_fleet::HEARTBEAT_PERIOD;
 use snipegate_fleet::LeavePhase;
 use snipegate_fleet::LeavePlan;
+use snipegate_fleet::MemberLiveness;
 use snipegate_fleet::MemberRecord;
 use snipegate_fleet::MemberState;
 use snipegate_fleet::MemberTable;
@@ -57,6 +58,10 @@
 }
 
 fn view_of(records: &[MemberRecord]) -> FleetView {
+    view_keeper_of(records).view()
+}
+
+fn view_keeper_of(records: &[MemberRecord]) -> ViewKeeper {
     let entries = records.iter().enumerate().map(|(at, record)| {
         let key = FleetKey::Member(record.incarnation.vm.clone(), record.incarnation.role);
         let revision = StoreRevision(at as u64 + 1);
@@ -70,7 +75,7 @@
     };
     let mut keeper = ViewKeeper::new();
     keeper.apply_page(&page, Instant::now());
-    keeper.view()
+    keeper
 }
 
 fn listing(version: u64, vms: &[usize]) -> VmListing {
@@ -327,6 +332,55 @@
     }
 }
 
+#[test]
+fn test_lost_store_is_known_to_everybody_and_taken_back() {
+    for size in [3, 9, 60] {
+        let mut fleet = Fleet::new(size);
+        let knowing = |fleet: &Fleet| {
+            let lost = |table: &&MemberTable| {
+                let found = table.liveness(fleet.now);
+                found
+                    .iter()
+                    .any(|l| l.member == fleet.members[1] && l.store_lost && !l.suspected)
+            };
+            fleet.tables.iter().filter(lost).count()
+        };
+        fleet.tables[1].set_store_lost(true);
+        (0..30).for_each(|_| fleet.round(None));
+        assert_eq!(knowing(&fleet), size, "of {size}");
+        fleet.tables[1].set_store_lost(false);
+        (0..30).for_each(|_| fleet.round(None));
+        assert_eq!(knowing(&fleet), 0, "of {size}");
+    }
+}
+
+#[test]
+fn test_shards_leave_keepers_that_lost_the_store_unless_all_did() {
+    let members: Vec<_> = (0..5)
+        .map(|vm| record(run_of(vm, ProcessRole::Keeper, 1)))
+        .collect();
+    let before = view_of(&members);
+    let lost = |members: &[MemberRecord]| {
+        let said = members.iter().map(|record| MemberLiveness {
+            store_lost: true,
+            ..MemberLiveness::up(record.incarnation.clone())
+        });
+        said.collect()
+    };
+    let mut keeper = view_keeper_of(&members);
+    keeper.set_liveness(lost(&members[..2]));
+    let some = keeper.view();
+    keeper.set_liveness(lost(&members));
+    let all = keeper.view();
+    for shard in (0..256).map(ShardId) {
+        let owner = |view: &FleetView| view.keeper_of(shard).expect("a keeper").id.0.clone();
+        let cut_off = |vm| members[..2].iter().any(|m| m.incarnation.vm == vm);
+        assert!(!cut_off(owner(&some)), "shard {shard}");
+        assert!(cut_off(owner(&before)) || owner(&some) == owner(&before));
+        assert_eq!(owner(&all), owner(&before), "shard {shard}");
+    }
+}
+
 fn leave(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
     let start = Instant::now();
     let keep = Duration::from_millis(u.int_in_range(0..=60_000)?);
