escrow: hold enough for a partition, and confirm bills inside one

A holding is filled to its target when it falls below three quarters, where before it was refilled when nearly empty; its cap is a multiple of an equal part of the unassigned tokens. In a data centre cut off from all others no copy elsewhere can make a bill safe, so each request there ended unconfirmed; under avoid_refusals copies on its other VMs count after a second, under avoid_overspend nothing is admitted until a bill can be made safe.

An operation without a result for 50 minutes closes the escrow, since the ledger forgets operation ids.

--- a/lib/escrow/src/bill.rs
+++ b/lib/escrow/src/bill.rs
@@ -28,6 +28,7 @@
     pub(crate) budget: BudgetId,
     pub(crate) shard: ShardId,
     pub(crate) amount: TokenCount,
+    pub(crate) settled: Instant,
     /// Settled reservations of the request that have not been told the result.
     pub(crate) waiting: Vec<ReservationId>,
     /// Whether enough copies are held elsewhere.
@@ -147,6 +148,7 @@
             budget: budget.clone(),
             shard,
             amount,
+            settled: now,
             waiting: vec![reservation],
             copied: false,
             copies: Vec::new(),
@@ -226,6 +228,7 @@
         let Some(pending) = self.pending.swap_remove(&request) else {
             return;
         };
+        self.unconfirmable = false;
         if let Some(holding) = self.budgets.get_mut(&pending.budget) {
             holding.billed = holding.billed.saturating_sub(pending.amount);
             // Another amount means another bill of the request, which was
@@ -274,6 +277,7 @@
         }
         let alone = pending.waiting.is_empty() && pending.copies.is_empty();
         let withdrawn = alone && self.withdraw_bill(request, now);
+        self.unconfirmable = true;
         self.report_unsafe(reservation, request, withdrawn);
     }
 
--- a/lib/escrow/src/copy.rs
+++ b/lib/escrow/src/copy.rs
@@ -1,5 +1,6 @@
 //! Copies of pending bills in other data centres.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -19,6 +20,9 @@
 use crate::peer::PeerEntry;
 use crate::timer::EscrowTimer;
 
+/// Time between copies of a bill that nobody waits for any more.
+const PROBE_PAUSE: Duration = Duration::from_secs(10);
+
 /// A router asked to hold a copy of an own bill.
 #[derive(Clone, Debug)]
 pub(crate) struct CopyAsk {
@@ -49,7 +53,9 @@
         let Some(pending) = self.pending.get(&request) else {
             return;
         };
-        if pending.copied || pending.waiting.is_empty() {
+        // A bill given up goes on being copied to learn when bills can be
+        // made safe again.
+        if pending.copied || (pending.waiting.is_empty() && !self.unconfirmable) {
             return;
         }
         let Some(holding) = self.budgets.get(&pending.budget) else {
@@ -63,7 +69,11 @@
             holder: self.own.clone(),
             notes: holding.unrecorded.clone(),
         };
-        for peer in self.choose_copy_peers(request, &pending.copies) {
+        let mut peers = self.choose_copy_peers(request, &pending.copies);
+        if self.local_copies_count(pending.settled, now) {
+            peers.extend(self.choose_local_peers(&pending.copies));
+        }
+        for peer in peers {
             self.count(EscrowCounter::CopySent);
             self.send(
                 peer.incarnation.clone(),
@@ -82,10 +92,35 @@
                 });
             }
         }
-        self.timers.set(
-            now + self.settings.resend_after,
-            EscrowTimer::CopyDue(request),
-        );
+        let pause = match self.pending.get(&request) {
+            Some(pending) if pending.waiting.is_empty() => PROBE_PAUSE,
+            _ => self.settings.resend_after,
+        };
+        self.timers.set(now + pause, EscrowTimer::CopyDue(request));
+    }
+
+    /// Tells whether copies in the own data centre count for a bill.
+    fn local_copies_count(&self, settled: Instant, now: Instant) -> bool {
+        let age = now.saturating_duration_since(settled);
+        self.settings
+            .local_copy_after
+            .is_some_and(|limit| self.unconfirmable || age >= limit)
+    }
+
+    /// Chooses routers of the own data centre that have no copy yet.
+    fn choose_local_peers(&self, asked: &[CopyAsk]) -> Vec<PeerEntry> {
+        let is_held = |peer: &PeerEntry| {
+            asked
+                .iter()
+                .any(|ask| ask.held && ask.peer == peer.incarnation)
+        };
+        self.peers
+            .iter()
+            .filter(|peer| !peer.leaving && peer.data_centre == self.data_centre)
+            .filter(|peer| !self.fences.contains_key(&peer.incarnation) && !is_held(peer))
+            .take(self.settings.copy_places)
+            .cloned()
+            .collect()
     }
 
     /// Chooses a router in each of as many data centres as lack a copy.
@@ -128,6 +163,7 @@
         from: IncarnationId,
         request: RequestId,
         holder: IncarnationId,
+        now: Instant,
     ) {
         if holder != self.own {
             self.note_handed_over(from, request, holder);
@@ -136,6 +172,9 @@
         // Counted over all data centres ever seen: in a partition the list of
         // routers may shrink, which must not lower what counts as safe.
         let required = self.settings.copy_places.min(self.places.len());
+        let required_local = self.settings.copy_places.min(self.local_peers);
+        let settled = self.pending.get(&request).map(|pending| pending.settled);
+        let local_counts = settled.is_some_and(|time| self.local_copies_count(time, now));
         let Some(pending) = self.pending.get_mut(&request) else {
             let message = EscrowMessage::DropBill { request, holder };
             // A withdrawn bill was never copied, so this one is in the ledger.
@@ -150,11 +189,20 @@
             .iter()
             .filter(|ask| ask.held)
             .map(|ask| &ask.data_centre)
+            .filter(|place| **place != self.data_centre)
             .collect();
-        if required == 0 || held.len() < required || pending.copied {
+        let held_local = pending
+            .copies
+            .iter()
+            .filter(|ask| ask.held && ask.data_centre == self.data_centre);
+        let is_safe = required > 0 && held.len() >= required;
+        let is_safe_locally =
+            local_counts && required_local > 0 && held_local.count() >= required_local;
+        if pending.copied || !(is_safe || is_safe_locally) {
             return;
         }
         pending.copied = true;
+        self.unconfirmable = false;
         let waiting = std::mem::take(&mut pending.waiting);
         let amount = pending.amount;
         self.report_safe(request, waiting, amount, EscrowCounter::BillSafeCopies);
--- a/lib/escrow/src/escrow.rs
+++ b/lib/escrow/src/escrow.rs
@@ -104,6 +104,12 @@
     /// Shards that have not answered the release yet, while stopping.
     pub(crate) releasing: Option<IndexSet<ShardId>>,
     pub(crate) sweep_next: usize,
+    /// The most routers ever seen at once in the own data centre, without
+    /// this one.
+    pub(crate) local_peers: usize,
+    /// Whether the last bills could not be made safe: nothing is admitted
+    /// until one is, as its answer could not be given out.
+    pub(crate) unconfirmable: bool,
     /// Advances so that not always the same peers are chosen.
     pub(crate) rotation: usize,
     operation_prefix: u64,
@@ -141,6 +147,8 @@
             timers,
             releasing: None,
             sweep_next: 0,
+            local_peers: 0,
+            unconfirmable: false,
             rotation: 0,
             next_operation: 0,
             next_reservation: 0,
@@ -264,6 +272,11 @@
     }
 
     fn send_batches(&mut self, now: Instant) {
+        let limit = self.settings.answer_limit;
+        if self.queues.values().any(|queue| queue.is_stale(limit, now)) {
+            self.close();
+            return;
+        }
         let mut batches = Vec::new();
         for (&shard, queue) in &mut self.queues {
             let retrying = queue.is_retrying();
@@ -404,7 +417,9 @@
                 self.note_decline(from, &budget, left, now);
             }
             EscrowMessage::HoldBill(copy) => self.hold_copy(from, copy, now),
-            EscrowMessage::BillHeld { request, holder } => self.note_held(from, request, holder),
+            EscrowMessage::BillHeld { request, holder } => {
+                self.note_held(from, request, holder, now);
+            }
             EscrowMessage::DropBill { request, holder } => {
                 self.held.swap_remove(&(holder, request));
             }
@@ -418,6 +433,10 @@
             .map(|peer| &peer.data_centre)
             .filter(|&place| *place != self.data_centre);
         self.places.extend(others.cloned());
+        let local = peers
+            .iter()
+            .filter(|peer| peer.data_centre == self.data_centre);
+        self.local_peers = self.local_peers.max(local.count());
         self.peers = peers;
     }
 
--- a/lib/escrow/src/fence.rs
+++ b/lib/escrow/src/fence.rs
@@ -98,6 +98,7 @@
         if self.state != EscrowState::Stopping || self.releasing.is_some() || busy {
             return;
         }
+        self.budgets.clear();
         let shards: IndexSet<ShardId> = self.queues.keys().copied().collect();
         for &shard in &shards {
             self.enqueue(shard, LedgerOperation::Release);
--- a/lib/escrow/src/grant.rs
+++ b/lib/escrow/src/grant.rs
@@ -46,6 +46,11 @@
                 retry_after: STOPPING_RETRY,
             });
         }
+        if self.unconfirmable {
+            let code = ResultCode::BudgetUnreachable;
+            let retry_after = self.settings.short_memory;
+            return ReserveOutcome::Refused(self.refusal(code, retry_after));
+        }
         let holding = self
             .budgets
             .entry(claim.budget.clone())
@@ -150,7 +155,7 @@
             return;
         }
         let settings = &self.settings;
-        let share = settings.share_divisor * (self.peers.len() as u64 + 1);
+        let share = settings.share_percent as f64 / 100.0 / (self.peers.len() as f64 + 1.0);
         let (horizon, window) = (settings.grant_horizon, settings.rate_window);
         let Some(holding) = self.budgets.get(budget) else {
             return;
@@ -160,9 +165,10 @@
         }
         let target = holding.target(horizon, window, share, now);
         let lead = holding.demand.rate(window, now).over(TOP_UP_LEAD);
-        let low = lead
-            .saturating_add(holding.usual_claim)
-            .min(TokenCount(target.0 / 2));
+        // Kept nearly full, as a fault that cuts off the ledger may come at
+        // any moment.
+        let nearly_full = TokenCount(target.0 / 4 * 3);
+        let low = nearly_full.max(lead.min(target));
         let least = holding.least_lack();
         if least.is_none() && holding.free >= low {
             return;
@@ -327,10 +333,11 @@
         };
         let waiting = std::mem::take(&mut holding.waiting);
         holding.asking = None;
-        holding.short = Some(ShortNotice {
-            until: now + self.settings.short_memory,
-            code,
-        });
+        // An exhausted budget is asked for again, as it may be topped up.
+        if code != ResultCode::BudgetExhausted {
+            let until = now + self.settings.short_memory;
+            holding.short = Some(ShortNotice { until, code });
+        }
         for claim in waiting {
             self.refuse(claim.reservation, code);
         }
--- a/lib/escrow/src/holding.rs
+++ b/lib/escrow/src/holding.rs
@@ -170,13 +170,13 @@
         &self,
         horizon: Duration,
         window: Duration,
-        share: u64,
+        share: f64,
         now: Instant,
     ) -> TokenCount {
         let demand = self.demand.rate(window, now).over(horizon);
         let wanted = demand.saturating_add(self.usual_claim);
         match self.unassigned {
-            Some(unassigned) => wanted.min(TokenCount(unassigned.0 / share.max(1))),
+            Some(unassigned) => wanted.min(TokenCount((unassigned.0 as f64 * share) as u64)),
             None => wanted,
         }
     }
--- a/lib/escrow/src/queue.rs
+++ b/lib/escrow/src/queue.rs
@@ -29,6 +29,8 @@
     front: u64,
     /// How many operations at the front were ever sent.
     sent: usize,
+    /// When the front operation was first sent.
+    front_sent: Option<Instant>,
     /// When the batch on its way was sent.
     on_its_way: Option<Instant>,
     /// No batch is sent before this time.
@@ -57,6 +59,12 @@
         Some(self.front + place as u64 + 1)
     }
 
+    /// Tells whether an operation was sent longer ago than `limit`.
+    pub(crate) fn is_stale(&self, limit: Duration, now: Instant) -> bool {
+        self.front_sent
+            .is_some_and(|sent| now.saturating_duration_since(sent) > limit)
+    }
+
     /// Tells whether answers come: none is overdue by more than `patience`.
     pub(crate) fn is_reachable(&self, patience: Duration, now: Instant) -> bool {
         self.failures == 0
@@ -92,6 +100,7 @@
         }
         let count = self.operations.len().min(limit);
         self.sent = self.sent.max(count);
+        self.front_sent.get_or_insert(now);
         self.on_its_way = Some(now);
         let id = BatchId {
             first: self.front,
@@ -107,6 +116,8 @@
             return None;
         }
         self.front += id.count as u64;
+        // What is left of a larger batch was first sent with it or later.
+        self.front_sent = None;
         self.sent -= id.count;
         self.on_its_way = None;
         self.not_before = None;
--- a/lib/escrow/src/setting.rs
+++ b/lib/escrow/src/setting.rs
@@ -26,12 +26,13 @@
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum EscrowPolicy {
-    /// Larger grants, and received transfers are used before the ledger has
-    /// recorded them.
+    /// Larger grants; received transfers are used before the ledger has
+    /// recorded them; and in a data centre that is cut off from all others,
+    /// copies of bills on its other VMs count.
     #[default]
     AvoidRefusals,
-    /// Smaller grants, and a received transfer is used only when the ledger
-    /// has recorded it.
+    /// Smaller grants; a received transfer is used only when the ledger has
+    /// recorded it; and copies of bills count only in other data centres.
     AvoidOverspend,
 }
 
@@ -44,9 +45,9 @@
     pub grant_horizon: Duration,
     /// Span over which the rate of use is averaged.
     pub rate_window: Duration,
-    /// A grant takes at most one part in `share_divisor * routers` of what
-    /// the budget has unassigned, but always what is needed at once.
-    pub share_divisor: u64,
+    /// A holding is filled up to this share of an equal part, among all
+    /// routers, of what the budget has unassigned; in percent.
+    pub share_percent: u64,
     /// Tokens unused for this long are returned.
     pub idle_return: Duration,
     /// How long a request may wait for tokens.
@@ -63,6 +64,9 @@
     pub copy_after: Duration,
     /// How many other data centres should hold a copy, where there are.
     pub copy_places: usize,
+    /// How long other data centres may take to hold copies before copies on
+    /// other VMs of the own one count, or `None` if they never do.
+    pub local_copy_after: Option<Duration>,
     /// How long a copy is held before it is posted for its holder.
     pub copy_post_after: Duration,
     /// How long a bill may take to become safe.
@@ -72,6 +76,10 @@
     /// First pause before a batch is sent again; doubles up to
     /// `batch_timeout`.
     pub retry_pause: Duration,
+    /// How long an operation that was sent may stay without its result. The
+    /// escrow closes then, as the ledger may have forgotten the operation's id;
+    /// must be shorter than the ledger's retry window.
+    pub answer_limit: Duration,
     /// Most operations in a batch.
     pub batch_limit: usize,
     /// How long an unacknowledged message to a peer waits to be sent again.
@@ -84,15 +92,19 @@
 impl EscrowSettings {
     /// Returns the settings that go with `policy`.
     pub fn for_policy(policy: EscrowPolicy) -> Self {
-        let grant_horizon = match policy {
-            EscrowPolicy::AvoidRefusals => Duration::from_secs(3600),
-            EscrowPolicy::AvoidOverspend => Duration::from_secs(600),
+        let (grant_horizon, share_percent, local_copy_after) = match policy {
+            EscrowPolicy::AvoidRefusals => (
+                Duration::from_secs(7200),
+                1000,
+                Some(Duration::from_secs(1)),
+            ),
+            EscrowPolicy::AvoidOverspend => (Duration::from_secs(600), 50, None),
         };
         Self {
             policy,
             grant_horizon,
-            rate_window: Duration::from_secs(60),
-            share_divisor: 2,
+            rate_window: Duration::from_secs(300),
+            share_percent,
             idle_return: Duration::from_secs(300),
             wait_limit: Duration::from_millis(500),
             transfer_after: Duration::from_millis(50),
@@ -101,9 +113,11 @@
             short_memory: Duration::from_millis(500),
             copy_after: Duration::from_millis(150),
             copy_places: 2,
+            local_copy_after,
             copy_post_after: Duration::from_secs(10),
             bill_limit: Duration::from_secs(3),
             batch_timeout: Duration::from_secs(1),
+            answer_limit: Duration::from_secs(50 * 60),
             retry_pause: Duration::from_millis(50),
             batch_limit: 512,
             resend_after: Duration::from_millis(500),
--- a/lib/escrow/src/sweep.rs
+++ b/lib/escrow/src/sweep.rs
@@ -60,7 +60,7 @@
         let target = match idle {
             true => TokenCount::ZERO,
             false if supplied < settings.rate_window => return,
-            false => holding.target(settings.grant_horizon, settings.rate_window, 1, now),
+            false => holding.target(settings.grant_horizon, settings.rate_window, 1.0, now),
         };
         if holding.free.0 > target.0.saturating_mul(EXCESS_FACTOR) {
             let excess = holding.free.saturating_sub(target);
@@ -68,22 +68,29 @@
         }
     }
 
-    /// Returns what a holding does not need within moments.
+    /// Returns half of what is idle here, or all if no requests come.
+    ///
+    /// The keeper asks again while the shortage lasts, so that a budget near
+    /// its end moves to where it is used without stripping anyone at once.
     pub(crate) fn recall(&mut self, budget: &BudgetId, now: Instant) {
         let Some(holding) = self.budgets.get(budget) else {
             return;
         };
-        let soon = holding
-            .demand
-            .rate(self.settings.rate_window, now)
-            .over(RECALL_KEEP);
-        let kept = match holding.demand.idle(now) < RECALL_KEEP {
+        let window = self.settings.rate_window;
+        let soon = holding.demand.rate(window, now).over(RECALL_KEEP);
+        let in_use = holding.demand.idle(now) < RECALL_KEEP;
+        let kept = match in_use {
             true => soon.saturating_add(holding.usual_claim),
-            false => soon,
+            false => TokenCount::ZERO,
         };
-        let kept = kept.max(holding.waiting_need());
-        let excess = holding.free.saturating_sub(kept);
-        self.give_back(budget, excess, now);
+        let idle = holding
+            .free
+            .saturating_sub(kept.max(holding.waiting_need()));
+        let amount = match in_use {
+            true => TokenCount(idle.0.div_ceil(2)),
+            false => idle,
+        };
+        self.give_back(budget, amount, now);
     }
 
     /// Returns tokens to the ledger, unless it can't be reached: then they
