--- a/bin/keeper/src/ledger_control.rs
+++ b/bin/keeper/src/ledger_control.rs
@@ -12,6 +12,7 @@
 use snipegate_fleet::FleetHandle;
 use snipegate_fleet::FleetView;
 use snipegate_ledger::BatchId;
+use snipegate_ledger::BudgetStatus;
 use snipegate_ledger::FENCE_PATH;
 use snipegate_ledger::FenceOrder;
 use snipegate_ledger::FenceReply;
@@ -28,40 +29,26 @@
 use snipegate_platform::StoreError;
 use snipegate_service::DaemonContext;
 use snipegate_service::MessageClient;
+use snipegate_types::BudgetId;
 use snipegate_types::IncarnationId;
 use snipegate_types::ShardId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::control_handle::ControlHandle;
+use crate::control_handle::ControlMessage;
 use crate::notice::report;
 use crate::routers::list_routers;
 
 /// Time between two ticks of the shard keepers.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
+/// Pause before it is looked again whether a segment in flight has ended.
+const SETTLE_PAUSE: Duration = Duration::from_millis(5);
+
 /// How long a router may take to carry out a fence or return order.
 const ORDER_WAIT: Duration = Duration::from_secs(2);
 
-/// What the control thread is told.
-#[derive(Debug)]
-pub(crate) enum ControlMessage {
-    /// A batch came over HTTP.
-    Batch {
-        /// The operations.
-        batch: LedgerBatch,
-        /// Takes the answer.
-        reply: oneshot::Sender<LedgerAnswer>,
-    },
-    /// The fleet view or the VM list was heard of anew.
-    View(Arc<FleetView>, Arc<DeathWatch>),
-    /// Something that a shard keeper asked for has ended.
-    Event(ShardId, KeeperEvent),
-    /// Time has passed.
-    Tick,
-    /// Let the shards go; the sender hears when that is done.
-    Stop(oneshot::Sender<()>),
-}
-
 /// The shard keepers of this process and what they wait for.
 pub(crate) struct LedgerControl<S> {
     own: IncarnationId,
@@ -123,6 +110,11 @@
     fn handle(&mut self, message: ControlMessage, now: Instant) {
         match message {
             ControlMessage::Batch { batch, reply } => self.take_batch(batch, reply, now),
+            ControlMessage::Budget {
+                shard,
+                budget,
+                reply,
+            } => self.read_budget(shard, budget, reply),
             ControlMessage::View(view, deaths) => {
                 self.take_view(view, now);
                 self.prove_deaths(&deaths, now);
@@ -156,6 +148,32 @@
         self.tell(shard, KeeperEvent::Batch { id, batch }, now);
     }
 
+    /// Answers once everything known of the shard is durable; a question to a
+    /// process that does not keep the shard is dropped.
+    fn read_budget(
+        &mut self,
+        shard: ShardId,
+        budget: BudgetId,
+        reply: oneshot::Sender<Option<BudgetStatus>>,
+    ) {
+        let Some(keeper) = self.shards.get(&shard) else {
+            return;
+        };
+        if let Some(ledger) = keeper.settled_ledger() {
+            let _ = reply.send(ledger.budget_status(&budget));
+        } else if keeper.is_serving() && !reply.is_closed() {
+            let sender = self.sender.clone();
+            spawn(async move {
+                sleep(SETTLE_PAUSE).await;
+                let _ = sender.send(ControlMessage::Budget {
+                    shard,
+                    budget,
+                    reply,
+                });
+            });
+        }
+    }
+
     fn take_view(&mut self, view: Arc<FleetView>, now: Instant) {
         self.view = view;
         let Some(fleet) = self.view.settings().cloned() else {
@@ -357,29 +375,3 @@
         sleep(TICK_PERIOD).await;
     }
 }
-
-/// The control thread's inbox, as traffic threads hold it.
-#[derive(Clone, Debug)]
-pub(crate) struct ControlHandle {
-    sender: mpsc::UnboundedSender<ControlMessage>,
-}
-
-impl ControlHandle {
-    /// Makes a handle on an inbox.
-    pub(crate) fn new(sender: mpsc::UnboundedSender<ControlMessage>) -> Self {
-        Self { sender }
-    }
-
-    /// Sends a message; it is lost if the control loop has ended.
-    pub(crate) fn send(&self, message: ControlMessage) {
-        let _ = self.sender.send(message);
-    }
-
-    /// Has a batch decided.
-    pub(crate) async fn decide(&self, batch: LedgerBatch) -> LedgerAnswer {
-        let (reply, answer) = oneshot::channel();
-        self.send(ControlMessage::Batch { batch, reply });
-        let lost = LedgerAnswer::NotKeeper { keeper: None };
-        answer.await.unwrap_or(lost)
-    }
-}
--- a/bin/keeper/src/ledger_route.rs
+++ b/bin/keeper/src/ledger_route.rs
@@ -1,26 +1,55 @@
-//! The path on which ledger batches come in.
+//! The paths of the ledger: batches from routers, balances for operators.
 
 use ntex::util::Bytes;
 use ntex::web;
 use ntex::web::HttpResponse;
 use ntex::web::ServiceConfig;
+use ntex::web::types::Path;
+use ntex::web::types::Query;
 use ntex::web::types::State;
+use serde::Deserialize;
+use snipegate_ledger::BUDGETS_PATH;
 use snipegate_ledger::LEDGER_PATH;
 use snipegate_ledger::LedgerBatch;
 use snipegate_service::DaemonContext;
 use snipegate_service::decode_message;
 use snipegate_service::message_response;
+use snipegate_types::BudgetId;
+use snipegate_types::ShardId;
 
-use crate::ledger_control::ControlHandle;
+use crate::control_handle::ControlHandle;
 
 /// Largest batch, in bytes: its records have to fit one segment.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
 
-/// Adds the path.
+/// Names the shard of a budget that is read.
+#[derive(Debug, Deserialize)]
+struct BudgetQuery {
+    shard: ShardId,
+}
+
+/// Adds the paths.
 pub(crate) fn ledger_routes(config: &mut ServiceConfig, control: ControlHandle) {
     config
         .state(control)
-        .route(LEDGER_PATH, web::post().to(ledger));
+        .route(LEDGER_PATH, web::post().to(ledger))
+        .route(
+            &format!("{BUDGETS_PATH}/{{budget}}"),
+            web::get().to(read_budget),
+        );
+}
+
+async fn read_budget(
+    control: State<ControlHandle>,
+    budget: Path<BudgetId>,
+    query: Query<BudgetQuery>,
+) -> HttpResponse {
+    let budget = budget.into_inner();
+    match control.read_budget(query.shard, budget).await {
+        Some(Some(status)) => HttpResponse::Ok().json(&status),
+        Some(None) => HttpResponse::NotFound().finish(),
+        None => HttpResponse::ServiceUnavailable().finish(),
+    }
 }
 
 async fn ledger(
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -3,6 +3,7 @@
 //! The main thread is the control thread: it owns the shard keepers and the
 //! fleet service. The server's threads pass messages to it.
 
+mod control_handle;
 mod ledger_control;
 mod ledger_route;
 mod notice;
@@ -38,8 +39,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::ledger_control::ControlHandle;
-use crate::ledger_control::ControlMessage;
+use crate::control_handle::ControlHandle;
+use crate::control_handle::ControlMessage;
 use crate::ledger_control::LedgerControl;
 use crate::ledger_control::follow_fleet;
 use crate::ledger_route::ledger_routes;
--- a/bin/keeper/tests/test_keeper.rs
+++ b/bin/keeper/tests/test_keeper.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use ntex::client::Client;
 use ntex::time::sleep;
 use ntex::web::App;
 use ntex::web::test;
 use ntex::web::test::TestServer;
 use snipegate_fleet::FleetKey;
 use snipegate_fleet::FleetSettings;
+use snipegate_ledger::BUDGETS_PATH;
+use snipegate_ledger::BudgetStatus;
 use snipegate_ledger::LEDGER_PATH;
 use snipegate_ledger::LedgerAnswer;
 use snipegate_ledger::LedgerBatch;
@@ -132,6 +135,13 @@
     panic!("no keeper decided the operations");
 }
 
+async fn read_budget(keeper: &KeeperProcess) -> BudgetStatus {
+    let client = Client::new().await;
+    let path = format!("{BUDGETS_PATH}/{}?shard=0", budget());
+    let request = client.get(format!("http://{}{path}", keeper.address));
+    request.send().await.unwrap().json().await.unwrap()
+}
+
 fn granted(amount: u64, unassigned: u64) -> OperationResult {
     OperationResult::Granted {
         amount: TokenCount(amount),
@@ -153,6 +163,9 @@
     assert_eq!(decide(&[&second], operations).await, results);
     let results = decide(&[&second], vec![grant(3, 700)]).await;
     assert_eq!(results, [granted(700, 0)]);
+    let status = read_budget(&second).await;
+    assert_eq!((status.purchased, status.unassigned), (1_000, 0));
+    assert_eq!(status.holdings[0].amount, 1_000);
     let listing = store.list("shard/0/segment/", None).await.unwrap();
     assert_eq!(listing.entries.len(), 4);
 }
--- a/lib/ledger/src/keeper.rs
+++ b/lib/ledger/src/keeper.rs
@@ -138,6 +138,11 @@
         &self.ledger
     }
 
+    /// Returns the ledger if all of it is durable and this keeper serves it.
+    pub fn settled_ledger(&self) -> Option<&ShardLedger> {
+        matches!(self.stage, KeeperStage::Serving(None)).then_some(&self.ledger)
+    }
+
     /// Returns the last segment known to be durable.
     pub fn committed(&self) -> SegmentSequence {
         self.committed
--- a/lib/ledger/src/ledger.rs
+++ b/lib/ledger/src/ledger.rs
@@ -20,6 +20,7 @@
 
 /// How far an incarnation's use of the ledger has come to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum HolderState {
     /// Takes part.
     Open,
--- a/lib/ledger/src/lib.rs
+++ b/lib/ledger/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod snapshot;
 mod snapshot_write;
+mod status;
 mod trail;
 mod upkeep;
 
@@ -56,3 +57,6 @@
 pub use snapshot::SnapshotHead;
 pub use snapshot::snapshot_key;
 pub use snapshot::snapshot_part_prefix;
+pub use status::BUDGETS_PATH;
+pub use status::BudgetStatus;
+pub use status::HoldingStatus;
