ledger: close holders named after their death, drop a segment that is too large

A holder that was proven dead before the ledger knew it, and that a late note names, stayed open: its death had been heard once and is not asked for again. It is declared when it is opened now.

A segment that the store refuses for its size was sent again for ever. The keeper reads its log anew instead, and the batches come again in other groups.

Both tests failed on the code as it was.

--- a/lib/ledger/src/commit.rs
+++ b/lib/ledger/src/commit.rs
@@ -13,6 +13,7 @@
 use crate::event::KeeperEffect;
 use crate::event::KeeperNotice;
 use crate::keeper::KeeperStage;
+use crate::keeper::OwnWork;
 use crate::keeper::ShardKeeper;
 use crate::pending::PendingSegment;
 use crate::pending::PendingStep;
@@ -49,6 +50,7 @@
             records,
         };
         let bytes = segment.encode().ok()?;
+        self.declare_opened(&segment.records);
         let call = self.new_call();
         let mut pending = PendingSegment {
             sequence: self.committed.next(),
@@ -64,6 +66,17 @@
         Some(pending)
     }
 
+    /// Declares holders dead that are named for the first time after their
+    /// death was proven.
+    fn declare_opened(&mut self, records: &[SegmentRecord]) {
+        let opened = records.iter().filter_map(|record| match record {
+            SegmentRecord::OpenHolder { incarnation } => Some(incarnation),
+            _ => None,
+        });
+        let dead = opened.filter(|incarnation| self.proven_dead.contains(*incarnation));
+        self.own_work.extend(dead.cloned().map(OwnWork::Declare));
+    }
+
     pub(crate) fn end_swap(
         &mut self,
         call: CallId,
@@ -81,6 +94,8 @@
                 pending.attempts += 1;
                 self.check_slot();
             }
+            // The same bytes would be refused again.
+            Err(StoreError::ValueTooLarge { .. }) => self.lose_shard(now),
             Err(error) => self.retry_later(&error, now),
         }
     }
--- a/lib/ledger/tests/test_keeper_steps.rs
+++ b/lib/ledger/tests/test_keeper_steps.rs
@@ -5,6 +5,7 @@
 
 use snipegate_ledger::BatchId;
 use snipegate_ledger::CallId;
+use snipegate_ledger::HolderState;
 use snipegate_ledger::KeeperEffect;
 use snipegate_ledger::KeeperEvent;
 use snipegate_ledger::KeeperSettings;
@@ -342,6 +343,48 @@
     assert_eq!(unassigned(&bench), 100);
 }
 
+#[test]
+fn holder_that_is_named_only_after_its_death_is_closed_too() {
+    let mut store = StoreCore::new();
+    let mut bench = Bench::serving(0, KeeperSettings::default(), &mut store);
+    bench.send(1, 0, vec![top_up(1, 100), grant(2, 60)]);
+    bench.run(&mut store);
+    let incarnation = router(3);
+    bench.tell(KeeperEvent::ProvenDead { incarnation });
+    bench.pass(50);
+    let late = LedgerOperation::NoteTransfer {
+        transfer: OperationId::from_number(3),
+        budget: budget(),
+        giver: router(0),
+        receiver: router(3),
+        amount: TokenCount(10),
+    };
+    bench.send(2, 0, vec![late]);
+    bench.run(&mut store);
+    bench.pass(50);
+    bench.run(&mut store);
+    let state = bench.keeper.ledger().holder_state(&router(3));
+    assert_eq!(state, Some(HolderState::Closing));
+}
+
+#[test]
+fn segment_that_the_store_finds_too_large_does_not_block_the_shard() {
+    let mut store = StoreCore::new();
+    let mut bench = Bench::serving(0, KeeperSettings::default(), &mut store);
+    bench.send(1, 0, vec![top_up(1, 100)]);
+    bench.fail_swap(StoreError::ValueTooLarge { bytes: 2 << 20 });
+    assert_eq!(bench.take_replies(), [undecided(1)]);
+    bench.pass(500);
+    bench.run(&mut store);
+    bench.send(2, 0, vec![top_up(2, 100)]);
+    bench.run(&mut store);
+    let topped_up = vec![OperationResult::ToppedUp];
+    assert_eq!(bench.take_replies(), [results(2, topped_up)]);
+    // The bytes that were refused were not sent again.
+    let balance = bench.keeper.ledger().balance(&budget()).unwrap();
+    assert_eq!(balance.purchased, 100);
+}
+
 #[test]
 fn short_budget_is_recalled_from_the_largest_holders() {
     let mut store = StoreCore::new();
