--- /dev/null
+++ b/lib/ledger/examples/ledger_slopes/main.rs
@@ -0,0 +1,25 @@
+//! Measures how the ledger's costs grow, and prints them as JSON.
+//!
+//! `cargo run --release -p snipegate-ledger --example ledger_slopes`
+
+mod bench;
+mod growth;
+
+use serde_json::json;
+
+fn main() {
+    // Memory comes first, before anything else has been allocated and freed.
+    let memory = growth::memory();
+    let report = json!({
+        "memory": memory,
+        "record_bytes": growth::record_bytes(),
+        "group_commit": bench::group_commit(),
+        "processor_time": growth::processor_time(),
+        "snapshot": growth::snapshot(),
+        "takeover": bench::takeover(),
+    });
+    match serde_json::to_string_pretty(&report) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("report not encoded: {error}"),
+    }
+}
--- a/lib/ledger/src/keeper.rs
+++ b/lib/ledger/src/keeper.rs
@@ -215,8 +215,9 @@
                 self.step_down(now);
             }
         }
-        self.decide_queue(now);
+        // A snapshot is begun between two segments, so before the next is opened.
         self.keep_up(now);
+        self.decide_queue(now);
         std::mem::take(&mut self.effects)
     }
 
--- a/lib/ledger/src/lib.rs
+++ b/lib/ledger/src/lib.rs
@@ -55,6 +55,7 @@
 pub use record::segment_prefix;
 pub use settings::KeeperSettings;
 pub use snapshot::SnapshotHead;
+pub use snapshot::encode_snapshot;
 pub use snapshot::snapshot_key;
 pub use snapshot::snapshot_part_prefix;
 pub use status::BUDGETS_PATH;
--- a/lib/ledger/src/snapshot.rs
+++ b/lib/ledger/src/snapshot.rs
@@ -95,7 +95,7 @@
 /// # Errors
 ///
 /// Fails only if the encoder refuses a value.
-pub(crate) fn encode_parts(
+pub fn encode_snapshot(
     ledger: &ShardLedger,
     part_bytes: usize,
 ) -> Result<Vec<Vec<u8>>, SegmentError> {
--- a/lib/ledger/src/upkeep.rs
+++ b/lib/ledger/src/upkeep.rs
@@ -15,7 +15,7 @@
 use crate::keeper::ShardKeeper;
 use crate::record::SegmentError;
 use crate::snapshot::SnapshotHead;
-use crate::snapshot::encode_parts;
+use crate::snapshot::encode_snapshot;
 use crate::snapshot::generation_name;
 use crate::snapshot_write::SnapshotProgress;
 use crate::snapshot_write::SnapshotWrite;
@@ -51,7 +51,7 @@
     }
 
     fn begin_snapshot(&mut self) -> Result<SnapshotWrite, SegmentError> {
-        let parts = encode_parts(&self.ledger, self.settings.snapshot_part_bytes)?;
+        let parts = encode_snapshot(&self.ledger, self.settings.snapshot_part_bytes)?;
         self.next_nonce += 1;
         let head = SnapshotHead {
             through: self.committed,
--- a/lib/ledger/tests/test_keeper_steps.rs
+++ b/lib/ledger/tests/test_keeper_steps.rs
@@ -422,6 +422,32 @@
     assert_eq!(bench.keeper.committed().0 - before, 1 + 500 / 50);
 }
 
+#[test]
+fn snapshot_is_taken_while_segments_follow_without_a_gap() {
+    let settings = KeeperSettings {
+        commit_interval: Duration::ZERO,
+        snapshot_every: 3,
+        ..KeeperSettings::default()
+    };
+    let mut store = StoreCore::new();
+    let mut bench = Bench::serving(0, settings, &mut store);
+    let mut is_begun = false;
+    for number in 0..20 {
+        bench.send(number, 0, vec![top_up(u128::from(number), 1)]);
+        let writes_part = |request: &StoreCall| match request {
+            StoreCall::Swap { key, .. } => key.contains("/snapshot/"),
+            _ => false,
+        };
+        is_begun |= bench.calls.iter().any(|(_, call)| writes_part(call));
+        if bench.calls.len() > 1 || number > 0 {
+            let (call, request) = bench.calls.remove(0);
+            let answer = store.apply(&request, bench.now);
+            bench.answer(call, answer);
+        }
+    }
+    assert!(is_begun);
+}
+
 #[test]
 fn stop_waits_for_the_commit_in_flight() {
     let mut store = StoreCore::new();
