--- a/lib/routing/tests/test_choice.rs
+++ b/lib/routing/tests/test_choice.rs
@@ -8,11 +8,15 @@
 use common::engine;
 use common::request;
 use snipegate_routing::AttemptOutcome;
+use snipegate_routing::EngineRole;
 use snipegate_routing::LoadReport;
 use snipegate_routing::RefusalReason;
 use snipegate_routing::RequestPriority;
 use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteRefusal;
+use snipegate_routing::RouteRequest;
 use snipegate_routing::RouteTable;
+use snipegate_routing::UpstreamKind;
 use snipegate_routing::UpstreamState;
 use snipegate_types::ResultCode;
 use snipegate_types::TokenCount;
@@ -70,7 +74,7 @@
     ];
     for (count, priority) in admitted.iter_mut().zip(order) {
         let request = common::request();
-        let request = snipegate_routing::RouteRequest {
+        let request = RouteRequest {
             priority,
             ..request
         };
@@ -193,3 +197,54 @@
     assert_eq!((status[0].outstanding, status[0].suspect), (0, false));
     assert_eq!(table.pool().outstanding(), 0);
 }
+
+#[test]
+fn only_upstreams_that_serve_the_request_are_chosen() {
+    let now = Instant::now();
+    let mut table = RouteTable::new(RoutePolicy::default(), 7);
+    let mut versioned = engine("versioned", 8);
+    versioned.models[0].version = Some("2".to_owned());
+    let mut adapted = engine("adapted", 8);
+    adapted.models[0].adapters = vec!["legal".parse().unwrap()];
+    let mut decoder = engine("decoder", 8);
+    decoder.role = EngineRole::Decode;
+    let mut prefiller = engine("prefiller", 8);
+    prefiller.role = EngineRole::Prefill;
+    let specs = vec![versioned, adapted, decoder, prefiller];
+    table.upstreams_changed(specs, now);
+    let mut chosen = |request: RouteRequest| {
+        let choice = table.choose(&request, now)?;
+        table.finished(choice.attempt, AttemptOutcome::Withdrawn, now);
+        Ok::<_, RouteRefusal>(choice.upstream.to_string())
+    };
+    for _ in 0..20 {
+        let version = Some("2".to_owned());
+        let request = RouteRequest {
+            version,
+            ..request()
+        };
+        assert_eq!(chosen(request).unwrap(), "versioned");
+        let adapter = Some("legal".parse().unwrap());
+        let request = RouteRequest {
+            adapter,
+            ..common::request()
+        };
+        assert_eq!(chosen(request).unwrap(), "adapted");
+        let whole = chosen(common::request()).unwrap();
+        assert!(["versioned", "adapted"].contains(&whole.as_str()));
+    }
+    let service = RouteRequest {
+        kind: UpstreamKind::ServiceRunner,
+        ..common::request()
+    };
+    let refusal = chosen(service).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::NotServed);
+    let unknown = RouteRequest {
+        model: "other".parse().unwrap(),
+        ..common::request()
+    };
+    assert_eq!(
+        chosen(unknown).unwrap_err().reason,
+        RefusalReason::NotServed
+    );
+}
--- /dev/null
+++ b/lib/routing/tests/test_prefix.rs
@@ -0,0 +1,168 @@
+//! The prefix index: hits, gaps, clearing, bounds, and what a wrong one costs.
+
+mod common;
+
+use std::time::Instant;
+
+use common::engine;
+use common::request;
+use snipegate_routing::AttemptOutcome;
+use snipegate_routing::BlockHash;
+use snipegate_routing::CacheChange;
+use snipegate_routing::CacheEvent;
+use snipegate_routing::PREFIX_BLOCK_BYTES;
+use snipegate_routing::PromptPrefix;
+use snipegate_routing::RoutePolicy;
+use snipegate_routing::RouteRequest;
+use snipegate_routing::RouteTable;
+use snipegate_types::TokenCount;
+use snipegate_types::UpstreamId;
+
+fn table(engines: usize, policy: RoutePolicy, now: Instant) -> RouteTable {
+    let mut table = RouteTable::new(policy, 3);
+    let specs = (0..engines).map(|i| engine(&format!("e{i}"), 64));
+    table.upstreams_changed(specs.collect(), now);
+    table
+}
+
+fn prefixed(blocks: std::ops::Range<u64>) -> RouteRequest {
+    RouteRequest {
+        prompt_tokens: TokenCount(64 * (blocks.end - blocks.start)),
+        prefix: blocks.map(BlockHash).collect::<Vec<_>>().into(),
+        ..request()
+    }
+}
+
+fn upstream(id: &str) -> UpstreamId {
+    id.parse().unwrap()
+}
+
+fn stored(sequence: u64, blocks: std::ops::Range<u64>) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        change: CacheChange::Stored(blocks.map(BlockHash).collect()),
+    }
+}
+
+fn cached(table: &mut RouteTable, request: &RouteRequest, now: Instant) -> (String, u64) {
+    let choice = table.choose(request, now).unwrap();
+    table.finished(choice.attempt, AttemptOutcome::Withdrawn, now);
+    (choice.upstream.to_string(), choice.expected_cached.0)
+}
+
+#[test]
+fn hash_of_a_block_covers_all_text_before_it() {
+    let text: Vec<u8> = (0..3 * PREFIX_BLOCK_BYTES + 5).map(|i| i as u8).collect();
+    let whole = PromptPrefix::of_prompt("m", &text);
+    assert_eq!(whole.blocks().len(), 3);
+    let mut other = text.clone();
+    other[0] ^= 1;
+    let changed = PromptPrefix::of_prompt("m", &other);
+    for (a, b) in whole.blocks().iter().zip(changed.blocks()) {
+        assert_ne!(a, b);
+    }
+    other = text.clone();
+    other[2 * PREFIX_BLOCK_BYTES] ^= 1;
+    let changed = PromptPrefix::of_prompt("m", &other);
+    assert_eq!(whole.blocks()[..2], changed.blocks()[..2]);
+    assert_ne!(whole.blocks()[2], changed.blocks()[2]);
+    assert_ne!(PromptPrefix::of_prompt("n", &text), whole);
+}
+
+#[test]
+fn request_goes_where_its_prefix_is_held() {
+    let now = Instant::now();
+    let mut table = table(8, RoutePolicy::default(), now);
+    table.cache_event(&upstream("e5"), &stored(1, 0..10));
+    assert_eq!(
+        cached(&mut table, &prefixed(0..10), now),
+        ("e5".into(), 640)
+    );
+    // The first block is another one, so nothing of it is held.
+    assert_eq!(cached(&mut table, &prefixed(1..10), now).1, 0);
+}
+
+#[test]
+fn removed_and_cleared_blocks_are_forgotten() {
+    let now = Instant::now();
+    let mut table = table(4, RoutePolicy::default(), now);
+    table.cache_event(&upstream("e1"), &stored(1, 0..10));
+    let removed = CacheEvent {
+        sequence: 2,
+        change: CacheChange::Removed((4..10).map(BlockHash).collect()),
+    };
+    table.cache_event(&upstream("e1"), &removed);
+    assert_eq!(cached(&mut table, &prefixed(0..10), now).1, 256);
+    let cleared = CacheEvent {
+        sequence: 3,
+        change: CacheChange::Cleared,
+    };
+    table.cache_event(&upstream("e1"), &cleared);
+    assert_eq!(cached(&mut table, &prefixed(0..10), now).1, 0);
+}
+
+#[test]
+fn gap_lowers_trust_and_late_events_change_nothing() {
+    let now = Instant::now();
+    let mut table = table(4, RoutePolicy::default(), now);
+    table.cache_event(&upstream("e1"), &stored(1, 0..10));
+    table.cache_event(&upstream("e1"), &stored(9, 100..101));
+    assert_eq!(table.counters().cache_events_missed, 7);
+    let (_, after_gap) = cached(&mut table, &prefixed(0..10), now);
+    assert!(after_gap < 640);
+    table.cache_event(&upstream("e1"), &stored(5, 200..210));
+    assert_eq!(cached(&mut table, &prefixed(200..210), now).1, 0);
+}
+
+#[test]
+fn wrong_beliefs_lose_their_weight() {
+    let now = Instant::now();
+    let mut table = table(4, RoutePolicy::default(), now);
+    // The index says that e2 holds it; the engine's answers say otherwise.
+    let mut beliefs = Vec::new();
+    for _ in 0..30 {
+        table.cache_event(&upstream("e2"), &stored(1, 0..10));
+        let choice = table.choose(&prefixed(0..10), now).unwrap();
+        beliefs.push(choice.expected_cached.0);
+        let outcome = AttemptOutcome::Completed {
+            generated: TokenCount(5),
+            cached: Some(TokenCount(0)),
+        };
+        table.finished(choice.attempt, outcome, now);
+    }
+    assert_eq!(beliefs[0], 640);
+    assert!(beliefs[29] < 320, "{beliefs:?}");
+}
+
+#[test]
+fn index_stays_within_its_bound() {
+    let now = Instant::now();
+    let policy = RoutePolicy {
+        prefix_blocks: 1_000,
+        ..RoutePolicy::default()
+    };
+    let mut table = table(4, policy, now);
+    for i in 0..10_000_u64 {
+        table.cache_event(&upstream("e0"), &stored(i + 1, i * 7..i * 7 + 7));
+        // A prefix that is used stays.
+        if i % 20 == 0 {
+            table.cache_event(&upstream("e1"), &stored(i / 20 + 1, u64::MAX - 5..u64::MAX));
+        }
+        assert!(table.pool().indexed_blocks() <= 1_000);
+    }
+    let hot = prefixed(u64::MAX - 5..u64::MAX);
+    assert!(cached(&mut table, &hot, now).1 > 0);
+}
+
+#[test]
+fn hot_prefix_spills_before_its_holder_is_full() {
+    let now = Instant::now();
+    let mut table = table(8, RoutePolicy::default(), now);
+    table.cache_event(&upstream("e5"), &stored(1, 0..10));
+    let mut at_holder = 0;
+    for _ in 0..80 {
+        let choice = table.choose(&prefixed(0..10), now).unwrap();
+        at_holder += usize::from(choice.upstream.as_str() == "e5");
+    }
+    assert!((1..64).contains(&at_holder), "{at_holder} of 64 places");
+}
