--- a/bin/ctl/src/load_command.rs
+++ b/bin/ctl/src/load_command.rs
@@ -31,6 +31,7 @@
     matches: &ArgMatches,
 ) -> Result<CommandReport, CommandError> {
     let root = matches.get_one::<PathBuf>("directory").expect("required");
+    fs::read_dir(root).map_err(|error| unreadable(root, &error))?;
     let mut files = Vec::new();
     let settings = root.join("fleet.json");
     if settings.exists() {
