fleet: a keeper cut off from the store finds what is new by asking at random

Cause, found by fleet_slopes with 29 of 30 keepers cut off from the store: asked in a fixed order with long polls, stale peers took seconds each, and the one keeper that could reach the store stopped watching when it heard its own knowledge back from others. Peers are now asked at random without waiting while none is fresh, and a reply names the keeper that heard the store, so knowledge that began here is no reason to stop watching.

--- a/lib/fleet/examples/fleet_slopes.rs
+++ b/lib/fleet/examples/fleet_slopes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join_all;
 use ntex::time::sleep;
 use serde_json::Value;
 use serde_json::json;
@@ -27,7 +28,6 @@
 
 use crate::local_fleet::LocalFleet;
 use crate::local_fleet::LocalVm;
-use crate::local_fleet::until;
 use crate::local_fleet::write;
 
 /// HTTP head of a request and its response, in bytes, read off a connection.
@@ -254,11 +254,17 @@
         let value = format!("{{\"grant_horizon_ms\":{}}}", 1_000 + run);
         let began = Instant::now();
         let revision = write(&fleet.store, "fleet/config/fleet", &value).await;
-        let knows = |vm: &LocalVm| vm.follower.view().settings_revision() >= Some(revision);
-        until(|| fleet.vms.iter().all(knows)).await;
+        let known = fleet.vms.iter().map(async |vm: &LocalVm| {
+            let mut views = vm.follower.views();
+            let newest = views.wait_for(|view| view.settings_revision() >= Some(revision));
+            newest.await.map(drop)
+        });
+        join_all(known).await;
         samples.push(began.elapsed().as_secs_f64() * 1e3);
     }
-    percentiles(samples)
+    let shown = percentiles(samples);
+    eprintln!("{} VMs: {shown}", fleet.vms.len());
+    shown
 }
 
 /// Connected keepers and followers: idle cost, and distributions of the time
@@ -289,12 +295,13 @@
 async fn main() {
     let runs = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let runs = runs.unwrap_or(DEFAULT_RUNS);
-    let quiet: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 0)).collect();
-    let failing: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 3)).collect();
     let views = [(10, 13, 27), (1_200, 60, 111), (12_000, 600, 1_110)];
-    // The largest first: memory that was freed would be used again unseen.
+    // First of all, and the largest first: memory that was freed would be used
+    // again unseen.
     let views = views.into_iter().rev().map(|(w, u, m)| view(w, u, m));
     let views: Vec<Value> = views.collect();
+    let quiet: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 0)).collect();
+    let failing: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 3)).collect();
     let mut fleets = Vec::new();
     for size in LOCAL_SIZES {
         fleets.push(local(size, runs).await);
--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -90,6 +90,8 @@
     pub full: bool,
     /// Age of the keeper's knowledge in milliseconds, where it has any.
     pub age_ms: Option<u64>,
+    /// The keeper that had this age from the store itself.
+    pub source: Option<IncarnationId>,
     /// The changes, lowest revision first.
     pub changes: Vec<ViewChange>,
     /// All orders that upstreams leave.
--- a/lib/fleet/src/service_peer.rs
+++ b/lib/fleet/src/service_peer.rs
@@ -10,7 +10,6 @@
 use snipegate_service::MessageClient;
 use snipegate_types::IncarnationId;
 
-use crate::back_off::BackOff;
 use crate::exchange::ViewQuery;
 use crate::exchange::ViewReply;
 use crate::fleet_handle::HEARTBEAT_PATH;
@@ -25,29 +24,34 @@
 
 /// How long a reply may take beyond the wait that was asked for.
 const REPLY_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time between two peers asked at random.
+const SEARCH_PAUSE: Duration = Duration::from_millis(250);
 /// Age of a peer's knowledge from which another peer is tried.
-const PEER_FRESHNESS: Duration = Duration::from_secs(4);
+const PEER_FRESHNESS: Duration = Duration::from_secs(3);
 
 impl FleetCore {
-    /// Follows one peer after another, for as long as it answers freshly.
+    /// Follows the best peer as long as it knows what is new. While it does not,
+    /// peers are asked at random: a change that any keeper has then spreads in a
+    /// number of rounds that grows with the logarithm of the fleet, also where
+    /// few keepers reach the store.
     pub(crate) async fn follow_peers(&self) {
         let client = MessageClient::new();
-        let mut back_off = BackOff::new(Duration::from_millis(50), Duration::from_secs(1));
-        let mut turn = 0_usize;
+        let mut chosen: Option<SocketAddr> = None;
+        let mut searching = false;
         loop {
             let candidates = self.peers();
-            if candidates.is_empty() {
+            let known = chosen.filter(|address| candidates.contains(address));
+            let Some(address) = known.or_else(|| candidates.first().copied()) else {
                 sleep(VIEW_WAIT).await;
                 continue;
-            }
-            let address = candidates[turn % candidates.len()];
-            match self.ask_peer(&client, address).await {
-                Ok(true) => back_off.succeeded(),
-                Ok(false) | Err(_) => {
-                    self.context.metrics.count("fleet.peer_failures");
-                    turn = turn.wrapping_add(1);
-                    sleep(back_off.failed()).await;
-                }
+            };
+            let wait = if searching { Duration::ZERO } else { VIEW_WAIT };
+            searching = !matches!(self.ask_peer(&client, address, wait).await, Ok(true));
+            chosen = Some(address);
+            if searching {
+                self.context.metrics.count("fleet.peer_searches");
+                chosen = fastrand::choice(candidates);
+                sleep(SEARCH_PAUSE).await;
             }
         }
     }
@@ -69,6 +73,7 @@
         &self,
         client: &MessageClient,
         address: SocketAddr,
+        wait: Duration,
     ) -> Result<bool, CallError> {
         let asked = self.clock.now();
         let after = self.state.borrow().keeper.complete_to();
@@ -77,10 +82,10 @@
             leaving: false,
             after,
             liveness_version: None,
-            wait_ms: VIEW_WAIT.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
         };
-        let wait = VIEW_WAIT + REPLY_MARGIN;
-        let reply: ViewReply = client.call(address, VIEW_PATH, &query, wait).await?;
+        let limit = wait + REPLY_MARGIN;
+        let reply: ViewReply = client.call(address, VIEW_PATH, &query, limit).await?;
         let Some(age_ms) = reply.age_ms else {
             return Ok(false);
         };
@@ -94,12 +99,25 @@
         }
         self.publish(outcome);
         let fresh = Duration::from_millis(age_ms) < PEER_FRESHNESS;
-        if fresh {
+        if fresh && self.yields_to(reply.source.as_ref()) {
             self.state.borrow_mut().peer_answered = Some(self.clock.now());
         }
         Ok(fresh)
     }
 
+    /// Tells whether this keeper need not watch the store because of what
+    /// `source` hears from it.
+    ///
+    /// Knowledge that began here is no reason to stop watching, and of two
+    /// keepers that watch out of need only one may stop for the other.
+    fn yields_to(&self, source: Option<&IncarnationId>) -> bool {
+        let me = self.me();
+        source.is_some_and(|source| {
+            let chosen = self.state.borrow().watchers.contains(&source.vm);
+            source.vm != me.vm && (chosen || source.vm < me.vm)
+        })
+    }
+
     /// Sends heartbeats to a few keepers in each round.
     pub(crate) async fn send_heartbeats(&self) {
         let client = MessageClient::new();
--- a/lib/fleet/src/service_store.rs
+++ b/lib/fleet/src/service_store.rs
@@ -28,7 +28,7 @@
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long a keeper that does not watch goes without a peer's fresh answer
 /// before it watches the store itself.
-const PEER_SILENCE: Duration = Duration::from_secs(3);
+const PEER_SILENCE: Duration = Duration::from_secs(2);
 /// Time between two looks at whether to watch.
 const IDLE_WAIT: Duration = Duration::from_millis(250);
 /// Head start of peers over the store for a keeper that knows nothing.
--- a/lib/fleet/src/view_keeper.rs
+++ b/lib/fleet/src/view_keeper.rs
@@ -80,6 +80,8 @@
     tombstones_from: StoreRevision,
     ready: bool,
     fresh_as_of: Option<Instant>,
+    /// The keeper that heard the store at `fresh_as_of`, if that is another.
+    source: Option<IncarnationId>,
     listing: Option<ListingProgress>,
     leave_marks: Arc<IndexMap<UpstreamId, LeaveMark>>,
     liveness: Arc<IndexMap<IncarnationId, MemberLiveness>>,
@@ -148,7 +150,7 @@
         if after > self.complete_to {
             return MergeOutcome::Behind;
         }
-        self.advance(*revision, asked);
+        self.advance(*revision, asked, None);
         outcome(changed)
     }
 
@@ -177,7 +179,7 @@
         let listed = progress.listed;
         changed |= self.bury_unnamed(progress.revision, |key| listed.contains(key));
         changed |= self.become_ready();
-        self.advance(progress.revision, progress.asked);
+        self.advance(progress.revision, progress.asked, None);
         outcome(changed)
     }
 
@@ -233,7 +235,11 @@
         }
         changed |= self.become_ready();
         let known = asked.checked_sub(Duration::from_millis(age));
-        self.advance(reply.complete_to, known.unwrap_or(asked));
+        self.advance(
+            reply.complete_to,
+            known.unwrap_or(asked),
+            reply.source.as_ref(),
+        );
         outcome(changed)
     }
 
@@ -285,6 +291,7 @@
             complete_to: self.complete_to,
             full,
             age_ms: known_age.map(|age| age.as_millis() as u64),
+            source: known_age.map(|_| self.source.as_ref().unwrap_or(keeper).clone()),
             changes: changes.unwrap_or_default(),
             leave_marks: self.leave_marks.values().cloned().collect(),
             liveness_version: 0,
@@ -336,14 +343,22 @@
         self.fresh_as_of
     }
 
-    fn advance(&mut self, revision: StoreRevision, fresh_as_of: Instant) {
+    fn advance(
+        &mut self,
+        revision: StoreRevision,
+        fresh_as_of: Instant,
+        source: Option<&IncarnationId>,
+    ) {
         // A source whose knowledge ends before this process's own says nothing
         // about how old that is.
         if revision < self.complete_to {
             return;
         }
         self.complete_to = revision;
-        self.fresh_as_of = self.fresh_as_of.max(Some(fresh_as_of));
+        if self.fresh_as_of < Some(fresh_as_of) {
+            self.fresh_as_of = Some(fresh_as_of);
+            self.source = source.cloned();
+        }
     }
 
     /// Takes in one key at one revision; tells whether that changed anything.
