keeper: a planned stop hands the shards over

A keeper that stopped let its shards go first, and they stood still until the others suspected it. It registers as leaving now and goes on deciding: the next keeper of a shard takes it over by its first segment, which tells the leaving one whom to point to. A shard without traffic is let go two seconds after another keeper is chosen. Alone, a keeper goes on for `--leave-within`, then ends the commits in flight.

Seen to fail first: without the handover, and without yielding to the writer of the slot, leaving_keeper_decides_until_the_next_one_has_taken_over.

--- a/bin/keeper/src/control_handle.rs
+++ b/bin/keeper/src/control_handle.rs
@@ -38,6 +38,8 @@
     Event(ShardId, KeeperEvent),
     /// Time has passed.
     Tick,
+    /// Let other keepers take the shards over; the sender hears when they have.
+    Leave(oneshot::Sender<()>),
     /// Let the shards go; the sender hears when that is done.
     Stop(oneshot::Sender<()>),
 }
--- a/bin/keeper/src/ledger_control.rs
+++ b/bin/keeper/src/ledger_control.rs
@@ -63,7 +63,8 @@
     replies: IndexMap<BatchId, oneshot::Sender<LedgerAnswer>>,
     next_batch: u64,
     next_wake: Option<Instant>,
-    stopped: Option<oneshot::Sender<()>>,
+    /// Who waits until no shard is kept here.
+    await_idle: Vec<oneshot::Sender<()>>,
 }
 
 impl<S: ConfigStore + 'static> LedgerControl<S> {
@@ -89,22 +90,21 @@
             replies: IndexMap::new(),
             next_batch: 0,
             next_wake: None,
-            stopped: None,
+            await_idle: Vec::new(),
         }
     }
 
-    /// Takes messages until the shards are let go.
+    /// Takes messages until nobody can send any.
     pub(crate) async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<ControlMessage>) {
         spawn(send_ticks(self.sender.clone()));
         while let Some(message) = receiver.recv().await {
             self.handle(message, Instant::now());
-            if self.stopped.is_some() && self.shards.values().all(ShardKeeper::is_idle) {
-                break;
+            if self.shards.values().all(ShardKeeper::is_idle) {
+                for waiting in self.await_idle.drain(..) {
+                    let _ = waiting.send(());
+                }
             }
         }
-        if let Some(stopped) = self.stopped {
-            let _ = stopped.send(());
-        }
     }
 
     fn handle(&mut self, message: ControlMessage, now: Instant) {
@@ -124,8 +124,12 @@
                 self.tell(shard, event, now);
             }
             ControlMessage::Tick => self.tell_all(&KeeperEvent::Tick, now),
-            ControlMessage::Stop(stopped) => {
-                self.stopped = Some(stopped);
+            ControlMessage::Leave(idle) => {
+                self.await_idle.push(idle);
+                self.tell_all(&KeeperEvent::Leave, now);
+            }
+            ControlMessage::Stop(idle) => {
+                self.await_idle.push(idle);
                 self.tell_all(&KeeperEvent::Stop, now);
             }
         }
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -17,6 +17,7 @@
 use ntex::rt::spawn;
 use ntex::time::timeout;
 use slog::error;
+use snipegate_fleet::FleetHandle;
 use snipegate_fleet::FleetService;
 use snipegate_fleet::FleetServiceSettings;
 use snipegate_fleet::MemberRecord;
@@ -78,13 +79,14 @@
     spawn(follow_fleet(fleet.clone(), control.clone()));
 
     let routes_control = control.clone();
+    let routes_fleet = fleet.clone();
     let server = start_server(listener, process.workers, context.clone(), move |config| {
         ledger_routes(config, routes_control.clone());
-        fleet.routes(config);
+        routes_fleet.routes(config);
     })?;
     context.set_state(ProcessState::Ready);
     if wait_for_stop_signal().await? == StopSignal::Graceful {
-        stop_gracefully(&settings, &context, &control).await;
+        stop_gracefully(&settings, &context, &fleet, &control).await;
     }
     server.stop(true).await;
     Ok(())
@@ -103,16 +105,31 @@
     }
 }
 
-/// Waits until commits in flight have ended and the shards are let go.
+/// Hands the shards over, then waits until commits in flight have ended.
 async fn stop_gracefully(
     settings: &DaemonSettings,
     context: &DaemonContext,
+    fleet: &FleetHandle,
     control: &ControlHandle,
 ) {
+    context.set_state(ProcessState::Leaving);
+    fleet.announce_leaving();
+    let handed_over = ask_control(control, ControlMessage::Leave);
+    // Without another keeper the shards stay until the end.
+    let _ = timeout(settings.leave_within, handed_over).await;
     context.set_state(ProcessState::Stopping);
-    let (sender, stopped) = oneshot::channel();
-    control.send(ControlMessage::Stop(sender));
+    let stopped = ask_control(control, ControlMessage::Stop);
     if timeout(settings.stop_within, stopped).await.is_err() {
         error!(context.logger, "commits in flight did not end in time");
     }
 }
+
+/// Sends an order and waits until no shard is kept any more.
+async fn ask_control(
+    control: &ControlHandle,
+    order: impl FnOnce(oneshot::Sender<()>) -> ControlMessage,
+) {
+    let (sender, idle) = oneshot::channel();
+    control.send(order(sender));
+    let _ = idle.await;
+}
--- a/bin/keeper/src/settings.rs
+++ b/bin/keeper/src/settings.rs
@@ -25,6 +25,8 @@
     pub(crate) keeper: KeeperSettings,
     /// Keepers to ask for the fleet view before any is known from the store.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// How long a graceful stop waits for other keepers to take the shards over.
+    pub(crate) leave_within: Duration,
     /// How long a graceful stop waits for commits in flight.
     pub(crate) stop_within: Duration,
 }
@@ -81,6 +83,11 @@
             "NUMBER",
             "Segments between two snapshots of a shard",
         ))
+        .arg(duration_setting(
+            "leave-within",
+            "8s",
+            "Longest wait for other keepers to take the shards over at a graceful stop",
+        ))
         .arg(duration_setting(
             "stop-within",
             "5s",
@@ -113,6 +120,7 @@
             seeds: matches
                 .get_many::<SocketAddr>("seed")
                 .map_or_else(Vec::new, |seeds| seeds.copied().collect()),
+            leave_within: value(matches, "leave-within"),
             stop_within: value(matches, "stop-within"),
         }
     }
--- a/bin/keeper/tests/test_keeper.rs
+++ b/bin/keeper/tests/test_keeper.rs
@@ -135,11 +135,20 @@
     panic!("no keeper decided the operations");
 }
 
+/// Reads a budget, as soon as the keeper keeps its shard.
 async fn read_budget(keeper: &KeeperProcess) -> BudgetStatus {
     let client = Client::new().await;
     let path = format!("{BUDGETS_PATH}/{}?shard=0", budget());
-    let request = client.get(format!("http://{}{path}", keeper.address));
-    request.send().await.unwrap().json().await.unwrap()
+    let url = format!("http://{}{path}", keeper.address);
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        let response = client.get(&url).send().await.unwrap();
+        if response.status().is_success() {
+            return response.json().await.unwrap();
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the keeper does not keep the shard");
 }
 
 fn granted(amount: u64, unassigned: u64) -> OperationResult {
@@ -169,3 +178,22 @@
     let listing = store.list("shard/0/segment/", None).await.unwrap();
     assert_eq!(listing.entries.len(), 4);
 }
+
+#[ntex::test]
+async fn stopped_keeper_hands_its_shard_over() {
+    let (platform, _store) = start_platform().await;
+    let first = start_keeper("vm-a", platform.addr());
+    decide(&[&first], vec![top_up(1, 1_000)]).await;
+    let second = start_keeper("vm-b", platform.addr());
+    let both = [&first, &second];
+    decide(&both, vec![grant(2, 100)]).await;
+    let signalled = Command::new("kill")
+        .args(["-TERM", &first.child.id().to_string()])
+        .status();
+    assert!(signalled.unwrap().success());
+    for number in 3..13 {
+        decide(&both, vec![grant(number, 10)]).await;
+    }
+    let status = read_budget(&second).await;
+    assert_eq!(status.holdings[0].amount, 200);
+}
--- a/lib/fleet/src/fleet_handle.rs
+++ b/lib/fleet/src/fleet_handle.rs
@@ -52,6 +52,7 @@
     StoreCalled {
         answered: bool,
     },
+    Leave,
 }
 
 /// Reaches a keeper's [`FleetService`](crate::FleetService) from any thread.
@@ -100,6 +101,11 @@
             .route(FLEET_STATUS_PATH, web::get().to(status));
     }
 
+    /// Has the keeper registered as leaving, so that its shards go to others.
+    pub fn announce_leaving(&self) {
+        let _ = self.requests.send(FleetRequest::Leave);
+    }
+
     /// Tells whether the store answered a call of this keeper, so that its
     /// shards go to others where it does not.
     pub fn note_store_call(&self, answered: bool) {
--- a/lib/fleet/src/service.rs
+++ b/lib/fleet/src/service.rs
@@ -96,6 +96,8 @@
     pub table: MemberTable,
     pub deaths: DeathWatch,
     pub registration: Registration,
+    /// Whether the process is about to stop.
+    pub is_leaving: bool,
     pub watchers: WatcherSet,
     /// When a peer last told something fresh.
     pub peer_answered: Option<Instant>,
@@ -293,6 +295,7 @@
                 let _ = reply.send(self.status());
             }
             FleetRequest::StoreCalled { answered } => self.note_store_call(answered),
+            FleetRequest::Leave => self.state.borrow_mut().is_leaving = true,
         }
     }
 }
@@ -325,6 +328,7 @@
             table: MemberTable::new(me.clone(), me.start),
             deaths: DeathWatch::new(),
             registration: Registration::new(settings.member.clone()),
+            is_leaving: false,
             watchers: WatcherSet::default(),
             peer_answered: None,
             store_health: StoreHealth::default(),
--- a/lib/fleet/src/service_store.rs
+++ b/lib/fleet/src/service_store.rs
@@ -16,6 +16,7 @@
 use crate::back_off::BackOff;
 use crate::exchange::LeaveMark;
 use crate::key::FleetKey;
+use crate::member::MemberState;
 use crate::register::register_member;
 use crate::registration::Registration;
 use crate::registration::RegistrationStep;
@@ -173,6 +174,9 @@
         }
         let listed = state.deaths.listed_at(&self.me().vm);
         registration.change(|record| record.listed_at = record.listed_at.or(listed));
+        if state.is_leaving {
+            registration.change(|record| record.state = MemberState::Leaving);
+        }
         registration
     }
 
--- a/lib/ledger/src/commit.rs
+++ b/lib/ledger/src/commit.rs
@@ -218,7 +218,10 @@
                 });
                 self.write_fence(now);
             }
-            _ => self.lose_shard(now),
+            _ => {
+                self.yield_to(segment.writer);
+                self.lose_shard(now);
+            }
         }
     }
 
--- a/lib/ledger/src/event.rs
+++ b/lib/ledger/src/event.rs
@@ -84,6 +84,9 @@
     },
     /// Time has passed; comes several times a second.
     Tick,
+    /// The process is about to stop: shards are decided on until their next
+    /// keepers take them over, and no more are taken.
+    Leave,
     /// The process stops: commits in flight end, then the shard is let go.
     Stop,
 }
--- a/lib/ledger/src/keeper.rs
+++ b/lib/ledger/src/keeper.rs
@@ -68,6 +68,9 @@
     pub(crate) settings: KeeperSettings,
     pub(crate) chosen: Option<IncarnationId>,
     is_stopping: bool,
+    is_leaving: bool,
+    /// Since when another keeper is chosen while this one leaves.
+    handed_over: Option<(IncarnationId, Instant)>,
     pub(crate) stage: KeeperStage,
     pub(crate) ledger: ShardLedger,
     /// The last segment known to be durable.
@@ -105,6 +108,8 @@
             settings,
             chosen: None,
             is_stopping: false,
+            is_leaving: false,
+            handed_over: None,
             stage: KeeperStage::Idle,
             ledger: ShardLedger::new(),
             committed: SegmentSequence::default(),
@@ -210,6 +215,7 @@
                 self.reclaim_fenced();
             }
             KeeperEvent::Tick => self.tick(now),
+            KeeperEvent::Leave => self.is_leaving = true,
             KeeperEvent::Stop => {
                 self.is_stopping = true;
                 self.step_down(now);
@@ -232,6 +238,9 @@
     }
 
     fn choose(&mut self, keeper: Option<IncarnationId>, now: Instant) {
+        if self.is_leaving && self.is_chosen() {
+            return self.hand_over(keeper, now);
+        }
         self.chosen = keeper;
         if !self.is_chosen() {
             self.step_down(now);
@@ -240,6 +249,20 @@
         }
     }
 
+    /// Goes on until the next keeper has had time to take the shard over.
+    fn hand_over(&mut self, keeper: Option<IncarnationId>, now: Instant) {
+        let next = keeper.filter(|keeper| *keeper != self.own);
+        let since = self.handed_over.as_ref().map_or(now, |(_, since)| *since);
+        self.handed_over = next.map(|keeper| (keeper, since));
+    }
+
+    /// Lets the shard go to whoever took it over while this keeper leaves.
+    pub(crate) fn yield_to(&mut self, keeper: IncarnationId) {
+        if self.is_leaving {
+            self.chosen = Some(keeper);
+        }
+    }
+
     /// Lets the shard go; a segment in flight is waited for.
     pub(crate) fn step_down(&mut self, now: Instant) {
         self.refuse_queue();
@@ -351,6 +374,13 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        if let Some((keeper, since)) = &self.handed_over
+            && now.duration_since(*since) >= self.settings.handover
+        {
+            self.chosen = Some(keeper.clone());
+            self.handed_over = None;
+            self.step_down(now);
+        }
         match &self.stage {
             KeeperStage::Pausing { until } if *until <= now => self.load(now),
             KeeperStage::Fencing(pending) | KeeperStage::Serving(Some(pending))
--- a/lib/ledger/src/settings.rs
+++ b/lib/ledger/src/settings.rs
@@ -13,6 +13,8 @@
     pub store_retry: Duration,
     /// Pause before a shard is taken over again after another keeper took it.
     pub takeover_pause: Duration,
+    /// How long a leaving keeper goes on once another one is chosen.
+    pub handover: Duration,
     /// How long request and operation ids are remembered at least.
     pub retry_window: Duration,
     /// Lost replies for one segment before it counts as a failure of the store.
@@ -38,6 +40,7 @@
             commit_interval: Duration::from_millis(50),
             store_retry: Duration::from_millis(250),
             takeover_pause: Duration::from_millis(500),
+            handover: Duration::from_millis(2_000),
             retry_window: Duration::from_secs(15 * 60),
             lost_reply_attempts: 3,
             max_queued_operations: 20_000,
--- a/lib/ledger/tests/test_keeper_steps.rs
+++ b/lib/ledger/tests/test_keeper_steps.rs
@@ -448,6 +448,41 @@
     assert!(is_begun);
 }
 
+#[test]
+fn leaving_keeper_decides_until_the_next_one_has_taken_over() {
+    let mut store = StoreCore::new();
+    let mut bench = Bench::serving(0, KeeperSettings::default(), &mut store);
+    bench.tell(KeeperEvent::Leave);
+    bench.choose(1);
+    bench.send(1, 0, vec![top_up(1, 100)]);
+    bench.run(&mut store);
+    let topped_up = vec![OperationResult::ToppedUp];
+    assert_eq!(bench.take_replies(), [results(1, topped_up)]);
+    let next = Bench::serving(1, KeeperSettings::default(), &mut store);
+    bench.pass(50);
+    bench.send(2, 0, vec![top_up(2, 100)]);
+    bench.run(&mut store);
+    assert_eq!(bench.take_replies(), [undecided(2)]);
+    assert!(bench.keeper.is_idle());
+    bench.send(3, 0, vec![top_up(2, 100)]);
+    let keeper = Some(keeper_name(1));
+    let answer = LedgerAnswer::NotKeeper { keeper };
+    assert_eq!(bench.take_replies(), [(3, answer)]);
+    assert!(next.keeper.is_serving());
+}
+
+#[test]
+fn leaving_keeper_lets_an_idle_shard_go_after_the_handover() {
+    let mut store = StoreCore::new();
+    let mut bench = Bench::serving(0, KeeperSettings::default(), &mut store);
+    bench.tell(KeeperEvent::Leave);
+    bench.choose(1);
+    bench.pass(1_000);
+    assert!(bench.keeper.is_serving());
+    bench.pass(1_000);
+    assert!(bench.keeper.is_idle());
+}
+
 #[test]
 fn stop_waits_for_the_commit_in_flight() {
     let mut store = StoreCore::new();
