--- a/lib/fleet/src/registration.rs
+++ b/lib/fleet/src/registration.rs
@@ -9,6 +9,7 @@
 
 use crate::key::FleetKey;
 use crate::member::MemberRecord;
+use crate::member::MemberState;
 
 /// What a registration needs next.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,7 +98,7 @@
     /// Takes in the answer to [`RegistrationStep::Read`].
     pub fn read(&mut self, answer: Result<Option<StoredValue>, StoreError>) {
         if let Ok(found) = answer {
-            self.stored = stored_member(found);
+            self.found(found);
         }
     }
 
@@ -107,13 +108,27 @@
             Ok(SwapOutcome::Swapped(revision)) => {
                 self.stored = StoredMember::Found(revision, Some(self.wanted.clone()));
             }
-            Ok(SwapOutcome::Conflict(found)) => self.stored = stored_member(found),
+            Ok(SwapOutcome::Conflict(found)) => self.found(found),
             Err(error) if error.may_have_applied() => self.stored = StoredMember::NotRead,
             Err(_) => {}
         }
     }
 }
 
+impl Registration {
+    /// Takes in what the key holds. An operator may have marked this run as
+    /// leaving, which is never taken back within a run.
+    fn found(&mut self, found: Option<StoredValue>) {
+        self.stored = stored_member(found);
+        if let StoredMember::Found(_, Some(record)) = &self.stored
+            && record.incarnation == self.wanted.incarnation
+            && record.state == MemberState::Leaving
+        {
+            self.wanted.state = MemberState::Leaving;
+        }
+    }
+}
+
 fn stored_member(found: Option<StoredValue>) -> StoredMember {
     match found {
         None => StoredMember::Absent,
--- a/lib/fleet/tests/test_membership.rs
+++ b/lib/fleet/tests/test_membership.rs
@@ -306,6 +306,31 @@
     assert_eq!(registration.step(), registered);
 }
 
+#[test]
+fn test_operators_leave_is_not_undone_by_the_member() {
+    let mut key = FakeKey::default();
+    let own = record(run_of(1, ProcessRole::Router, 1));
+    let mut registration = Registration::new(own.clone());
+    let stored = serde_json::to_vec(&own).expect("records are JSON");
+    key.swap(ExpectedVersion::Absent, stored);
+    registration.read(Ok(key.stored.clone()));
+    let mut leaving = own;
+    leaving.state = MemberState::Leaving;
+    let stored = serde_json::to_vec(&leaving).expect("records are JSON");
+    key.swap(ExpectedVersion::At(StoreRevision(1)), stored);
+    // The member learns that its VM is listed, before it hears of the order.
+    registration.change(|record| record.listed_at = Some(1));
+    while let RegistrationStep::Write { expected, value } = registration.step() {
+        registration.written(Ok(key.swap(expected, value)));
+    }
+    let stored = key.stored.expect("a record").value;
+    let stored: MemberRecord = serde_json::from_slice(&stored).expect("a record");
+    assert_eq!(
+        (stored.state, stored.listed_at),
+        (MemberState::Leaving, Some(1))
+    );
+}
+
 #[test]
 fn test_start_rises_when_the_clock_is_set_back() {
     let registered = run_of(1, ProcessRole::Router, 100);
