escrow: larger transfers, and the memory of a budget

A transfer asks for what 20 s will use and not only for the waiting requests.

An operation may now stay without a result for 100 minutes, and the fleet's retry window is two hours by default: at 50 minutes and one hour, the routers cut off for an hour closed before it ended and 2,987 requests were refused after.

--- a/lib/escrow/src/setting.rs
+++ b/lib/escrow/src/setting.rs
@@ -117,7 +117,7 @@
             copy_post_after: Duration::from_secs(10),
             bill_limit: Duration::from_secs(3),
             batch_timeout: Duration::from_secs(1),
-            answer_limit: Duration::from_secs(50 * 60),
+            answer_limit: Duration::from_secs(100 * 60),
             retry_pause: Duration::from_millis(50),
             batch_limit: 512,
             resend_after: Duration::from_millis(500),
--- a/lib/escrow/src/transfer.rs
+++ b/lib/escrow/src/transfer.rs
@@ -5,6 +5,7 @@
 //! the receiver takes each position in their sequence once. Both sides record
 //! the transfer in the ledger, whichever reaches it first.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use snipegate_ledger::OperationRefusal;
@@ -28,6 +29,9 @@
 /// Most peers asked for one shortage.
 const MAX_PEERS_ASKED: usize = 12;
 
+/// Time for which transferred tokens should last at the present rate of use.
+const TRANSFER_SPAN: Duration = Duration::from_secs(20);
+
 /// A transfer that the receiver has not acknowledged.
 #[derive(Clone, Debug)]
 struct OpenGive {
@@ -64,8 +68,15 @@
         let Some(holding) = self.budgets.get_mut(budget) else {
             return;
         };
+        let soon = holding
+            .demand
+            .rate(self.settings.rate_window, now)
+            .over(TRANSFER_SPAN);
         let (wanted, least) = (
-            holding.waiting_need().saturating_sub(holding.free),
+            holding
+                .waiting_need()
+                .saturating_add(soon)
+                .saturating_sub(holding.free),
             holding.least_lack().unwrap_or_default(),
         );
         let shard = holding.shard;
--- a/lib/fleet/src/settings.rs
+++ b/lib/fleet/src/settings.rs
@@ -66,7 +66,7 @@
     fn default() -> Self {
         Self {
             ledger_shards: 8,
-            retry_window_ms: 3_600_000,
+            retry_window_ms: 7_200_000,
             grant_horizon_ms: 60_000,
             deployment_policy: DeploymentPolicy::default(),
             staleness_bound_ms: 8_000,
