--- a/lib/escrow/examples/budget_experiment/escrowed.rs
+++ b/lib/escrow/examples/budget_experiment/escrowed.rs
@@ -23,8 +23,8 @@
 pub fn run(name: &str, settings: EscrowSettings, workload: &Workload, seed: u64) -> OutcomeFigures {
     let scenario = workload.scenario;
     let mut world = EscrowWorld::new(seed, ROUTERS, PLACES, settings);
-    // One way between data centres is 1.5 ms; the ledger's commit adds some.
     world.faults.delay = Duration::from_millis(6);
+    world.faults.commit = Duration::from_millis(60);
     let mut routers: Vec<usize> = (0..ROUTERS).collect();
     let mut purchases = workload.purchases.clone();
     let mut bought = Vec::new();
--- a/lib/escrow/src/setting.rs
+++ b/lib/escrow/src/setting.rs
@@ -54,6 +54,8 @@
     pub wait_limit: Duration,
     /// How long the ledger may take before peers are asked for tokens.
     pub transfer_after: Duration,
+    /// How long peers may take to answer before others are asked.
+    pub ask_pause: Duration,
     /// How many peers are asked for tokens at a time.
     pub transfer_fanout: usize,
     /// How long the ledger is not asked again after it refused a grant.
@@ -107,11 +109,12 @@
             share_percent,
             idle_return: Duration::from_secs(300),
             wait_limit: Duration::from_millis(500),
-            transfer_after: Duration::from_millis(50),
+            transfer_after: Duration::from_millis(150),
+            ask_pause: Duration::from_millis(100),
             transfer_fanout: 3,
             grant_pause: Duration::from_millis(100),
             short_memory: Duration::from_millis(500),
-            copy_after: Duration::from_millis(150),
+            copy_after: Duration::from_millis(250),
             copy_places: 2,
             local_copy_after,
             copy_post_after: Duration::from_secs(10),
--- a/lib/escrow/src/transfer.rs
+++ b/lib/escrow/src/transfer.rs
@@ -104,7 +104,7 @@
                 },
             );
         }
-        let due = now + self.settings.transfer_after.saturating_mul(2);
+        let due = now + self.settings.ask_pause;
         self.timers.set(due, EscrowTimer::AskDue(budget.clone()));
     }
 
--- a/testing/escrow-world/src/network.rs
+++ b/testing/escrow-world/src/network.rs
@@ -9,6 +9,8 @@
 pub struct NetworkFaults {
     /// Longest delay of a message; each takes between nothing and this.
     pub delay: Duration,
+    /// Longest time that the ledger takes to commit.
+    pub commit: Duration,
     /// Messages of a hundred that are lost.
     pub lost_percent: u8,
     /// Messages between routers of a hundred that arrive twice.
@@ -36,6 +38,10 @@
         Duration::from_micros(rng.u64(0..=self.delay.as_micros() as u64))
     }
 
+    pub(crate) fn draw_commit(&self, rng: &mut Rng) -> Duration {
+        Duration::from_micros(rng.u64(0..=self.commit.as_micros() as u64))
+    }
+
     pub(crate) fn is_lost(&self, rng: &mut Rng) -> bool {
         rng.u8(0..100) < self.lost_percent
     }
--- a/testing/escrow-world/src/world.rs
+++ b/testing/escrow-world/src/world.rs
@@ -609,6 +609,7 @@
             .iter()
             .map(|operation| self.apply(&batch.sender, operation))
             .collect();
+        let delay = delay + self.faults.draw_commit(&mut self.rng);
         let outcome = match self.faults.is_reply_lost(&mut self.rng) {
             true => BatchOutcome::Lost,
             false => BatchOutcome::Answered(LedgerAnswer::Results(results)),
