fleet: smaller views, and no scan for askers that know everything

At 12,000 workspaces the view took 22.1 MB in each of a VM's three processes. A directory now follows settings and members only (0.4 MB) and a keeper keeps workspaces as the store has them, checked (10.1 MB). An idle query took 459 us, a scan of all keys; a newest revision now answers it.

ctl: budget show by the keeper's path.

--- a/bin/ctl/src/budget_command.rs
+++ b/bin/ctl/src/budget_command.rs
@@ -1,15 +1,17 @@
 //! `budget show` and `budget top-up`.
 
 use clap::ArgMatches;
-use serde_json::Value;
 use serde_json::json;
 use snipegate_fleet::FleetView;
 use snipegate_fleet::MemberEntry;
+use snipegate_ledger::BUDGETS_PATH;
+use snipegate_ledger::BudgetStatus;
 use snipegate_ledger::LEDGER_PATH;
 use snipegate_ledger::LedgerAnswer;
 use snipegate_ledger::LedgerBatch;
 use snipegate_ledger::LedgerOperation;
 use snipegate_ledger::OperationResult;
+use snipegate_service::CallError;
 use snipegate_types::BudgetId;
 use snipegate_types::IncarnationId;
 use snipegate_types::OperationId;
@@ -87,11 +89,34 @@
     budget: &BudgetId,
 ) -> Result<CommandReport, CommandError> {
     let keeper = keeper(view, shard)?;
-    let path = format!("/budgets/{budget}?shard={shard}");
+    let path = format!("{BUDGETS_PATH}/{budget}?shard={shard}");
     let answer = client.fetch(keeper.record.peer(), &path, None).await;
-    let balance: Value = answer.map_err(|error| CommandError::call(keeper.id.0.as_str(), error))?;
-    let text = format!("{balance:#}");
-    Ok(CommandReport::done(balance, text))
+    let status: BudgetStatus = answer.map_err(|error| match error {
+        CallError::Status(404) => CommandError::NotFound {
+            what: format!("budget {budget}, to which nothing was ever added,"),
+        },
+        error => CommandError::call(keeper.id.0.as_str(), error),
+    })?;
+    Ok(CommandReport::done(json!(status), balance_lines(&status)))
+}
+
+fn balance_lines(status: &BudgetStatus) -> String {
+    let holdings = status.holdings.iter().map(|holding| {
+        let state = format!("{:?}", holding.state).to_lowercase();
+        format!(
+            "  {:<48} {:<8} {:>14}\n",
+            holding.holder.to_string(),
+            state,
+            holding.amount
+        )
+    });
+    format!(
+        "purchased  {:>14}\nbilled     {:>14}\nunassigned {:>14}\nheld by\n{}",
+        status.purchased,
+        status.billed,
+        status.unassigned,
+        holdings.collect::<String>()
+    )
 }
 
 async fn top_up(
--- a/bin/ctl/src/fleet_client.rs
+++ b/bin/ctl/src/fleet_client.rs
@@ -19,6 +19,7 @@
 use snipegate_fleet::ViewKeeper;
 use snipegate_fleet::ViewQuery;
 use snipegate_fleet::ViewReply;
+use snipegate_fleet::ViewScope;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::HttpStore;
 use snipegate_platform::PlatformSettings;
@@ -126,6 +127,7 @@
             asker: None,
             leaving: false,
             after,
+            scope: ViewScope::Whole,
             liveness_version: Some(0),
             wait_ms: 0,
         };
--- a/bin/directory/src/main.rs
+++ b/bin/directory/src/main.rs
@@ -56,7 +56,7 @@
         seeds: settings.seeds.clone(),
     };
     let (follower, subscription) = ViewFollower::new(follower, Rc::new(SystemClock));
-    spawn(follower.run());
+    spawn(follower.members_only().run());
     spawn(become_ready(context.clone(), subscription.clone()));
     spawn(register(context.clone(), store, member(process, own)));
 
--- a/lib/fleet/examples/fleet_slopes.rs
+++ b/lib/fleet/examples/fleet_slopes.rs
@@ -7,6 +7,7 @@
 
 use std::fs;
 use std::hint::black_box;
+use std::process::Command;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +20,7 @@
 use snipegate_fleet::MemberTable;
 use snipegate_fleet::ViewKeeper;
 use snipegate_fleet::ViewQuery;
+use snipegate_fleet::ViewScope;
 use snipegate_platform::StoreListing;
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
@@ -34,6 +36,8 @@
 const HTTP_BYTES: usize = 260;
 /// TCP and IP headers of the segments of an exchange and their acknowledgements.
 const PACKET_BYTES: usize = 5 * 52;
+/// Workspaces with ten budgets each, upstreams and members.
+const VIEW_SIZES: [[usize; 3]; 3] = [[10, 13, 27], [1_200, 60, 111], [12_000, 600, 1_110]];
 /// Fleet sizes.
 const SIZES: [usize; 3] = [9, 100, 370];
 /// Sizes that run as connected keepers in this process.
@@ -175,13 +179,20 @@
 }
 
 /// Memory and processor time of the view at one size.
-fn view(workspaces: usize, upstreams: usize, members: usize) -> Value {
+fn view(holder: &str, [workspaces, upstreams, members]: [usize; 3]) -> Value {
     let now = Instant::now();
-    let page = listing(workspaces, upstreams, members);
+    let mut page = listing(workspaces, upstreams, members);
+    let mut keeper_state = ViewKeeper::new();
+    match holder {
+        "keeper" => keeper_state = ViewKeeper::passing_workspaces_on(),
+        "directory" => page
+            .entries
+            .retain(|(key, _)| ViewScope::Members.covers(key)),
+        _ => {}
+    }
     let stored: usize = page.entries.iter().map(|(_, s)| s.value.len()).sum();
     let before = resident_bytes();
     let began = Instant::now();
-    let mut keeper_state = ViewKeeper::new();
     keeper_state.apply_page(&page, now);
     let view = black_box(keeper_state.view());
     let applied = began.elapsed();
@@ -204,15 +215,15 @@
     let rebuilt = began.elapsed();
     let both = resident_bytes();
     let began = Instant::now();
-    let full = keeper_state.reply_to(&keeper(0), StoreRevision(0), now);
+    let full = keeper_state.reply_to(&keeper(0), StoreRevision(0), ViewScope::Whole, now);
     let replied = began.elapsed();
     let began = Instant::now();
-    let idle = keeper_state.reply_to(&keeper(0), page.revision, now);
+    let idle = keeper_state.reply_to(&keeper(0), page.revision, ViewScope::Whole, now);
     let idled = began.elapsed();
     let full_bytes = encode_message(&full).len();
     drop((full, view, page));
     json!({
-        "workspaces": workspaces, "upstreams": upstreams, "members": members,
+        "holder": holder, "workspaces": workspaces, "upstreams": upstreams, "members": members,
         "stored_bytes": stored,
         "view_bytes": after.saturating_sub(before),
         "rebuild_extra_bytes": both.saturating_sub(after),
@@ -228,11 +239,17 @@
 fn idle_exchange_bytes() -> usize {
     let mut known = ViewKeeper::new();
     known.apply_page(&listing(1, 1, 3), Instant::now());
-    let reply = known.reply_to(&keeper(0), known.complete_to(), Instant::now());
+    let reply = known.reply_to(
+        &keeper(0),
+        known.complete_to(),
+        ViewScope::Whole,
+        Instant::now(),
+    );
     let query = ViewQuery {
         asker: Some(keeper(1)),
         leaving: false,
         after: known.complete_to(),
+        scope: ViewScope::Whole,
         liveness_version: None,
         wait_ms: 1_000,
     };
@@ -291,15 +308,35 @@
     })
 }
 
-#[ntex::main]
-async fn main() {
-    let runs = std::env::args().nth(1).and_then(|text| text.parse().ok());
-    let runs = runs.unwrap_or(DEFAULT_RUNS);
-    let views = [(10, 13, 27), (1_200, 60, 111), (12_000, 600, 1_110)];
-    // First of all, and the largest first: memory that was freed would be used
-    // again unseen.
-    let views = views.into_iter().rev().map(|(w, u, m)| view(w, u, m));
-    let views: Vec<Value> = views.collect();
+/// Measures a view in a process of its own, where no freed memory is used again.
+fn view_apart(holder: &str, size: &str) -> Value {
+    let program = std::env::current_exe().expect("this program has a path");
+    let mut command = Command::new(program);
+    let output = command.args(["view", holder, size]).output();
+    let output = output.expect("this program runs");
+    serde_json::from_slice(&output.stdout).expect("it prints JSON")
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let [command, holder, size] = arguments.as_slice()
+        && command == "view"
+    {
+        let at = size.parse().unwrap_or(0);
+        println!("{}", view(holder, VIEW_SIZES[at]));
+        return;
+    }
+    let runs = arguments.first().and_then(|text| text.parse().ok());
+    ntex::rt::System::new("slopes", ntex::rt::DefaultRuntime)
+        .block_on(measure(runs.unwrap_or(DEFAULT_RUNS)));
+}
+
+async fn measure(runs: usize) {
+    let holders = ["router", "keeper", "directory"];
+    let views: Vec<Value> = holders
+        .iter()
+        .flat_map(|holder| ["0", "1", "2"].map(|size| view_apart(holder, size)))
+        .collect();
     let quiet: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 0)).collect();
     let failing: Vec<Value> = SIZES.iter().map(|&size| heartbeats(size, 3)).collect();
     let mut fleets = Vec::new();
--- a/lib/fleet/src/exchange.rs
+++ b/lib/fleet/src/exchange.rs
@@ -8,6 +8,8 @@
 use snipegate_types::OperationId;
 use snipegate_types::UpstreamId;
 
+use crate::key::FleetKey;
+
 /// An order that an upstream leaves, given while the store can't be written.
 ///
 /// It is in force as long as the upstream's record is no newer than `over`; the
@@ -62,6 +64,28 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Which part of the view an asker follows; always the same one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ViewScope {
+    /// Everything.
+    #[default]
+    Whole,
+    /// The fleet-wide settings and the members.
+    Members,
+}
+
+impl ViewScope {
+    /// Tells whether a key belongs to this part.
+    pub fn covers(self, key: &str) -> bool {
+        match self {
+            ViewScope::Whole => true,
+            ViewScope::Members => {
+                key.starts_with(FleetKey::MEMBER_PREFIX) || key == FleetKey::SETTINGS
+            }
+        }
+    }
+}
+
 /// Asks a keeper for what is newer than the asker's knowledge: `POST /view`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewQuery {
@@ -69,8 +93,10 @@
     pub asker: Option<IncarnationId>,
     /// Whether the asker has begun to stop.
     pub leaving: bool,
-    /// The asker knows everything up to this revision.
+    /// The asker knows everything in its scope up to this revision.
     pub after: StoreRevision,
+    /// Which part of the view it follows.
+    pub scope: ViewScope,
     /// Version of the liveness that the asker has from this keeper's run, 0 for
     /// none; absent where the asker does not want it.
     pub liveness_version: Option<u64>,
--- a/lib/fleet/src/follower.rs
+++ b/lib/fleet/src/follower.rs
@@ -18,6 +18,7 @@
 
 use crate::exchange::ViewQuery;
 use crate::exchange::ViewReply;
+use crate::exchange::ViewScope;
 use crate::follower_plan::FollowerPlan;
 use crate::view::FleetView;
 use crate::view_keeper::MergeOutcome;
@@ -84,6 +85,7 @@
     clock: Rc<dyn TimeSource>,
     client: MessageClient,
     plan: FollowerPlan,
+    scope: ViewScope,
     keeper: ViewKeeper,
     /// The keeper whose liveness version is known, with that version.
     liveness: Option<(IncarnationId, u64)>,
@@ -115,6 +117,7 @@
             clock,
             client: MessageClient::new(),
             plan,
+            scope: ViewScope::Whole,
             keeper: ViewKeeper::new(),
             liveness: None,
             asked: None,
@@ -125,6 +128,12 @@
         (follower, subscription)
     }
 
+    /// Follows the settings and the members only.
+    pub fn members_only(mut self) -> Self {
+        self.scope = ViewScope::Members;
+        self
+    }
+
     /// Follows until no subscription is left.
     pub async fn run(mut self) {
         while !self.views.is_closed() {
@@ -171,6 +180,7 @@
             asker: Some(self.settings.process.clone()),
             leaving: self.leaving.load(Ordering::Acquire),
             after: self.keeper.complete_to(),
+            scope: self.scope,
             liveness_version: Some(version),
             wait_ms: FOLLOW_WAIT.as_millis() as u64,
         }
--- a/lib/fleet/src/key.rs
+++ b/lib/fleet/src/key.rs
@@ -28,6 +28,8 @@
 impl FleetKey {
     /// The prefix of every fleet key, which one watch covers.
     pub const PREFIX: &'static str = "fleet/";
+    /// The key of the fleet-wide settings.
+    pub const SETTINGS: &'static str = "fleet/config/fleet";
     /// The prefix of the operators' configuration.
     pub const CONFIG_PREFIX: &'static str = "fleet/config/";
     /// The prefix of workspaces.
@@ -43,7 +45,7 @@
 impl fmt::Display for FleetKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            FleetKey::Settings => write!(f, "fleet/config/fleet"),
+            FleetKey::Settings => f.write_str(Self::SETTINGS),
             FleetKey::Workspace(id) => write!(f, "{}{id}", Self::WORKSPACE_PREFIX),
             FleetKey::Profile(name) => write!(f, "{}{name}", Self::PROFILE_PREFIX),
             FleetKey::Upstream(id) => write!(f, "{}{id}", Self::UPSTREAM_PREFIX),
--- a/lib/fleet/src/lib.rs
+++ b/lib/fleet/src/lib.rs
@@ -50,6 +50,7 @@
 pub use exchange::ViewChange;
 pub use exchange::ViewQuery;
 pub use exchange::ViewReply;
+pub use exchange::ViewScope;
 pub use fleet_handle::FLEET_STATUS_PATH;
 pub use fleet_handle::FleetHandle;
 pub use fleet_handle::HEARTBEAT_PATH;
--- a/lib/fleet/src/record.rs
+++ b/lib/fleet/src/record.rs
@@ -128,6 +128,8 @@
     Settings(Arc<ConfigEntry<(), FleetSettings>>),
     /// A workspace.
     Workspace(Arc<ConfigEntry<WorkspaceId, WorkspaceRecord>>),
+    /// A workspace that is only passed on: checked, and kept as the store has it.
+    StoredWorkspace(Arc<[u8]>),
     /// A profile.
     Profile(Arc<ConfigEntry<ProfileName, ProfileRecord>>),
     /// An upstream.
@@ -154,8 +156,9 @@
                 FleetRecord::Settings(entry((), revision, record))
             }
             FleetKey::Workspace(id) => {
-                let record: WorkspaceRecord = decode(bytes)?;
+                let mut record: WorkspaceRecord = decode(bytes)?;
                 record.validate()?;
+                record.share_names();
                 FleetRecord::Workspace(entry(id, revision, record))
             }
             FleetKey::Profile(name) => {
@@ -180,6 +183,7 @@
     /// Writes the record as the JSON that the store holds.
     pub fn to_json(&self) -> Vec<u8> {
         let written = match self {
+            FleetRecord::StoredWorkspace(bytes) => return bytes.to_vec(),
             FleetRecord::Settings(entry) => serde_json::to_vec(&entry.record),
             FleetRecord::Workspace(entry) => serde_json::to_vec(&entry.record),
             FleetRecord::Profile(entry) => serde_json::to_vec(&entry.record),
--- a/lib/fleet/src/service.rs
+++ b/lib/fleet/src/service.rs
@@ -220,7 +220,9 @@
     fn reply_now(&self, query: &ViewQuery) -> ViewReply {
         let state = self.state.borrow();
         let now = self.clock.now();
-        let mut reply = state.keeper.reply_to(self.me(), query.after, now);
+        let mut reply = state
+            .keeper
+            .reply_to(self.me(), query.after, query.scope, now);
         reply.liveness_version = state.liveness_version;
         let wanted = query.liveness_version;
         if wanted.is_some_and(|known| known != state.liveness_version) {
@@ -324,7 +326,7 @@
         let (sender, requests) = mpsc::unbounded_channel();
         let me = settings.member.incarnation.clone();
         let state = FleetState {
-            keeper: ViewKeeper::new(),
+            keeper: ViewKeeper::passing_workspaces_on(),
             table: MemberTable::new(me.clone(), me.start),
             deaths: DeathWatch::new(),
             registration: Registration::new(settings.member.clone()),
--- a/lib/fleet/src/service_peer.rs
+++ b/lib/fleet/src/service_peer.rs
@@ -12,6 +12,7 @@
 
 use crate::exchange::ViewQuery;
 use crate::exchange::ViewReply;
+use crate::exchange::ViewScope;
 use crate::fleet_handle::HEARTBEAT_PATH;
 use crate::follower::VIEW_PATH;
 use crate::follower::VIEW_WAIT;
@@ -81,6 +82,7 @@
             asker: None,
             leaving: false,
             after,
+            scope: ViewScope::Whole,
             liveness_version: None,
             wait_ms: wait.as_millis() as u64,
         };
--- a/lib/fleet/src/view.rs
+++ b/lib/fleet/src/view.rs
@@ -102,6 +102,7 @@
     fn insert(&mut self, record: &FleetRecord) {
         match record {
             FleetRecord::Settings(entry) => self.settings = Some(entry.clone()),
+            FleetRecord::StoredWorkspace(_) => {}
             FleetRecord::Workspace(entry) => {
                 for digest in &entry.record.key_digests {
                     self.keys.insert(*digest, entry.clone());
--- a/lib/fleet/src/view_keeper.rs
+++ b/lib/fleet/src/view_keeper.rs
@@ -18,6 +18,7 @@
 use crate::exchange::MemberLiveness;
 use crate::exchange::ViewChange;
 use crate::exchange::ViewReply;
+use crate::exchange::ViewScope;
 use crate::key::FleetKey;
 use crate::record::FleetRecord;
 use crate::record::RecordError;
@@ -76,6 +77,8 @@
     entries: BTreeMap<StoreKey, KeptEntry>,
     rejected: IndexMap<StoreKey, RejectedChange>,
     complete_to: StoreRevision,
+    /// The highest revision of any key.
+    newest: StoreRevision,
     /// Removals after this revision are all kept as tombstones.
     tombstones_from: StoreRevision,
     ready: bool,
@@ -83,6 +86,8 @@
     /// The keeper that heard the store at `fresh_as_of`, if that is another.
     source: Option<IncarnationId>,
     listing: Option<ListingProgress>,
+    /// Whether workspaces are only passed on to others.
+    passes_workspaces_on: bool,
     leave_marks: Arc<IndexMap<UpstreamId, LeaveMark>>,
     liveness: Arc<IndexMap<IncarnationId, MemberLiveness>>,
     /// The index of the present entries, once it has been asked for.
@@ -95,6 +100,15 @@
         Self::default()
     }
 
+    /// Makes a keeper that knows nothing and whose views will have no
+    /// workspaces: it checks them and passes them on, in a third of the memory.
+    pub fn passing_workspaces_on() -> Self {
+        Self {
+            passes_workspaces_on: true,
+            ..Self::default()
+        }
+    }
+
     /// Returns the revision up to which every change is known.
     pub fn complete_to(&self) -> StoreRevision {
         self.complete_to
@@ -280,12 +294,13 @@
         &self,
         keeper: &IncarnationId,
         after: StoreRevision,
+        scope: ViewScope,
         now: Instant,
     ) -> ViewReply {
         let full = after < self.tombstones_from;
         let from = if full { StoreRevision(0) } else { after };
         let known_age = self.age(now).filter(|_| self.ready);
-        let changes = known_age.map(|_| self.changes_after(from).collect());
+        let changes = known_age.map(|_| self.changes_after(from, scope).collect());
         ViewReply {
             keeper: keeper.clone(),
             complete_to: self.complete_to,
@@ -300,12 +315,19 @@
     }
 
     /// Iterates over the changes after `after`, lowest revision first.
-    fn changes_after(&self, after: StoreRevision) -> impl Iterator<Item = ViewChange> {
+    fn changes_after(
+        &self,
+        after: StoreRevision,
+        scope: ViewScope,
+    ) -> impl Iterator<Item = ViewChange> {
+        // Most askers know everything, and there are many keys.
+        let any = after < self.newest;
         let kept = self.entries.iter().map(|(key, e)| (e.revision, key));
         let rejected = self.rejected.iter().map(|(key, r)| (r.revision, key));
         let mut newer: Vec<(StoreRevision, &StoreKey)> = kept
             .chain(rejected)
-            .filter(|(revision, _)| *revision > after)
+            .take_while(|_| any)
+            .filter(|(revision, key)| *revision > after && scope.covers(key))
             .collect();
         newer.sort_unstable();
         newer.into_iter().map(|(revision, key)| ViewChange {
@@ -374,6 +396,9 @@
         }
         let record = match value.map(|bytes| FleetRecord::parse(fleet_key, revision, bytes)) {
             None => None,
+            Some(Ok(FleetRecord::Workspace(_))) if self.passes_workspaces_on => {
+                value.map(|bytes| FleetRecord::StoredWorkspace(bytes.into()))
+            }
             Some(Ok(record)) => Some(record),
             Some(Err(error)) => {
                 self.reject(key, revision, value.unwrap_or_default(), error);
@@ -387,6 +412,7 @@
         {
             self.rejected.swap_remove(key);
         }
+        self.newest = self.newest.max(revision);
         let entry = KeptEntry { revision, record };
         self.entries.insert(key.to_owned(), entry);
         self.index = None;
@@ -403,6 +429,7 @@
         {
             return;
         }
+        self.newest = self.newest.max(revision);
         let rejected = RejectedChange {
             revision,
             value: value.to_vec(),
--- a/lib/fleet/src/workspace.rs
+++ b/lib/fleet/src/workspace.rs
@@ -36,6 +36,20 @@
 }
 
 impl WorkspaceRecord {
+    /// Lets the defaults share their text with the lists that they are in.
+    pub(crate) fn share_names(&mut self) {
+        if let Some(budget) = &mut self.default_budget
+            && let Some(listed) = self.budgets.iter().find(|listed| *listed == budget)
+        {
+            *budget = listed.clone();
+        }
+        if let Some(profile) = &mut self.default_profile
+            && let Some(listed) = self.profiles.iter().find(|listed| *listed == profile)
+        {
+            *profile = listed.clone();
+        }
+    }
+
     /// Checks the values.
     ///
     /// # Errors
--- a/lib/fleet/tests/test_view_keeper.rs
+++ b/lib/fleet/tests/test_view_keeper.rs
@@ -12,6 +12,7 @@
 use snipegate_fleet::ViewFreshness;
 use snipegate_fleet::ViewKeeper;
 use snipegate_fleet::ViewReply;
+use snipegate_fleet::ViewScope;
 use snipegate_platform::StoreChange;
 use snipegate_platform::StoreListing;
 use snipegate_platform::StoreRevision;
@@ -202,7 +203,10 @@
             10 | 11 => {
                 let peer = u.choose_index(PROCESSES)?;
                 let after = processes[at].keeper.complete_to();
-                let reply = processes[peer].keeper.reply_to(&me(peer), after, now);
+                let reply =
+                    processes[peer]
+                        .keeper
+                        .reply_to(&me(peer), after, ViewScope::Whole, now);
                 let message = Message::Reply(after, Box::new(reply));
                 processes[at].in_flight.push((message, now));
             }
@@ -265,7 +269,7 @@
     let old = caught_up(&store, now);
     store.write(0, None);
     let mut keeper = caught_up(&store, now);
-    let reply = old.reply_to(&me(1), StoreRevision(0), now);
+    let reply = old.reply_to(&me(1), StoreRevision(0), ViewScope::Whole, now);
     keeper.apply_reply(StoreRevision(0), &reply, now);
     assert!(keeper.record(&key_name(0)).is_none());
 }
@@ -275,7 +279,7 @@
     let now = Instant::now();
     let mut keeper = ViewKeeper::new();
     assert_eq!(keeper.view().freshness(now), ViewFreshness::Missing);
-    let silent = ViewKeeper::new().reply_to(&me(1), StoreRevision(0), now);
+    let silent = ViewKeeper::new().reply_to(&me(1), StoreRevision(0), ViewScope::Whole, now);
     keeper.apply_reply(StoreRevision(0), &silent, now);
     let refusal = keeper.view().freshness(now).refusal();
     assert_eq!(refusal, Some(ResultCode::ConfigMissing));
@@ -319,7 +323,7 @@
     let mut keeper = ViewKeeper::new();
     keeper.apply_reply(
         StoreRevision(0),
-        &peer.reply_to(&me(1), StoreRevision(0), later),
+        &peer.reply_to(&me(1), StoreRevision(0), ViewScope::Whole, later),
         later,
     );
     assert!(keeper.age(later) >= Some(Duration::from_secs(5)));
