escrow: admit again when any answer of the ledger comes

The gate against answers that can't be billed opened on a bill's answer or copy only. With the last unsafe bill withdrawn, none would ever come.

--- a/lib/escrow/src/bill.rs
+++ b/lib/escrow/src/bill.rs
@@ -228,7 +228,6 @@
         let Some(pending) = self.pending.swap_remove(&request) else {
             return;
         };
-        self.unconfirmable = false;
         if let Some(holding) = self.budgets.get_mut(&pending.budget) {
             holding.billed = holding.billed.saturating_sub(pending.amount);
             // Another amount means another bill of the request, which was
@@ -277,7 +276,8 @@
         }
         let alone = pending.waiting.is_empty() && pending.copies.is_empty();
         let withdrawn = alone && self.withdraw_bill(request, now);
-        self.unconfirmable = true;
+        // Without anything on its way nothing would tell when to go on.
+        self.unconfirmable = self.queues.values().any(|queue| !queue.is_empty());
         self.report_unsafe(reservation, request, withdrawn);
     }
 
--- a/lib/escrow/src/escrow.rs
+++ b/lib/escrow/src/escrow.rs
@@ -306,6 +306,7 @@
         let pause = match outcome {
             BatchOutcome::Answered(LedgerAnswer::Results(results)) if results.len() == id.count => {
                 let operations = queue.complete(id).unwrap_or_default();
+                self.unconfirmable = false;
                 for (operation, result) in operations.into_iter().zip(results) {
                     self.apply(shard, operation, result, now);
                 }
--- a/lib/escrow/tests/test_escrow.rs
+++ b/lib/escrow/tests/test_escrow.rs
@@ -362,3 +362,25 @@
     assert!(unsafe_bill_is_withdrawn(false));
     assert!(!unsafe_bill_is_withdrawn(true));
 }
+
+#[test]
+fn nothing_is_admitted_while_bills_cannot_be_made_safe() {
+    let now = Instant::now();
+    let mut escrow = granted_escrow(1000, now);
+    let ReserveOutcome::Admitted(reservation) = escrow.reserve(claim(1, 9), now) else {
+        panic!("the holding covers the claim");
+    };
+    escrow.settle(reservation, TokenCount(9), now);
+    let batch = sent_batch(&escrow.take_effects(now));
+    let limit = now + EscrowSettings::default().bill_limit;
+    escrow.handle(EscrowEvent::Tick, limit);
+    let outcome = escrow.reserve(claim(2, 9), limit);
+    assert!(matches!(outcome, ReserveOutcome::Refused(_)));
+    let billed = OperationResult::Billed {
+        amount: TokenCount(9),
+        first: true,
+    };
+    answer_bill(&mut escrow, batch, billed, limit);
+    let outcome = escrow.reserve(claim(3, 9), limit);
+    assert!(matches!(outcome, ReserveOutcome::Admitted(_)));
+}
