ledger: a call that ran is remembered beyond the retry window

Cause: outcomes of calls that may not be repeated were forgotten with the ids of bills, so a booking asked for again after the window ran a second time.

Ruled out: keeping them by time, which has no bound in size.

Fails first: with the former condition call_that_ran_is_not_claimed_again_after_the_retry_window sees Intended.

--- a/bin/router/src/service_call.rs
+++ b/bin/router/src/service_call.rs
@@ -41,7 +41,7 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Largest answer that is recorded for retries, in bytes.
-const MAX_RECORDED_BYTES: usize = 4 << 10;
+const MAX_RECORDED_BYTES: usize = 1 << 10;
 
 /// How long an intent may take to become durable.
 const INTENT_WAIT: Duration = Duration::from_secs(2);
--- a/lib/ledger/src/ledger.rs
+++ b/lib/ledger/src/ledger.rs
@@ -60,6 +60,15 @@
 /// Purchases that are forgotten together.
 pub(crate) const PURCHASE_STEP: usize = 1_000;
 
+/// Ended calls whose outcomes a shard remembers; the oldest go first.
+///
+/// By number and not by the retry window: a caller may ask for a booking again
+/// hours later, and it must not run a second time then.
+pub(crate) const MAX_CALLS: usize = 20_000;
+
+/// Calls that are forgotten together.
+pub(crate) const CALL_STEP: usize = 500;
+
 /// The kind of operation that an operation id was used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum OperationKind {
--- a/lib/ledger/src/replay.rs
+++ b/lib/ledger/src/replay.rs
@@ -3,8 +3,10 @@
 use snipegate_types::RequestId;
 
 use crate::balance::BudgetBalance;
+use crate::ledger::CALL_STEP;
 use crate::ledger::CallIntent;
 use crate::ledger::HolderState;
+use crate::ledger::MAX_CALLS;
 use crate::ledger::MAX_PURCHASES;
 use crate::ledger::OperationKind;
 use crate::ledger::PURCHASE_STEP;
@@ -45,13 +47,27 @@
             RecentId::Outcome(request) => {
                 let intent = self.intents.get(&request);
                 let outcome = intent.and_then(|intent| intent.outcome.as_ref());
-                if outcome.is_some_and(|(_, concluded)| *concluded == written) {
+                // An outcome that tells whether the call ran outlasts the window.
+                if outcome == Some(&(CallOutcome::NotRun, written)) {
                     self.intents.swap_remove(&request);
                 }
             }
         }
     }
 
+    /// Forgets the oldest ended calls where there are too many.
+    fn limit_calls(&mut self) {
+        if self.intents.len() < MAX_CALLS + CALL_STEP {
+            return;
+        }
+        let mut excess = CALL_STEP;
+        self.intents.retain(|_, intent| {
+            let goes = excess > 0 && intent.outcome.is_some();
+            excess -= usize::from(goes);
+            !goes
+        });
+    }
+
     /// Takes in the segment at `sequence`.
     ///
     /// # Errors
@@ -162,6 +178,7 @@
                     outcome: None,
                 };
                 self.intents.insert(*request, intent);
+                self.limit_calls();
             }
             Conclude { request, outcome } => {
                 let intent = self.intents.get_mut(request);
--- a/lib/ledger/tests/test_ledger.rs
+++ b/lib/ledger/tests/test_ledger.rs
@@ -459,3 +459,34 @@
     assert_eq!(again, OperationResult::ToppedUp);
     assert_eq!(ledger.balance(&budget(0)).unwrap().purchased, 100);
 }
+
+#[test]
+fn call_that_ran_is_not_claimed_again_after_the_retry_window() {
+    let mut ledger = granted_ledger();
+    let answered = CallOutcome::Answered {
+        status: 200,
+        body: b"confirmed".to_vec(),
+    };
+    let outcomes = [
+        (1, answered),
+        (2, CallOutcome::Unknown),
+        (3, CallOutcome::NotRun),
+    ];
+    for (number, outcome) in outcomes {
+        let call = vec![intend(number), conclude(number, outcome)];
+        ledger.apply_batch(&ordered(0, 0, call), &mut Vec::new());
+    }
+    forget_all(&mut ledger);
+    for number in [1, 2] {
+        let again = ledger.apply(&router(1), &intend_again(number, 9), &mut Vec::new());
+        assert!(matches!(
+            again,
+            OperationResult::AlreadyIntended {
+                outcome: Some(_),
+                ..
+            }
+        ));
+    }
+    let void = ledger.apply(&router(1), &intend_again(3, 9), &mut Vec::new());
+    assert_eq!(void, OperationResult::Intended);
+}
