--- a/lib/fleet/examples/fleet_slopes.rs
+++ b/lib/fleet/examples/fleet_slopes.rs
@@ -218,7 +218,8 @@
     let full = keeper_state.reply_to(&keeper(0), StoreRevision(0), ViewScope::Whole, now);
     let replied = began.elapsed();
     let began = Instant::now();
-    let idle = keeper_state.reply_to(&keeper(0), page.revision, ViewScope::Whole, now);
+    let newest = StoreRevision(last.revision.0 + 1);
+    let idle = keeper_state.reply_to(&keeper(0), newest, ViewScope::Whole, now);
     let idled = began.elapsed();
     let full_bytes = encode_message(&full).len();
     drop((full, view, page));
