--- a/bin/ctl/src/fleet_client.rs
+++ b/bin/ctl/src/fleet_client.rs
@@ -185,8 +185,9 @@
     pub(crate) fn known_keepers(&self, view: &FleetView) -> Vec<SocketAddr> {
         let members = view.usable_members(ProcessRole::Keeper);
         let known = members.map(|entry| entry.record.peer());
-        let mut keepers: Vec<SocketAddr> = known.collect();
-        keepers.extend(self.keepers.iter().copied());
+        let mut keepers: Vec<SocketAddr> = known.chain(self.keepers.iter().copied()).collect();
+        keepers.sort_unstable();
+        keepers.dedup();
         keepers
     }
 }
