--- a/lib/escrow/src/bill.rs
+++ b/lib/escrow/src/bill.rs
@@ -13,12 +13,12 @@
 use snipegate_types::ShardId;
 use snipegate_types::TokenCount;
 
+use crate::batch::FORGOTTEN;
 use crate::claim::ReservationId;
 use crate::copy::CopyAsk;
 use crate::counter::EscrowCounter;
 use crate::effect::EscrowEffect;
 use crate::escrow::EscrowState;
-use crate::escrow::FORGOTTEN;
 use crate::escrow::RouterEscrow;
 use crate::message::EscrowMessage;
 use crate::timer::EscrowTimer;
--- a/lib/escrow/src/copy.rs
+++ b/lib/escrow/src/copy.rs
@@ -12,9 +12,9 @@
 use snipegate_types::IncarnationId;
 use snipegate_types::RequestId;
 
+use crate::batch::FORGOTTEN;
 use crate::counter::EscrowCounter;
 use crate::escrow::EscrowState;
-use crate::escrow::FORGOTTEN;
 use crate::escrow::RouterEscrow;
 use crate::message::BillCopy;
 use crate::message::EscrowMessage;
--- a/lib/escrow/src/lib.rs
+++ b/lib/escrow/src/lib.rs
@@ -4,6 +4,7 @@
 //! clock, threads or sockets: events and the time go in, and
 //! [`EscrowEffect`]s come out for the embedding process to carry out.
 
+mod batch;
 mod bill;
 mod claim;
 mod copy;
--- a/lib/escrow/src/transfer.rs
+++ b/lib/escrow/src/transfer.rs
@@ -16,9 +16,9 @@
 use snipegate_types::ShardId;
 use snipegate_types::TokenCount;
 
+use crate::batch::FORGOTTEN;
 use crate::counter::EscrowCounter;
 use crate::escrow::EscrowState;
-use crate::escrow::FORGOTTEN;
 use crate::escrow::RouterEscrow;
 use crate::holding::AskRound;
 use crate::holding::BudgetHolding;
--- a/testing/escrow-world/src/lib.rs
+++ b/testing/escrow-world/src/lib.rs
@@ -5,6 +5,8 @@
 //! is repeated exactly by its number, and checks after each event that no
 //! token came from nowhere.
 
+mod books;
+mod keeper;
 mod network;
 mod node;
 mod record;
--- a/testing/escrow-world/src/world.rs
+++ b/testing/escrow-world/src/world.rs
@@ -16,13 +16,8 @@
 use snipegate_escrow::EscrowState;
 use snipegate_escrow::ReservationId;
 use snipegate_escrow::ReserveOutcome;
-use snipegate_ledger::HolderState;
-use snipegate_ledger::LedgerAnswer;
 use snipegate_ledger::LedgerBatch;
 use snipegate_ledger::LedgerOperation;
-use snipegate_ledger::OperationRefusal;
-use snipegate_ledger::OperationResult;
-use snipegate_ledger::SegmentRecord;
 use snipegate_ledger::ShardLedger;
 use snipegate_types::BudgetId;
 use snipegate_types::IncarnationId;
@@ -41,15 +36,6 @@
 /// Time between ticks of a router.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time after which an unanswered batch counts as lost at its sender.
-const BATCH_LOST: Duration = Duration::from_millis(400);
-
-/// Pause between recalls of one budget, as in the keeper.
-const RECALL_PAUSE: Duration = Duration::from_millis(200);
-
-/// Largest holders that the keeper asks in one recall.
-const RECALL_HOLDERS: usize = 4;
-
 /// A request for [`EscrowWorld::request`].
 #[derive(Clone, Debug)]
 pub struct WorldRequest {
@@ -68,7 +54,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum WorldEvent {
+pub(crate) enum WorldEvent {
     Tick(usize),
     PeerMessage {
         from: usize,
@@ -109,18 +95,18 @@
     pub record: WorldRecord,
     /// The ledger.
     pub ledger: ShardLedger,
-    start: Instant,
-    now: Duration,
-    rng: Rng,
-    events: BTreeMap<(Duration, u64), WorldEvent>,
-    next_event: u64,
-    nodes: Vec<RouterNode>,
-    settings: EscrowSettings,
-    places: usize,
-    open: IndexMap<(usize, ReservationId), (usize, Duration, bool)>,
-    safe: IndexMap<RequestId, (BudgetId, TokenCount)>,
-    recalled: IndexMap<BudgetId, Duration>,
-    next_top_up: u128,
+    pub(crate) start: Instant,
+    pub(crate) now: Duration,
+    pub(crate) rng: Rng,
+    pub(crate) events: BTreeMap<(Duration, u64), WorldEvent>,
+    pub(crate) next_event: u64,
+    pub(crate) nodes: Vec<RouterNode>,
+    pub(crate) settings: EscrowSettings,
+    pub(crate) places: usize,
+    pub(crate) open: IndexMap<(usize, ReservationId), (usize, Duration, bool)>,
+    pub(crate) safe: IndexMap<RequestId, (BudgetId, TokenCount)>,
+    pub(crate) recalled: IndexMap<BudgetId, Duration>,
+    pub(crate) next_top_up: u128,
 }
 
 impl EscrowWorld {
@@ -313,85 +299,6 @@
         self.now = end;
     }
 
-    /// Returns the tokens of a budget that no bill and no reservation uses.
-    pub fn unused(&self, budget: &BudgetId) -> TokenCount {
-        let Some(balance) = self.ledger.balance(budget) else {
-            return TokenCount::ZERO;
-        };
-        let in_use: TokenCount = self
-            .nodes
-            .iter()
-            .filter(|node| node.state != NodeState::Dead)
-            .map(|node| node.escrow.view(budget))
-            .map(|view| view.reserved.saturating_add(view.billed))
-            .sum();
-        TokenCount(balance.purchased)
-            .saturating_sub(TokenCount(balance.billed))
-            .saturating_sub(in_use)
-    }
-
-    /// Returns the tokens of a budget that are free where a router could get
-    /// them: unassigned with the ledger, or held by routers on its side.
-    fn reachable(&self, budget: &BudgetId, node: usize) -> TokenCount {
-        let place = self.nodes[node].place;
-        let ledger = !self.faults.store_out && self.faults.connects(place, 0);
-        let unassigned = match self.ledger.balance(budget) {
-            Some(balance) if ledger => TokenCount(balance.unassigned),
-            _ => TokenCount::ZERO,
-        };
-        let held: TokenCount = self
-            .nodes
-            .iter()
-            .filter(|other| !other.is_over() && self.faults.connects(place, other.place))
-            .map(|other| other.escrow.view(budget))
-            .map(|view| view.free.saturating_add(view.parked))
-            .sum();
-        unassigned.saturating_add(held)
-    }
-
-    /// Returns by how many tokens what is promised exceeds what was purchased.
-    ///
-    /// Promised is: bills in the ledger, safe bills that are not there yet, and
-    /// what routers that may still send hold free, reserved or billed; and the
-    /// unassigned rest, which the next grant promises.
-    pub fn excess(&self, budget: &BudgetId) -> TokenCount {
-        let Some(balance) = self.ledger.balance(budget) else {
-            return TokenCount::ZERO;
-        };
-        let mut bills: IndexMap<RequestId, TokenCount> = IndexMap::new();
-        for (request, (other, amount)) in &self.safe {
-            if other == budget && !self.record.bills.contains_key(request) {
-                bills.insert(*request, *amount);
-            }
-        }
-        let held: TokenCount = self
-            .nodes
-            .iter()
-            .filter(|node| node.state != NodeState::Dead)
-            .filter(|node| node.escrow.state() != EscrowState::Closed)
-            .map(|node| node.escrow.view(budget))
-            .map(|view| {
-                view.free
-                    .saturating_add(view.parked)
-                    .saturating_add(view.reserved)
-            })
-            .sum();
-        let promised = TokenCount(balance.billed)
-            .saturating_add(TokenCount(balance.unassigned))
-            .saturating_add(bills.into_values().sum())
-            .saturating_add(held);
-        promised.saturating_sub(TokenCount(balance.purchased))
-    }
-
-    /// Returns the requests reported safe that the ledger has not billed.
-    pub fn lost_bills(&self) -> Vec<RequestId> {
-        self.safe
-            .keys()
-            .filter(|request| !self.record.bills.contains_key(*request))
-            .copied()
-            .collect()
-    }
-
     fn vms(&self) -> usize {
         self.nodes
             .iter()
@@ -428,17 +335,17 @@
         }
     }
 
-    fn instant(&self) -> Instant {
+    pub(crate) fn instant(&self) -> Instant {
         self.start + self.now
     }
 
-    fn set(&mut self, delay: Duration, event: WorldEvent) {
+    pub(crate) fn set(&mut self, delay: Duration, event: WorldEvent) {
         let key = (self.now + delay, self.next_event);
         self.next_event += 1;
         self.events.insert(key, event);
     }
 
-    fn deliver(&mut self, node: usize, event: EscrowEvent) {
+    pub(crate) fn deliver(&mut self, node: usize, event: EscrowEvent) {
         let now = self.instant();
         match self.nodes[node].state {
             NodeState::Up => {
@@ -451,7 +358,7 @@
         }
     }
 
-    fn find(&self, incarnation: &IncarnationId) -> Option<usize> {
+    pub(crate) fn find(&self, incarnation: &IncarnationId) -> Option<usize> {
         self.nodes
             .iter()
             .position(|node| node.incarnation == *incarnation)
@@ -500,7 +407,7 @@
         }
     }
 
-    fn reaches(&self, from: usize, to: usize) -> bool {
+    pub(crate) fn reaches(&self, from: usize, to: usize) -> bool {
         let (from, to) = (self.nodes[from].place, self.nodes[to].place);
         self.faults.connects(from, to)
     }
@@ -556,20 +463,6 @@
         }
     }
 
-    fn send_batch(&mut self, node: usize, id: BatchId, batch: LedgerBatch) {
-        let event = if self.faults.is_lost(&mut self.rng) {
-            let outcome = BatchOutcome::Lost;
-            let to = node;
-            self.set(BATCH_LOST, WorldEvent::BatchAnswered { to, id, outcome });
-            return;
-        } else {
-            let from = node;
-            WorldEvent::BatchArrives { from, id, batch }
-        };
-        let delay = self.faults.draw_delay(&mut self.rng);
-        self.set(delay, event);
-    }
-
     fn send_peer(&mut self, node: usize, to: IncarnationId, message: EscrowMessage) {
         self.record.messages += 1;
         let copies = match self.faults.is_lost(&mut self.rng) {
@@ -590,109 +483,6 @@
         }
     }
 
-    /// Lets the ledger decide a batch, unless it can't.
-    fn decide(&mut self, from: usize, id: BatchId, batch: &LedgerBatch) {
-        let place = self.nodes[from].place;
-        if !self.faults.connects(place, 0) {
-            return self.answer(from, id, BATCH_LOST, BatchOutcome::Lost);
-        }
-        let delay = self.faults.draw_delay(&mut self.rng);
-        if self.faults.store_out {
-            let answer = LedgerAnswer::Undecided {
-                retry_after_ms: 250,
-            };
-            return self.answer(from, id, delay, BatchOutcome::Answered(answer));
-        }
-        self.record.batches += 1;
-        let results = batch
-            .operations
-            .iter()
-            .map(|operation| self.apply(&batch.sender, operation))
-            .collect();
-        let delay = delay + self.faults.draw_commit(&mut self.rng);
-        let outcome = match self.faults.is_reply_lost(&mut self.rng) {
-            true => BatchOutcome::Lost,
-            false => BatchOutcome::Answered(LedgerAnswer::Results(results)),
-        };
-        self.answer(from, id, delay, outcome);
-    }
-
-    fn answer(&mut self, to: usize, id: BatchId, delay: Duration, outcome: BatchOutcome) {
-        self.set(delay, WorldEvent::BatchAnswered { to, id, outcome });
-    }
-
-    fn apply(&mut self, sender: &IncarnationId, operation: &LedgerOperation) -> OperationResult {
-        let mut records = Vec::new();
-        let result = self.ledger.apply(sender, operation, &mut records);
-        for record in &records {
-            self.note_record(record);
-        }
-        if let LedgerOperation::Grant { budget, .. } = operation
-            && let OperationResult::Refused(OperationRefusal::BudgetShort { .. }) = result
-        {
-            self.recall(sender, budget);
-        }
-        result
-    }
-
-    fn note_record(&mut self, record: &SegmentRecord) {
-        match record {
-            SegmentRecord::Bill {
-                request, amount, ..
-            } => {
-                let amount = TokenCount(*amount);
-                if self.record.bills.insert(*request, amount).is_some() {
-                    self.record.double_bills += 1;
-                }
-            }
-            SegmentRecord::CloseHolder { .. } => {
-                let closing: Vec<_> = self.ledger.closing_holders().cloned().collect();
-                for dead in closing {
-                    self.set(Duration::ZERO, WorldEvent::FenceRound(dead));
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn recall(&mut self, sender: &IncarnationId, budget: &BudgetId) {
-        let last = self.recalled.get(budget).copied();
-        if last.is_some_and(|last| self.now - last < RECALL_PAUSE) {
-            return;
-        }
-        self.recalled.insert(budget.clone(), self.now);
-        let holders = self.ledger.largest_holders(budget, sender);
-        for (to, _) in holders.into_iter().take(RECALL_HOLDERS) {
-            let delay = self.faults.draw_delay(&mut self.rng);
-            let budget = budget.clone();
-            self.set(delay, WorldEvent::Recall { to, budget });
-        }
-    }
-
-    /// Asks every router for its fence, and reclaims when all have answered.
-    fn run_fence(&mut self, dead: IncarnationId) {
-        if self.ledger.holder_state(&dead) != Some(HolderState::Closing) {
-            return;
-        }
-        let mut missing = false;
-        for node in 0..self.nodes.len() {
-            let router = &self.nodes[node];
-            if router.incarnation == dead || router.is_over() || router.fenced.contains(&dead) {
-                continue;
-            }
-            missing = true;
-            if self.faults.connects(0, router.place) {
-                let dead = dead.clone();
-                self.deliver(node, EscrowEvent::FenceAsked { dead });
-            }
-        }
-        if missing {
-            return self.set(Duration::from_millis(300), WorldEvent::FenceRound(dead));
-        }
-        let mut records = Vec::new();
-        self.ledger.reclaim_holder(&dead, &mut records);
-    }
-
     fn admit(&mut self, node: usize, reservation: ReservationId) {
         let Some(&(attempt, runs, _)) = self.open.get(&(node, reservation)) else {
             return;
