--- a/lib/escrow/src/escrow.rs
+++ b/lib/escrow/src/escrow.rs
@@ -242,6 +242,10 @@
         ReservationId(self.next_reservation)
     }
 
+    pub(crate) fn last_reservation(&self) -> ReservationId {
+        ReservationId(self.next_reservation)
+    }
+
     pub(crate) fn enqueue(&mut self, shard: ShardId, operation: LedgerOperation) {
         self.queues.entry(shard).or_default().push(operation);
     }
--- a/lib/escrow/src/grant.rs
+++ b/lib/escrow/src/grant.rs
@@ -181,10 +181,14 @@
     fn ask_grant(&mut self, budget: &BudgetId, wanted: TokenCount, least: TokenCount) {
         let least = least.max(TokenCount(1));
         let operation = self.next_operation();
+        let last_claim = self.last_reservation();
         let Some(holding) = self.budgets.get_mut(budget) else {
             return;
         };
-        holding.grant = Some(OpenGrant { operation });
+        holding.grant = Some(OpenGrant {
+            operation,
+            last_claim,
+        });
         let shard = holding.shard;
         let grant = LedgerOperation::Grant {
             operation,
@@ -208,12 +212,8 @@
         let Some(holding) = self.budgets.get_mut(budget) else {
             return;
         };
-        if holding
-            .grant
-            .is_some_and(|grant| grant.operation == operation)
-        {
-            holding.grant = None;
-        }
+        let grant = holding.grant.take_if(|grant| grant.operation == operation);
+        let last_claim = grant.map_or(ReservationId(0), |grant| grant.last_claim);
         match result {
             OperationResult::Granted { amount, unassigned } => {
                 holding.unassigned = Some(unassigned);
@@ -233,13 +233,19 @@
                     let timer = EscrowTimer::TopUpDue(budget.clone());
                     self.timers.set(pause, timer);
                 }
-                self.end_refused_grant(budget, refusal, now);
+                self.end_refused_grant(budget, refusal, last_claim, now);
             }
             _ => self.count(EscrowCounter::LedgerFault),
         }
     }
 
-    fn end_refused_grant(&mut self, budget: &BudgetId, refusal: OperationRefusal, now: Instant) {
+    fn end_refused_grant(
+        &mut self,
+        budget: &BudgetId,
+        refusal: OperationRefusal,
+        last_claim: ReservationId,
+        now: Instant,
+    ) {
         let Some(holding) = self.budgets.get_mut(budget) else {
             return;
         };
@@ -253,7 +259,7 @@
                 holding.shortage = refusal.result_code();
                 let in_use = !holding.reserved.is_zero() || !holding.billed.is_zero();
                 if held_elsewhere.is_zero() && !in_use {
-                    self.refuse_waiting(budget, ResultCode::BudgetExhausted, now);
+                    self.refuse_exhausted(budget, last_claim);
                 } else if !held_elsewhere.is_zero() {
                     self.ask_peers(budget, now);
                 }
@@ -335,16 +341,33 @@
         };
         let waiting = std::mem::take(&mut holding.waiting);
         holding.asking = None;
-        // An exhausted budget is asked for again, as it may be topped up.
-        if code != ResultCode::BudgetExhausted {
-            let until = now + self.settings.short_memory;
-            holding.short = Some(ShortNotice { until, code });
-        }
+        let until = now + self.settings.short_memory;
+        holding.short = Some(ShortNotice { until, code });
         for claim in waiting {
             self.refuse(claim.reservation, code);
         }
     }
 
+    /// Refuses the attempts that had come when the ledger was asked.
+    ///
+    /// Nothing is remembered and later attempts wait for the next answer, as
+    /// the budget may have been topped up since.
+    fn refuse_exhausted(&mut self, budget: &BudgetId, last_claim: ReservationId) {
+        let Some(holding) = self.budgets.get_mut(budget) else {
+            return;
+        };
+        let refused: Vec<WaitingClaim> = holding
+            .waiting
+            .extract_if(.., |claim| claim.reservation <= last_claim)
+            .collect();
+        if holding.waiting.is_empty() {
+            holding.asking = None;
+        }
+        for claim in refused {
+            self.refuse(claim.reservation, ResultCode::BudgetExhausted);
+        }
+    }
+
     /// Refuses every waiting attempt: the escrow stops.
     pub(crate) fn refuse_all_waiting(&mut self) {
         let waiting: Vec<WaitingClaim> = self
--- a/lib/escrow/src/holding.rs
+++ b/lib/escrow/src/holding.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OpenGrant {
     pub(crate) operation: OperationId,
+    /// The last attempt that had come when it was asked for.
+    pub(crate) last_claim: ReservationId,
 }
 
 /// The last finding that the budget is short, valid for a while.
