--- a/bin/ctl/tests/test_ctl.rs
+++ b/bin/ctl/tests/test_ctl.rs
@@ -43,6 +43,8 @@
             "--json",
             "--wait",
             "0s",
+            "--timeout",
+            "30s",
         ])
         .args(arguments.split(' '));
     let output = ntex::rt::spawn_blocking(move || command.output()).await;
