--- a/bin/router/src/paths.rs
+++ b/bin/router/src/paths.rs
@@ -376,6 +376,7 @@
         call,
         control: state.shared.control.clone(),
         client: Rc::clone(&state.client),
+        views: state.shared.views.clone(),
         clock: Arc::clone(&state.shared.clock),
     };
     // The call goes on to its end also where the caller's connection ends.
--- a/bin/router/src/service_call.rs
+++ b/bin/router/src/service_call.rs
@@ -9,11 +9,13 @@
 use ntex::util::Bytes;
 use sha2::Digest;
 use sha2::Sha256;
+use snipegate_fleet::FleetView;
 use snipegate_ledger::CallOutcome;
 use snipegate_ledger::LedgerOperation;
 use snipegate_ledger::OperationResult;
 use snipegate_routing::AttemptOutcome;
 use snipegate_types::ByteCount;
+use snipegate_types::IncarnationId;
 use snipegate_types::ModelName;
 use snipegate_types::OperationId;
 use snipegate_types::RequestId;
@@ -22,6 +24,7 @@
 use snipegate_types::ShardId;
 use snipegate_types::TimeSource;
 use snipegate_types::TokenCount;
+use tokio::sync::watch;
 
 use crate::call_register::CallDigest;
 use crate::call_register::CallStart;
@@ -91,6 +94,8 @@
     pub control: ControlHandle,
     /// The client for upstreams.
     pub client: Rc<UpstreamClient>,
+    /// The newest fleet view.
+    pub views: watch::Receiver<Arc<FleetView>>,
     /// The clock.
     pub clock: Arc<dyn TimeSource>,
 }
@@ -138,6 +143,14 @@
     )
 }
 
+fn still_running() -> RequestRefusal {
+    RequestRefusal::failed(
+        ResultCode::StillRunning,
+        RunState::Unknown,
+        "the same call is in progress",
+    )
+}
+
 fn key_reused() -> RequestRefusal {
     RequestRefusal::not_run(
         ResultCode::IdempotencyKeyReused,
@@ -171,11 +184,7 @@
             CallStart::New => self.run_once(admit).await,
             CallStart::Reused => Err(key_reused()),
             CallStart::Ended(outcome) => answer_of(outcome),
-            CallStart::Running => Err(RequestRefusal::failed(
-                ResultCode::StillRunning,
-                RunState::Unknown,
-                "the same call is in progress here",
-            )),
+            CallStart::Running => Err(still_running()),
         }
     }
 
@@ -298,10 +307,15 @@
         let refusal = match last {
             Some(OperationResult::Intended) => return Ok(CallClaim::Own),
             Some(OperationResult::AlreadyIntended {
-                digest, outcome, ..
+                claimant,
+                digest,
+                outcome,
+                ..
             }) => {
                 self.forget();
-                return self.already_intended(handle, digest, outcome).await;
+                return self
+                    .already_intended(handle, &claimant, digest, outcome)
+                    .await;
             }
             Some(OperationResult::Refused(refused)) => {
                 self.forget();
@@ -326,6 +340,7 @@
     async fn already_intended(
         &self,
         handle: RequestHandle,
+        claimant: &IncarnationId,
         digest: CallDigest,
         outcome: Option<CallOutcome>,
     ) -> Result<CallClaim, RequestRefusal> {
@@ -348,6 +363,10 @@
                 };
                 self.settle(handle, answer).await.map(CallClaim::Recorded)
             }
+            None if self.is_up(claimant) => {
+                abandon();
+                Err(still_running())
+            }
             Some(CallOutcome::NotRun | CallOutcome::Unknown) | None => {
                 abandon();
                 Err(outcome_unknown())
@@ -355,6 +374,14 @@
         }
     }
 
+    /// Tells whether a router that claimed the call can still bring its end.
+    fn is_up(&self, claimant: &IncarnationId) -> bool {
+        let view = self.views.borrow();
+        let entry = view.member(&claimant.vm, claimant.role);
+        entry
+            .is_some_and(|entry| &entry.record.incarnation == claimant && !view.is_suspected(entry))
+    }
+
     async fn send(&self, order: &SendOrder) -> Result<ServiceAnswer, AttemptOutcome> {
         let call = &self.call;
         let mut headers = vec![
