--- a/lib/routing/examples/routing_experiment/main.rs
+++ b/lib/routing/examples/routing_experiment/main.rs
@@ -1,7 +1,8 @@
 //! Compares the routing policy with baselines in virtual time.
 //!
-//! Usage: `routing_experiment [--seeds N] [--json FILE]`. The same seeds give
-//! the same figures on every machine.
+//! Usage: `routing_experiment [--seeds N] [--scale N] [--json FILE]`. The same
+//! arguments give the same figures on every machine. `--scale` multiplies
+//! routers, engines and rates.
 
 mod chooser;
 mod engine;
@@ -27,12 +28,34 @@
 
 const SPAN: Duration = Duration::from_secs(60);
 
-const SIZE: WorldSize = WorldSize {
-    routers: 6,
-    engines: 10,
-    slots: 8,
-    cache_blocks: 400,
-};
+/// Sizes at scale 1, near those of one deployment today.
+const ROUTERS: usize = 6;
+const ENGINES: usize = 10;
+const SLOTS: usize = 8;
+const CACHE_BLOCKS: usize = 400;
+
+/// What all runs of one invocation share.
+#[derive(Clone, Copy)]
+struct Experiment {
+    seeds: u64,
+    scale: usize,
+}
+
+impl Experiment {
+    fn size(self) -> WorldSize {
+        WorldSize {
+            routers: ROUTERS * self.scale,
+            engines: ENGINES * self.scale,
+            slots: SLOTS,
+            cache_blocks: CACHE_BLOCKS,
+        }
+    }
+
+    /// Returns requests per second for the whole fleet.
+    fn rate(self, rate: f64) -> f64 {
+        rate * self.scale as f64
+    }
+}
 
 /// Share of requests that must be answered in time at capacity.
 const CAPACITY_SHARE: f64 = 0.99;
@@ -49,22 +72,25 @@
     kind: PromptKind,
     condition: Condition,
     rate: f64,
-    seeds: u64,
+    experiment: Experiment,
 ) -> RunReport {
     let policy = RoutePolicy::default();
-    let mut whole = RunReport::new(SIZE.engines);
-    for seed in 1..=seeds {
-        let requests = arrivals(kind, rate, SPAN, SIZE.routers, seed);
-        let world = World::new(name, &policy, SIZE, requests, condition, seed);
+    let size = experiment.size();
+    let mut whole = RunReport::new(size.engines);
+    for seed in 1..=experiment.seeds {
+        let requests = arrivals(kind, experiment.rate(rate), SPAN, size.routers, seed);
+        let world = World::new(name, &policy, size, requests, condition, seed);
         whole.add(world.run(SPAN));
     }
     whole
 }
 
 /// Finds the highest rate at which nearly all requests are answered in time.
-fn find_capacity(name: PolicyName, kind: PromptKind, seeds: u64) -> f64 {
+fn find_capacity(name: PolicyName, kind: PromptKind, experiment: Experiment) -> f64 {
     let mut rate = 10.0;
-    while run(name, kind, Condition::Normal, rate + 2.0, seeds).served_share() >= CAPACITY_SHARE {
+    while run(name, kind, Condition::Normal, rate + 2.0, experiment).served_share()
+        >= CAPACITY_SHARE
+    {
         rate += 2.0;
     }
     rate
@@ -82,12 +108,12 @@
     );
 }
 
-fn compare(kind: PromptKind, rate: f64, seeds: u64) -> Value {
+fn compare(kind: PromptKind, rate: f64, experiment: Experiment) -> Value {
     let mut conditions = serde_json::Map::new();
     for condition in Condition::iter() {
         let mut policies = serde_json::Map::new();
         for name in PolicyName::iter() {
-            let report = run(name, kind, condition, rate, seeds);
+            let report = run(name, kind, condition, rate, experiment);
             line(&format!("{kind:?} {condition} {name}"), &report);
             policies.insert(name.to_string(), report.to_json());
         }
@@ -96,12 +122,12 @@
     json!({ "rate_per_s": round(rate), "conditions": conditions })
 }
 
-fn overload(kind: PromptKind, rate: f64, seeds: u64) -> Value {
+fn overload(kind: PromptKind, rate: f64, experiment: Experiment) -> Value {
     let mut factors = serde_json::Map::new();
     for factor in [1.0, 1.5, 2.0, 3.0] {
         let mut policies = serde_json::Map::new();
         for name in [PolicyName::Snipegate, PolicyName::LeastOutstanding] {
-            let report = run(name, kind, Condition::Normal, rate * factor, seeds);
+            let report = run(name, kind, Condition::Normal, rate * factor, experiment);
             line(&format!("{kind:?} {factor} x capacity {name}"), &report);
             policies.insert(name.to_string(), report.to_json());
         }
@@ -117,10 +143,13 @@
         arguments.get(at + 1).cloned()
     };
     let seeds = value_of("--seeds").map_or(5, |text| text.parse().expect("--seeds takes a number"));
+    let scale = value_of("--scale").map_or(1, |text| text.parse().expect("--scale takes a number"));
+    let experiment = Experiment { seeds, scale };
+    let one_seed = Experiment { seeds: 1, scale };
     let mut results = serde_json::Map::new();
     for kind in [PromptKind::SharedPrefix, PromptKind::NoPrefix] {
-        let capacity = find_capacity(PolicyName::Snipegate, kind, 1);
-        let baseline = find_capacity(PolicyName::LeastOutstanding, kind, 1);
+        let capacity = find_capacity(PolicyName::Snipegate, kind, one_seed);
+        let baseline = find_capacity(PolicyName::LeastOutstanding, kind, one_seed);
         println!("{kind:?}: capacity {capacity}/s, of least outstanding {baseline}/s");
         let rate = match kind {
             PromptKind::SharedPrefix => SHARED_RATE,
@@ -131,13 +160,14 @@
             json!({
                 "capacity_per_s": capacity,
                 "capacity_least_outstanding_per_s": baseline,
-                "comparison": compare(kind, rate, seeds),
-                "overload": overload(kind, capacity, seeds),
+                "comparison": compare(kind, rate, experiment),
+                "overload": overload(kind, capacity, experiment),
             }),
         );
     }
     if let Some(path) = value_of("--json") {
-        let whole = json!({ "seeds": seeds, "span_s": SPAN.as_secs(), "results": results });
+        let whole =
+            json!({ "seeds": seeds, "scale": scale, "span_s": SPAN.as_secs(), "results": results });
         let text = serde_json::to_string_pretty(&whole).expect("figures are JSON");
         std::fs::write(path, text + "\n").expect("the file of --json can be written");
     }
