--- a/testing/fleet/src/fleet.rs
+++ b/testing/fleet/src/fleet.rs
@@ -12,6 +12,8 @@
 use snipegate_fleet::FleetKey;
 use snipegate_fleet::FleetStatus;
 use snipegate_history::EventKind;
+use snipegate_ledger::BUDGETS_PATH;
+use snipegate_ledger::BudgetStatus;
 use snipegate_platform::ExpectedVersion;
 use snipegate_types::ShardId;
 use snipegate_types::UpstreamId;
@@ -267,6 +269,39 @@
             .await;
     }
 
+    /// Reads a workspace's budget from the keeper that has taken in the most.
+    pub async fn budget(&self, workspace: &str) -> Option<BudgetStatus> {
+        let shard = workspace_shard(workspace);
+        let path = format!("{BUDGETS_PATH}/{workspace}?shard={shard}");
+        let mut newest: Option<BudgetStatus> = None;
+        for vm in &self.vms {
+            let body = self.operator.fetch(vm.keeper_address, &path).await;
+            let status = body.and_then(|body| serde_json::from_slice::<BudgetStatus>(&body).ok());
+            newest = newest
+                .into_iter()
+                .chain(status)
+                .max_by_key(|status| status.sequence);
+        }
+        newest
+    }
+
+    /// Takes a VM away for good: its processes, and then its place in the list.
+    pub async fn remove_vm(&mut self, vm: usize) {
+        self.kill_process(vm, VmRole::Router);
+        self.kill_process(vm, VmRole::Keeper);
+        self.vms.remove(vm);
+        self.list_vms().await;
+    }
+
+    /// Adds a VM, lists it and starts its processes.
+    pub async fn add_vm(&mut self, name: &str, data_centre: &str) {
+        self.vms.push(FleetVm::new(name, data_centre));
+        self.list_vms().await;
+        let vm = self.vms.len() - 1;
+        self.start_process(vm, VmRole::Keeper);
+        self.start_process(vm, VmRole::Router);
+    }
+
     /// Records which configuration each keeper and its followers act on.
     pub async fn sample_config(&self) {
         for vm in &self.vms {
--- a/testing/fleet/src/gather.rs
+++ b/testing/fleet/src/gather.rs
@@ -28,31 +28,35 @@
 impl TestFleet {
     /// Gathers the whole history and checks it.
     ///
-    /// Bills of answers that were given may still be on their way to the
-    /// ledger, so they are waited for.
-    ///
     /// # Panics
     ///
     /// Panics if the history breaks a requirement.
     pub async fn check(&self) -> HistorySummary {
+        let (violations, summary) = self.find_violations().await;
+        let lines: Vec<String> = violations.iter().map(ToString::to_string).collect();
+        assert!(lines.is_empty(), "{}\n{summary}", lines.join("\n"));
+        println!("{summary}");
+        summary
+    }
+
+    /// Gathers the whole history and returns what it breaks.
+    ///
+    /// Bills of answers that were given may still be on their way to the
+    /// ledger, so they are waited for.
+    pub async fn find_violations(&self) -> (Vec<Violation>, HistorySummary) {
         let start = Instant::now();
-        let (events, violations) = loop {
+        loop {
             let events = self.gather().await;
             let violations = check_history(&events, &CheckLimits::default());
             let waits = violations
                 .iter()
                 .any(|found| matches!(found, Violation::AnswerUnbilled { .. }));
             if !waits || start.elapsed() > PATIENCE {
-                break (events, violations);
+                write_history(&events);
+                return (violations, HistorySummary::new(&events));
             }
             sleep(POLL_PAUSE).await;
-        };
-        write_history(&events);
-        let lines: Vec<String> = violations.iter().map(ToString::to_string).collect();
-        let summary = HistorySummary::new(&events);
-        assert!(lines.is_empty(), "{}\n{summary}", lines.join("\n"));
-        println!("{summary}");
-        summary
+        }
     }
 
     async fn gather(&self) -> Vec<HistoryEvent> {
--- a/testing/fleet/tests/test_fleet.rs
+++ b/testing/fleet/tests/test_fleet.rs
@@ -5,6 +5,7 @@
 
 use ntex::time::sleep;
 use serde_json::json;
+use snipegate_ledger::BudgetStatus;
 use snipegate_testing_fleet::FleetLoad;
 use snipegate_testing_fleet::TestFleet;
 use snipegate_testing_fleet::VmRole;
@@ -212,3 +213,71 @@
     fleet.operator.fault(fleet.platform, cut_off(&[])).await;
     finish(&fleet, load).await;
 }
+
+/// Budgets that run out again and again, topped up on both sides of a cut.
+#[ntex::test]
+async fn test_scarce_budgets_during_a_partition() {
+    let fleet = TestFleet::start().await;
+    let cut_off = |names: &[&str]| json!({"cut_off": names});
+    fleet
+        .operator
+        .fault(fleet.platform, cut_off(&["mvd-centro"]))
+        .await;
+    let load = FleetLoad::start(&fleet, 13, CALLERS).await;
+    for operation in 0..30 {
+        let workspace = WORKSPACES[operation % WORKSPACES.len()];
+        fleet.top_up(workspace, operation as u128, 200).await;
+        sleep(Duration::from_millis(300)).await;
+        if operation == 15 {
+            let faults = json!({"cut_off": [], "lose_probability": 0.2, "seed": 13});
+            fleet.operator.fault(fleet.platform, faults).await;
+        }
+    }
+    load.finish().await;
+    let summary = fleet.check().await;
+    assert!(summary.bills > 0 && summary.billed <= 6_000, "{summary}");
+}
+
+#[ntex::test]
+async fn test_vm_restarted_while_the_store_is_out() {
+    let (mut fleet, load) = start(14).await;
+    let outage = |on: bool| json!({"outage": on});
+    fleet.operator.fault(fleet.platform, outage(true)).await;
+    fleet.kill_process(2, VmRole::Router);
+    fleet.kill_process(2, VmRole::Keeper);
+    fleet.start_process(2, VmRole::Keeper);
+    fleet.start_process(2, VmRole::Router);
+    load.set_targets(fleet.targets());
+    sleep(LONG_FAULT).await;
+    fleet.operator.fault(fleet.platform, outage(false)).await;
+    fleet.wait_ready(VmRole::Router).await;
+    finish(&fleet, load).await;
+}
+
+#[ntex::test]
+async fn test_tokens_of_a_vm_that_is_gone_come_back() {
+    let (mut fleet, load) = start(15).await;
+    let gone = fleet.vms[1].name.clone();
+    let held_by_gone = |status: &BudgetStatus| {
+        let holders = status.holdings.iter();
+        let held = holders.filter(|held| held.holder.vm.as_str() == gone && held.amount != 0);
+        held.count() > 0
+    };
+    until("tokens are held", || async {
+        let status = fleet.budget(WORKSPACES[0]).await;
+        status.is_some_and(|status| held_by_gone(&status))
+    })
+    .await;
+    fleet.remove_vm(1).await;
+    fleet.add_vm("vm-4", "mvd-este").await;
+    load.set_targets(fleet.targets());
+    for workspace in WORKSPACES {
+        until("tokens are back", || async {
+            let status = fleet.budget(workspace).await;
+            status.is_some_and(|status| !held_by_gone(&status))
+        })
+        .await;
+    }
+    fleet.wait_ready(VmRole::Router).await;
+    finish(&fleet, load).await;
+}
