load: arrival times by a finer timer

Times run from when a request was due, so this lateness is inside them: look at send_delay before comparing differences below a few milliseconds.

--- a/bin/load/src/open_loop.rs
+++ b/bin/load/src/open_loop.rs
@@ -8,10 +8,10 @@
 use indexmap::IndexMap;
 use ntex::channel::mpsc;
 use ntex::rt::spawn;
-use ntex::time::sleep;
 use snipegate_types::SystemClock;
 use snipegate_types::TimeSource;
 use snipegate_types::WorkspaceId;
+use tokio::time::sleep;
 
 use crate::address_book::AddressBook;
 use crate::caller::PreparedRequest;
@@ -75,6 +75,7 @@
 async fn wait_until(intended: Instant) {
     let left = intended.saturating_duration_since(SystemClock.now());
     if !left.is_zero() {
+        // The timer of ntex is too coarse for arrival times.
         sleep(left).await;
     }
 }
