--- a/bin/keeper/src/ledger_control.rs
+++ b/bin/keeper/src/ledger_control.rs
@@ -7,7 +7,6 @@
 
 use indexmap::IndexMap;
 use ntex::rt::spawn;
-use ntex::time::sleep;
 use snipegate_fleet::DeathWatch;
 use snipegate_fleet::FleetHandle;
 use snipegate_fleet::FleetView;
@@ -34,6 +33,7 @@
 use snipegate_types::ShardId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::control_handle::ControlHandle;
 use crate::control_handle::ControlMessage;
--- a/testing/engine/src/generation.rs
+++ b/testing/engine/src/generation.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use ntex::time::sleep;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::fault::StreamCut;
 use crate::prompt::PromptPlan;
--- a/testing/engine/src/paths.rs
+++ b/testing/engine/src/paths.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use ntex::http::StatusCode;
-use ntex::time::sleep;
 use ntex::util::Bytes;
 use ntex::web;
 use ntex::web::HttpRequest;
@@ -16,6 +15,7 @@
 use ntex::web::types::State;
 use serde::Deserialize;
 use serde_json::json;
+use tokio::time::sleep;
 
 use crate::chat::REQUEST_ID_HEADER;
 use crate::chat::complete_chat;
