router, load: read an answer to its end before its connection is left

Cause: both dropped an answer at its last event, before the end of its body. The client library then can give the closing connection to the next request, which hears nothing and has no open socket. Ruled out: the engine (its records show every request complete) and the limit of connections (none is set).

Answers are read to the end now, also failed ones, and an answer that is left on purpose takes the kept connections with it.

--- a/bin/load/src/caller.rs
+++ b/bin/load/src/caller.rs
@@ -176,17 +176,20 @@
 
 async fn read_stream(mut payload: Payload, watch: &mut AnswerWatch) -> RequestEnd {
     let mut parser = EventParser::default();
+    let mut end = RequestEnd::Broken;
+    // Read to the end also after the last event: a connection that is left
+    // before its end can't be used again.
     loop {
         let bytes = match stream_recv(&mut payload).await {
             Some(Ok(bytes)) => bytes,
-            Some(Err(_)) | None => return RequestEnd::Broken,
+            Some(Err(_)) | None => return end,
         };
         for event in parser.push(&bytes) {
             match event {
                 StreamEvent::Text(text) => watch.part(&text),
                 StreamEvent::Usage { .. } => watch.usage(&event),
                 StreamEvent::Failed(detail) => return RequestEnd::Refused(detail),
-                StreamEvent::Done => return RequestEnd::Answered,
+                StreamEvent::Done => end = RequestEnd::Answered,
             }
         }
     }
--- a/bin/router/src/relay.rs
+++ b/bin/router/src/relay.rs
@@ -33,6 +33,9 @@
 /// Path of chat requests on a model engine.
 const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// How long an engine may take to end its answer after the mark of the end.
+const END_WAIT: Duration = Duration::from_millis(50);
+
 /// What a relay needs to know of its request.
 pub struct RelayRequest {
     /// The request.
@@ -256,8 +259,9 @@
                 .into(),
         };
         let sent = self.client.post(call, self.wait()).await;
-        let answer = self.check_deadline(sent)?;
+        let mut answer = self.check_deadline(sent)?;
         if let Some(outcome) = answer.failure() {
+            answer.read_to_end(END_WAIT).await;
             return Err(outcome);
         }
         let echoed = answer.header("x-request-id").unwrap_or(&id);
@@ -330,6 +334,7 @@
                 reply,
             })
             .await;
+        self.read_to_end().await;
         let usage = match verdict {
             Some(BillVerdict::Safe(amount)) => usage.billed(amount),
             Some(BillVerdict::Unsafe) | None => return Err(AttemptOutcome::Withdrawn),
@@ -343,6 +348,25 @@
         Ok(AnswerPart::Last { chunks, usage })
     }
 
+    /// Closes the connection of an answer that has not ended, which cancels
+    /// what may still run there.
+    ///
+    /// The client library keeps such a connection for a moment and can give it
+    /// to another request, which then hears nothing; so all kept ones go.
+    fn leave_answer(&mut self) {
+        if self.answer.take().is_some() {
+            self.client.forget_connections();
+        }
+    }
+
+    /// Reads what follows the stream's mark, so that the connection can be used
+    /// for another request.
+    async fn read_to_end(&mut self) {
+        if let Some(mut answer) = self.answer.take() {
+            answer.read_to_end(END_WAIT).await;
+        }
+    }
+
     /// Reports a failed attempt and prepares the next; tells whether the
     /// answer begins again.
     async fn fail(&mut self, outcome: AttemptOutcome) -> Result<bool, RequestRefusal> {
@@ -353,8 +377,7 @@
                 "the answer is complete but its bill could not be made safe",
             ));
         }
-        // Closing the connection cancels what may still run there.
-        self.answer = None;
+        self.leave_answer();
         let handle = self.handle;
         let report = FailureReport {
             outcome,
@@ -404,6 +427,7 @@
 
 impl Drop for ChatRelay {
     fn drop(&mut self) {
+        self.leave_answer();
         if self.ended {
             return;
         }
--- a/bin/router/src/service_call.rs
+++ b/bin/router/src/service_call.rs
@@ -408,6 +408,7 @@
         if call.repeatable
             && let Some(outcome) = answer.failure()
         {
+            answer.read_to_end(order.progress_timeout).await;
             return Err(outcome);
         }
         let body = answer
--- a/bin/router/src/upstream_client.rs
+++ b/bin/router/src/upstream_client.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Reads the rest of the answer, each part within `wait`, and drops it, so
+    /// that its connection can be used for another request.
+    pub async fn read_to_end(&mut self, wait: Duration) {
+        while let Ok(Some(_)) = self.next_bytes(wait).await {}
+    }
+
     /// Reads the whole body, each part within `wait`, up to `limit` bytes.
     ///
     /// # Errors
