fleet, service: one way to make a starting member's record; no limit of connections

Three daemons wrote the same record out. The message client kept the library's limit of 100 connections over all addresses, so that calls to one process could wait for calls to others.

--- a/bin/directory/src/main.rs
+++ b/bin/directory/src/main.rs
@@ -11,7 +11,6 @@
 use slog::error;
 use snipegate_fleet::FollowerSettings;
 use snipegate_fleet::MemberRecord;
-use snipegate_fleet::MemberState;
 use snipegate_fleet::Registration;
 use snipegate_fleet::ViewFollower;
 use snipegate_fleet::ViewSubscription;
@@ -21,12 +20,10 @@
 use snipegate_service::DaemonContext;
 use snipegate_service::GuardPort;
 use snipegate_service::MetricRegistry;
-use snipegate_service::ProcessSettings;
 use snipegate_service::ProcessState;
 use snipegate_service::build_logger;
 use snipegate_service::start_server;
 use snipegate_service::wait_for_stop_signal;
-use snipegate_types::IncarnationId;
 use snipegate_types::ProcessRole;
 use snipegate_types::SystemClock;
 
@@ -58,7 +55,11 @@
     let (follower, subscription) = ViewFollower::new(follower, Rc::new(SystemClock));
     spawn(follower.members_only().run());
     spawn(become_ready(context.clone(), subscription.clone()));
-    spawn(register(context.clone(), store, member(process, own)));
+    spawn(register(
+        context.clone(),
+        store,
+        MemberRecord::starting(process, own),
+    ));
 
     let routes = subscription.clone();
     let server = start_server(listener, process.workers, context.clone(), move |config| {
@@ -71,19 +72,6 @@
     Ok(())
 }
 
-fn member(process: &ProcessSettings, incarnation: IncarnationId) -> MemberRecord {
-    MemberRecord {
-        incarnation,
-        data_centre: process.data_centre.clone(),
-        region: process.region.clone(),
-        address: process.listen,
-        peer_address: None,
-        weight: 1,
-        state: MemberState::Up,
-        listed_at: None,
-    }
-}
-
 /// Registers the directory, so that operators see it.
 async fn register(context: DaemonContext, store: HttpStore, member: MemberRecord) {
     let mut registration = Registration::new(member);
--- a/bin/keeper/src/main.rs
+++ b/bin/keeper/src/main.rs
@@ -21,20 +21,17 @@
 use snipegate_fleet::FleetService;
 use snipegate_fleet::FleetServiceSettings;
 use snipegate_fleet::MemberRecord;
-use snipegate_fleet::MemberState;
 use snipegate_fleet::choose_incarnation;
 use snipegate_platform::HttpStore;
 use snipegate_platform::HttpVmList;
 use snipegate_service::DaemonContext;
 use snipegate_service::GuardPort;
 use snipegate_service::MetricRegistry;
-use snipegate_service::ProcessSettings;
 use snipegate_service::ProcessState;
 use snipegate_service::StopSignal;
 use snipegate_service::build_logger;
 use snipegate_service::start_server;
 use snipegate_service::wait_for_stop_signal;
-use snipegate_types::IncarnationId;
 use snipegate_types::ProcessRole;
 use snipegate_types::SystemClock;
 use tokio::sync::mpsc;
@@ -63,7 +60,7 @@
     let vms = Rc::new(vms.map_err(io::Error::other)?);
 
     let own = choose_incarnation(&*store, &process.vm, ProcessRole::Keeper, &SystemClock).await;
-    let member = member_record(process, own.clone());
+    let member = MemberRecord::starting(process, own.clone());
     let seeds = settings.seeds.clone();
     let fleet = FleetServiceSettings { member, seeds };
     let clock = Rc::new(SystemClock);
@@ -92,19 +89,6 @@
     Ok(())
 }
 
-fn member_record(process: &ProcessSettings, incarnation: IncarnationId) -> MemberRecord {
-    MemberRecord {
-        incarnation,
-        data_centre: process.data_centre.clone(),
-        region: process.region.clone(),
-        address: process.listen,
-        peer_address: None,
-        weight: 1,
-        state: MemberState::Up,
-        listed_at: None,
-    }
-}
-
 /// Hands the shards over, then waits until commits in flight have ended.
 async fn stop_gracefully(
     settings: &DaemonSettings,
--- a/bin/router/src/main.rs
+++ b/bin/router/src/main.rs
@@ -15,7 +15,6 @@
 use snipegate_fleet::FleetView;
 use snipegate_fleet::FollowerSettings;
 use snipegate_fleet::MemberRecord;
-use snipegate_fleet::MemberState;
 use snipegate_fleet::ViewFollower;
 use snipegate_fleet::ViewSubscription;
 use snipegate_fleet::choose_incarnation;
@@ -70,7 +69,10 @@
     let role = ProcessRole::Router;
     let own = choose_incarnation(&*store, &process.vm, role, &*clock).await;
 
-    let member = member_record(&settings, own.clone());
+    let member = MemberRecord {
+        peer_address: Some(settings.peer_listen),
+        ..MemberRecord::starting(process, own.clone())
+    };
     let membership = MembershipHandle::start(Rc::clone(&store), member, context.clone());
     let (follower, subscription) = ViewFollower::new(
         FollowerSettings {
@@ -158,19 +160,6 @@
     }
 }
 
-fn member_record(settings: &RouterSettings, incarnation: IncarnationId) -> MemberRecord {
-    MemberRecord {
-        incarnation,
-        data_centre: settings.process.data_centre.clone(),
-        region: settings.process.region.clone(),
-        address: settings.process.listen,
-        peer_address: Some(settings.peer_listen),
-        weight: 1,
-        state: MemberState::Up,
-        listed_at: None,
-    }
-}
-
 fn control_state(
     settings: &RouterSettings,
     own: &IncarnationId,
--- a/lib/fleet/src/member.rs
+++ b/lib/fleet/src/member.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use snipegate_service::ProcessSettings;
 use snipegate_types::DataCentre;
 use snipegate_types::IncarnationId;
 use snipegate_types::RegionName;
@@ -56,6 +57,20 @@
 }
 
 impl MemberRecord {
+    /// Makes the record of a process that starts, with one address for all.
+    pub fn starting(process: &ProcessSettings, incarnation: IncarnationId) -> Self {
+        Self {
+            incarnation,
+            data_centre: process.data_centre.clone(),
+            region: process.region.clone(),
+            address: process.listen,
+            peer_address: None,
+            weight: 1,
+            state: MemberState::Up,
+            listed_at: None,
+        }
+    }
+
     /// Returns where other processes of the fleet reach it.
     pub fn peer(&self) -> SocketAddr {
         self.peer_address.unwrap_or(self.address)
--- a/lib/service/src/client.rs
+++ b/lib/service/src/client.rs
@@ -9,6 +9,7 @@
 use ntex::SharedCfg;
 use ntex::client::Client;
 use ntex::client::ClientBuilder;
+use ntex::client::Connector;
 use ntex::time::Millis;
 use ntex::time::timeout;
 use serde::Serialize;
@@ -76,7 +77,10 @@
         if let Some(client) = self.client.borrow().as_ref() {
             return Ok(client.clone());
         }
+        // A limit of connections would have calls wait for each other, also
+        // where they go to different processes.
         let client = ClientBuilder::new()
+            .connector::<()>(Connector::new().limit(0))
             .disable_timeout()
             .disable_redirects()
             .response_payload_limit(MAX_MESSAGE_BYTES)
