--- /dev/null
+++ b/bin/router/src/admission.rs
@@ -0,0 +1,167 @@
+//! Admission of requests, and the choice of an upstream for each attempt.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use snipegate_escrow::BudgetClaim;
+use snipegate_escrow::ReservationId;
+use snipegate_escrow::ReserveOutcome;
+use snipegate_routing::AttemptOutcome;
+use snipegate_routing::UpstreamChoice;
+use snipegate_types::ResultCode;
+use snipegate_types::RunState;
+
+use crate::command::Admission;
+use crate::command::AdmitRequest;
+use crate::command::RequestHandle;
+use crate::command::SendOrder;
+use crate::control::AdmitReply;
+use crate::control::OpenRequest;
+use crate::control::RouterControl;
+use crate::control::WaitingRequest;
+use crate::refusal::RequestRefusal;
+
+impl RouterControl {
+    pub(crate) fn admit(&mut self, request: Box<AdmitRequest>, reply: AdmitReply, now: Instant) {
+        if let Some(code) = self.not_serving(now) {
+            let _ = reply.send(Err(RequestRefusal::not_run(code, "router is not serving")));
+            return;
+        }
+        let route = &request.route;
+        let permit = match self.table.admit(&route.workspace, &route.profile, now) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                let refusal = self.route_refusal(&request, refusal, RunState::NotRun);
+                let _ = reply.send(Err(refusal));
+                return;
+            }
+        };
+        let claim = BudgetClaim {
+            request: request.request,
+            budget: request.budget.clone(),
+            shard: request.shard,
+            worst_case: request.worst_case,
+        };
+        let waiting = WaitingRequest {
+            request,
+            permit,
+            reply,
+        };
+        match self.escrow.reserve(claim, now) {
+            ReserveOutcome::Admitted(reservation) => {
+                self.open_request(waiting, reservation, now);
+            }
+            ReserveOutcome::Waiting(reservation) => {
+                self.waiting.insert(reservation, waiting);
+            }
+            ReserveOutcome::Refused(refusal) => {
+                self.refuse_waiting(waiting, refusal.code, refusal.retry_after);
+            }
+        }
+    }
+
+    fn not_serving(&self, now: Instant) -> Option<ResultCode> {
+        if self.stopping {
+            return Some(ResultCode::Stopping);
+        }
+        self.view.freshness(now).refusal()
+    }
+
+    pub(crate) fn refuse_waiting(
+        &mut self,
+        waiting: WaitingRequest,
+        code: ResultCode,
+        after: Duration,
+    ) {
+        self.table.release(waiting.permit);
+        self.note(&waiting.request, format!("refused {code}: budget"));
+        let message = format!(
+            "budget {} cannot cover {} tokens here now",
+            waiting.request.budget, waiting.request.worst_case
+        );
+        let refusal = RequestRefusal::not_run(code, message).retry_after(after);
+        let _ = waiting.reply.send(Err(refusal));
+    }
+
+    pub(crate) fn open_request(
+        &mut self,
+        waiting: WaitingRequest,
+        reservation: ReservationId,
+        now: Instant,
+    ) {
+        let WaitingRequest {
+            request,
+            permit,
+            reply,
+        } = waiting;
+        let mut open = OpenRequest {
+            request,
+            permit,
+            reservation,
+            attempt: None,
+            upstream: None,
+            attempts: 0,
+            may_have_run: false,
+        };
+        match self.choose(&mut open, false, now) {
+            Ok(order) => {
+                let handle = RequestHandle(self.next_handle);
+                self.next_handle += 1;
+                self.open.insert(handle, open);
+                let lost = reply.send(Ok(Admission { handle, order })).is_err();
+                if lost {
+                    self.abandon(handle, None, now);
+                }
+            }
+            Err(refusal) => {
+                self.close(open, now);
+                let _ = reply.send(Err(refusal));
+            }
+        }
+    }
+
+    pub(crate) fn choose(
+        &mut self,
+        open: &mut OpenRequest,
+        resume: bool,
+        now: Instant,
+    ) -> Result<SendOrder, RequestRefusal> {
+        let chosen = self.table.choose(&open.request.route, now);
+        let run = open.run_state();
+        let order = match chosen {
+            Ok(choice) => self.order(open, choice, resume, now),
+            Err(refusal) => Err(self.route_refusal(&open.request, refusal, run)),
+        }?;
+        self.note(&open.request, format!("sent to {}", order.upstream));
+        Ok(order)
+    }
+
+    fn order(
+        &mut self,
+        open: &mut OpenRequest,
+        choice: UpstreamChoice,
+        resume: bool,
+        now: Instant,
+    ) -> Result<SendOrder, RequestRefusal> {
+        let Some(entry) = self.view.upstream(&choice.upstream) else {
+            // The view is handed to the table whole, so both name the same upstreams.
+            self.table
+                .finished(choice.attempt, AttemptOutcome::Withdrawn, now);
+            return Err(RequestRefusal::failed(
+                ResultCode::NoUpstream,
+                open.run_state(),
+                "upstream has gone",
+            ));
+        };
+        open.attempt = Some(choice.attempt);
+        open.upstream = Some(choice.upstream.clone());
+        open.attempts += 1;
+        Ok(SendOrder {
+            upstream: choice.upstream,
+            address: entry.record.address,
+            first_byte_timeout: choice.first_byte_timeout,
+            progress_timeout: choice.progress_timeout,
+            resume,
+        })
+    }
+}
--- a/bin/router/src/control.rs
+++ b/bin/router/src/control.rs
@@ -2,15 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use snipegate_escrow::BudgetClaim;
 use snipegate_escrow::EscrowEffect;
 use snipegate_escrow::EscrowEvent;
 use snipegate_escrow::ReservationId;
-use snipegate_escrow::ReserveOutcome;
 use snipegate_escrow::RouterEscrow;
 use snipegate_fleet::FleetView;
 use snipegate_routing::AttemptId;
@@ -20,7 +17,6 @@
 use snipegate_routing::RetryDecision;
 use snipegate_routing::RouteRefusal;
 use snipegate_routing::RouteTable;
-use snipegate_routing::UpstreamChoice;
 use snipegate_service::MetricRegistry;
 use snipegate_types::IncarnationId;
 use snipegate_types::ResultCode;
@@ -45,25 +41,25 @@
 use crate::view_input::upstream_specs;
 use crate::view_input::workspace_limits;
 
-type AdmitReply = oneshot::Sender<Result<Admission, RequestRefusal>>;
+pub(crate) type AdmitReply = oneshot::Sender<Result<Admission, RequestRefusal>>;
 
 /// A request that waits for its budget.
-struct WaitingRequest {
-    request: Box<AdmitRequest>,
-    permit: RequestPermit,
-    reply: AdmitReply,
+pub(crate) struct WaitingRequest {
+    pub(crate) request: Box<AdmitRequest>,
+    pub(crate) permit: RequestPermit,
+    pub(crate) reply: AdmitReply,
 }
 
 /// An admitted request.
-struct OpenRequest {
-    request: Box<AdmitRequest>,
-    permit: RequestPermit,
-    reservation: ReservationId,
-    attempt: Option<AttemptId>,
-    upstream: Option<UpstreamId>,
-    attempts: u32,
+pub(crate) struct OpenRequest {
+    pub(crate) request: Box<AdmitRequest>,
+    pub(crate) permit: RequestPermit,
+    pub(crate) reservation: ReservationId,
+    pub(crate) attempt: Option<AttemptId>,
+    pub(crate) upstream: Option<UpstreamId>,
+    pub(crate) attempts: u32,
     /// Whether some attempt may have run at an upstream.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
 }
 
 /// Everything that the control thread owns.
@@ -71,20 +67,20 @@
 /// It has no sockets: commands go in, [`EscrowEffect`]s that need the network
 /// come out, and replies go to the channels that came with the commands.
 pub struct RouterControl {
-    own: IncarnationId,
-    escrow: RouterEscrow,
-    table: RouteTable,
-    view: Arc<FleetView>,
-    waiting: HashMap<ReservationId, WaitingRequest>,
-    open: IndexMap<RequestHandle, OpenRequest>,
-    bills: HashMap<ReservationId, oneshot::Sender<BillVerdict>>,
-    trail: DecisionTrail,
-    calls: CallRegister,
-    next_handle: u64,
-    stopping: bool,
-    clock: Arc<dyn TimeSource>,
-    metrics: MetricRegistry,
-    fences: HashMap<IncarnationId, bool>,
+    pub(crate) own: IncarnationId,
+    pub(crate) escrow: RouterEscrow,
+    pub(crate) table: RouteTable,
+    pub(crate) view: Arc<FleetView>,
+    pub(crate) waiting: HashMap<ReservationId, WaitingRequest>,
+    pub(crate) open: IndexMap<RequestHandle, OpenRequest>,
+    pub(crate) bills: HashMap<ReservationId, oneshot::Sender<BillVerdict>>,
+    pub(crate) trail: DecisionTrail,
+    pub(crate) calls: CallRegister,
+    pub(crate) next_handle: u64,
+    pub(crate) stopping: bool,
+    pub(crate) clock: Arc<dyn TimeSource>,
+    pub(crate) metrics: MetricRegistry,
+    pub(crate) fences: HashMap<IncarnationId, bool>,
 }
 
 impl RouterControl {
@@ -264,139 +260,6 @@
         }
     }
 
-    fn admit(&mut self, request: Box<AdmitRequest>, reply: AdmitReply, now: Instant) {
-        if let Some(code) = self.not_serving(now) {
-            let _ = reply.send(Err(RequestRefusal::not_run(code, "router is not serving")));
-            return;
-        }
-        let route = &request.route;
-        let permit = match self.table.admit(&route.workspace, &route.profile, now) {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                let refusal = self.route_refusal(&request, refusal, RunState::NotRun);
-                let _ = reply.send(Err(refusal));
-                return;
-            }
-        };
-        let claim = BudgetClaim {
-            request: request.request,
-            budget: request.budget.clone(),
-            shard: request.shard,
-            worst_case: request.worst_case,
-        };
-        let waiting = WaitingRequest {
-            request,
-            permit,
-            reply,
-        };
-        match self.escrow.reserve(claim, now) {
-            ReserveOutcome::Admitted(reservation) => {
-                self.open_request(waiting, reservation, now);
-            }
-            ReserveOutcome::Waiting(reservation) => {
-                self.waiting.insert(reservation, waiting);
-            }
-            ReserveOutcome::Refused(refusal) => {
-                self.refuse_waiting(waiting, refusal.code, refusal.retry_after);
-            }
-        }
-    }
-
-    fn not_serving(&self, now: Instant) -> Option<ResultCode> {
-        if self.stopping {
-            return Some(ResultCode::Stopping);
-        }
-        self.view.freshness(now).refusal()
-    }
-
-    fn refuse_waiting(&mut self, waiting: WaitingRequest, code: ResultCode, after: Duration) {
-        self.table.release(waiting.permit);
-        self.note(&waiting.request, format!("refused {code}: budget"));
-        let message = format!(
-            "budget {} cannot cover {} tokens here now",
-            waiting.request.budget, waiting.request.worst_case
-        );
-        let refusal = RequestRefusal::not_run(code, message).retry_after(after);
-        let _ = waiting.reply.send(Err(refusal));
-    }
-
-    fn open_request(&mut self, waiting: WaitingRequest, reservation: ReservationId, now: Instant) {
-        let WaitingRequest {
-            request,
-            permit,
-            reply,
-        } = waiting;
-        let mut open = OpenRequest {
-            request,
-            permit,
-            reservation,
-            attempt: None,
-            upstream: None,
-            attempts: 0,
-            may_have_run: false,
-        };
-        match self.choose(&mut open, false, now) {
-            Ok(order) => {
-                let handle = RequestHandle(self.next_handle);
-                self.next_handle += 1;
-                self.open.insert(handle, open);
-                let lost = reply.send(Ok(Admission { handle, order })).is_err();
-                if lost {
-                    self.abandon(handle, None, now);
-                }
-            }
-            Err(refusal) => {
-                self.close(open, now);
-                let _ = reply.send(Err(refusal));
-            }
-        }
-    }
-
-    fn choose(
-        &mut self,
-        open: &mut OpenRequest,
-        resume: bool,
-        now: Instant,
-    ) -> Result<SendOrder, RequestRefusal> {
-        let chosen = self.table.choose(&open.request.route, now);
-        let run = open.run_state();
-        let order = match chosen {
-            Ok(choice) => self.order(open, choice, resume, now),
-            Err(refusal) => Err(self.route_refusal(&open.request, refusal, run)),
-        }?;
-        self.note(&open.request, format!("sent to {}", order.upstream));
-        Ok(order)
-    }
-
-    fn order(
-        &mut self,
-        open: &mut OpenRequest,
-        choice: UpstreamChoice,
-        resume: bool,
-        now: Instant,
-    ) -> Result<SendOrder, RequestRefusal> {
-        let Some(entry) = self.view.upstream(&choice.upstream) else {
-            // The view is handed to the table whole, so both name the same upstreams.
-            self.table
-                .finished(choice.attempt, AttemptOutcome::Withdrawn, now);
-            return Err(RequestRefusal::failed(
-                ResultCode::NoUpstream,
-                open.run_state(),
-                "upstream has gone",
-            ));
-        };
-        open.attempt = Some(choice.attempt);
-        open.upstream = Some(choice.upstream.clone());
-        open.attempts += 1;
-        Ok(SendOrder {
-            upstream: choice.upstream,
-            address: entry.record.address,
-            first_byte_timeout: choice.first_byte_timeout,
-            progress_timeout: choice.progress_timeout,
-            resume,
-        })
-    }
-
     fn first_byte(&mut self, handle: RequestHandle, now: Instant) {
         if let Some(attempt) = self.open.get(&handle).and_then(|open| open.attempt) {
             self.table.first_byte(attempt, now);
@@ -474,7 +337,12 @@
         self.escrow.settle(open.reservation, used, now);
     }
 
-    fn abandon(&mut self, handle: RequestHandle, used: Option<TokenCount>, now: Instant) {
+    pub(crate) fn abandon(
+        &mut self,
+        handle: RequestHandle,
+        used: Option<TokenCount>,
+        now: Instant,
+    ) {
         let Some(mut open) = self.open.shift_remove(&handle) else {
             return;
         };
@@ -492,7 +360,7 @@
         }
     }
 
-    fn close(&mut self, open: OpenRequest, now: Instant) {
+    pub(crate) fn close(&mut self, open: OpenRequest, now: Instant) {
         self.table.release(open.permit);
         self.escrow.cancel(open.reservation, now);
     }
@@ -523,7 +391,7 @@
         self.metrics.set("view.revision", view.revision().0);
     }
 
-    fn route_refusal(
+    pub(crate) fn route_refusal(
         &mut self,
         request: &AdmitRequest,
         refusal: RouteRefusal,
@@ -542,14 +410,14 @@
         }
     }
 
-    fn note(&mut self, request: &AdmitRequest, decision: String) {
+    pub(crate) fn note(&mut self, request: &AdmitRequest, decision: String) {
         self.trail
             .record(request.request, self.clock.wall(), decision);
     }
 }
 
 impl OpenRequest {
-    fn run_state(&self) -> RunState {
+    pub(crate) fn run_state(&self) -> RunState {
         match self.may_have_run {
             true => RunState::Unknown,
             false => RunState::NotRun,
--- a/bin/router/src/lib.rs
+++ b/bin/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The router: carries callers' requests to upstreams under prepaid budgets.
 
+mod admission;
 pub mod answer;
 pub mod body;
 pub mod call_register;
