router, load, service: a limit of connections that is never reached, not 0

Cause: ntex 3.12 takes 0 for no limit, but wakes the requests that wait while another connects to the same address only if fewer than the limit are acquired, which with 0 is never so. They hang until their timeout.

Ruled out: the engine (100 of 100 begun directly), the client being dropped while an answer is read (held now, 11 of 100 still), file descriptors.

Calls that may not be repeated get a fresh connection, as a kept one that closes leaves it unknown whether they ran.

--- a/bin/load/src/caller.rs
+++ b/bin/load/src/caller.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use serde_json::json;
 use snipegate_platform::is_never_sent;
+use snipegate_service::CONNECTION_LIMIT;
 use snipegate_types::SystemClock;
 use snipegate_types::TimeSource;
 
@@ -82,7 +83,7 @@
     ///
     /// Panics where the client library cannot start.
     pub async fn new(kind: TargetKind) -> Self {
-        let connector = Connector::new().limit(0);
+        let connector = Connector::new().limit(CONNECTION_LIMIT);
         let client = ClientBuilder::new()
             .connector::<()>(connector)
             .disable_timeout()
--- a/bin/router/src/paths.rs
+++ b/bin/router/src/paths.rs
@@ -372,10 +372,16 @@
     let body = state.body(payload).await?;
     let (admit, call) = plan_service(state, &caller, request, name, body)?;
     let id = call.request;
+    // A kept connection can close while a call is written to it, and whether the
+    // call ran is unknown then; one that may not be repeated gets its own.
+    let client = match call.repeatable {
+        true => Rc::clone(&state.client),
+        false => Rc::default(),
+    };
     let runner = CallRunner {
         call,
         control: state.shared.control.clone(),
-        client: Rc::clone(&state.client),
+        client,
         views: state.shared.views.clone(),
         clock: Arc::clone(&state.shared.clock),
     };
--- a/bin/router/src/upstream_client.rs
+++ b/bin/router/src/upstream_client.rs
@@ -17,6 +17,7 @@
 use ntex::util::stream_recv;
 use snipegate_platform::is_never_sent;
 use snipegate_routing::AttemptOutcome;
+use snipegate_service::CONNECTION_LIMIT;
 
 /// How long an unused connection to an upstream is kept.
 const KEEP_ALIVE_SECONDS: u16 = 30;
@@ -34,9 +35,13 @@
 }
 
 /// An upstream's answer, its status and headers read.
+///
+/// Holds the client that it came by: a connection whose client has gone brings
+/// nothing more.
 pub struct UpstreamAnswer {
     response: ClientResponse,
     payload: Payload,
+    _client: Client,
 }
 
 /// One request to an upstream.
@@ -66,7 +71,7 @@
             return Some(client.clone());
         }
         let connector = Connector::new()
-            .limit(0)
+            .limit(CONNECTION_LIMIT)
             .keep_alive(ntex::time::Seconds(KEEP_ALIVE_SECONDS));
         let client = ClientBuilder::new()
             .connector::<()>(connector)
@@ -134,7 +139,11 @@
         match timeout(millis(wait), request.send_body(call.body)).await {
             Ok(Ok(response)) => {
                 let payload = response.take_payload();
-                Ok(UpstreamAnswer { response, payload })
+                Ok(UpstreamAnswer {
+                    response,
+                    payload,
+                    _client: client,
+                })
             }
             Ok(Err(error)) if is_never_sent(&error) => Err(AttemptOutcome::NotConnected),
             Ok(Err(_)) => {
--- a/lib/service/src/client.rs
+++ b/lib/service/src/client.rs
@@ -21,6 +21,12 @@
 use crate::message::encode_message;
 use crate::server::MAX_MESSAGE_BYTES;
 
+/// Most connections of one HTTP client, over all addresses; never reached.
+///
+/// ntex 3.12 takes 0 for no limit, but then never wakes the requests that wait
+/// while another one to the same address connects: they hang.
+pub const CONNECTION_LIMIT: usize = 1 << 20;
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -77,10 +83,8 @@
         if let Some(client) = self.client.borrow().as_ref() {
             return Ok(client.clone());
         }
-        // A limit of connections would have calls wait for each other, also
-        // where they go to different processes.
         let client = ClientBuilder::new()
-            .connector::<()>(Connector::new().limit(0))
+            .connector::<()>(Connector::new().limit(CONNECTION_LIMIT))
             .disable_timeout()
             .disable_redirects()
             .response_payload_limit(MAX_MESSAGE_BYTES)
--- a/lib/service/src/lib.rs
+++ b/lib/service/src/lib.rs
@@ -10,6 +10,7 @@
 mod settings;
 mod stop;
 
+pub use client::CONNECTION_LIMIT;
 pub use client::CallError;
 pub use client::MessageClient;
 pub use guard::GuardPort;
