--- a/bin/router/tests/test_upstream_client.rs
+++ b/bin/router/tests/test_upstream_client.rs
@@ -9,9 +9,9 @@
 use ntex::time::Millis;
 use ntex::time::sleep;
 use ntex::util::Bytes;
+use ntex::web;
 use ntex::web::App;
 use ntex::web::HttpResponse;
-use ntex::web::get;
 use ntex::web::test;
 use snipegate_router::upstream_client::UpstreamClient;
 
@@ -25,7 +25,6 @@
 static ARRIVED: AtomicUsize = AtomicUsize::new(0);
 
 /// Answers the first request at once, and the others when all have arrived.
-#[get("/slow")]
 async fn slow() -> HttpResponse {
     let arrived = ARRIVED.fetch_add(1, Ordering::SeqCst);
     while arrived > 0 && ARRIVED.load(Ordering::SeqCst) <= CALLS {
@@ -41,7 +40,7 @@
 
 #[ntex::test]
 async fn requests_that_open_connections_together_are_all_answered() {
-    let server = test::server(async || App::new().service(slow)).await;
+    let server = test::server(async || App::new().route("/slow", web::get().to(slow))).await;
     let client = UpstreamClient::new();
     // The first call makes the pool that the others share.
     assert!(call(&client, server.addr()).await.is_some());
