--- /dev/null
+++ b/bin/edge/src/stop.rs
@@ -0,0 +1,90 @@
+//! Graceful stop and changes of the settings file.
+
+use std::error::Error;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use snipegate_gateway::Gateway;
+use snipegate_gateway::VmStage;
+use snipegate_gateway::close_budgets;
+use snipegate_gateway::leave_membership;
+use snipegate_site::SiteStore;
+use snipegate_site::read_settings;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Shortest time that a stopping process goes on taking requests, so that
+/// callers learn to use other addresses.
+const MIN_LEAVING: Duration = Duration::from_millis(2600);
+
+/// Part of the grace in which requests may go on.
+const WORK_PART: f64 = 0.9;
+
+/// Pause between two looks at the requests that are left.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest time that the last calls to the store may take.
+const CLOSE_WAIT: Duration = Duration::from_millis(500);
+
+/// Serves until SIGTERM or SIGINT, then finishes what is open.
+pub async fn serve_until_stopped(
+    gateway: &Rc<Gateway>,
+    store: &SiteStore,
+    settings: &Path,
+) -> Result<(), Box<dyn Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => note_reload(gateway, settings),
+        }
+    }
+    finish(gateway, store, &mut interrupt).await;
+    Ok(())
+}
+
+/// Reads the settings again; nothing in them can change while a process runs.
+fn note_reload(gateway: &Gateway, settings: &Path) {
+    match read_settings(settings) {
+        Ok(_) => info!(gateway.log, "settings read again"),
+        Err(error) => warn!(gateway.log, "settings not read again"; "error" => %error),
+    }
+}
+
+async fn finish(gateway: &Rc<Gateway>, store: &SiteStore, interrupt: &mut Signal) {
+    let began = gateway.now();
+    let work_until = began + gateway.settings.grace.mul_f64(WORK_PART);
+    gateway.set_stage(VmStage::Leaving);
+    info!(gateway.log, "stopping"; "active" => gateway.active.get());
+    let told = timeout(CLOSE_WAIT, leave_membership(gateway, store)).await;
+    if told.is_err() {
+        info!(gateway.log, "leaving not told in time");
+    }
+    loop {
+        let now = gateway.now();
+        let spent = now.saturating_duration_since(began);
+        let done = gateway.active.get() == 0 && spent >= MIN_LEAVING;
+        if done || now >= work_until {
+            break;
+        }
+        tokio::select! {
+            () = sleep(LOOK_INTERVAL) => {}
+            _ = interrupt.recv() => return,
+        }
+    }
+    gateway.is_closing.set(true);
+    gateway.closing.notify_waiters();
+    if timeout(CLOSE_WAIT, close_budgets(gateway, store)).await.is_err() {
+        info!(gateway.log, "budgets not given back in time");
+    }
+    info!(gateway.log, "stopped"; "active" => gateway.active.get());
+}
--- /dev/null
+++ b/lib/gateway/src/attempt.rs
@@ -0,0 +1,217 @@
+//! One send of a request to one upstream, up to the head of the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use snipegate_http1::AnswerHead;
+use snipegate_http1::BodyDecoder;
+use snipegate_http1::BodyFraming;
+use snipegate_http1::ConnectError;
+use snipegate_http1::ExchangeError;
+use snipegate_http1::HttpConnection;
+use snipegate_http1::RequestHead;
+use snipegate_http1::answer_framing;
+use snipegate_http1::connect;
+use snipegate_types::UpstreamId;
+use strum::Display;
+
+use crate::dialect::ForwardPlan;
+use crate::gateway::Gateway;
+use crate::terms::AnswerTerms;
+use crate::terms::RequestTerms;
+use crate::upstream::UpstreamEntry;
+
+/// Longest time that connecting to an upstream may take.
+const CONNECT_WAIT: Duration = Duration::from_millis(350);
+
+/// Longest time that an upstream may leave data unacknowledged.
+const SILENCE_WAIT: Duration = Duration::from_millis(1500);
+
+/// Longest idle time of a connection for requests that may be repeated.
+const REPEATABLE_IDLE: Duration = Duration::from_millis(3000);
+
+/// Longest idle time of a connection for requests that may run once.
+const ONCE_IDLE: Duration = Duration::from_millis(800);
+
+/// Answers to other requests that are passed over on one connection.
+const MAX_STRAY_ANSWERS: u32 = 2;
+
+/// Largest answer that is taken in whole, in bytes.
+const MAX_WHOLE_BODY: usize = 4 << 20;
+
+/// Why a send brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum SendFailure {
+    /// No connection was made in time; nothing was sent.
+    ConnectTimedOut,
+    /// The connection was refused; nothing was sent.
+    ConnectRefused,
+    /// The connection was closed before anything was sent.
+    NothingSent,
+    /// The connection was closed without an answer.
+    Closed,
+    /// The connection was reset or went silent.
+    Broken,
+    /// What came was not an answer.
+    Malformed,
+}
+
+impl SendFailure {
+    /// Tells whether it is certain that nothing was sent.
+    pub fn is_unsent(self) -> bool {
+        matches!(
+            self,
+            SendFailure::ConnectTimedOut | SendFailure::ConnectRefused | SendFailure::NothingSent
+        )
+    }
+}
+
+impl From<ExchangeError> for SendFailure {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NothingSent(_) => SendFailure::NothingSent,
+            ExchangeError::Broken(_) => SendFailure::Broken,
+            ExchangeError::Closed => SendFailure::Closed,
+            ExchangeError::BadHead(_) | ExchangeError::BadBody(_) => SendFailure::Malformed,
+        }
+    }
+}
+
+impl From<ConnectError> for SendFailure {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::TimedOut => SendFailure::ConnectTimedOut,
+            ConnectError::Refused(_) => SendFailure::ConnectRefused,
+        }
+    }
+}
+
+/// A request as it is sent.
+pub struct OutgoingRequest<'a> {
+    /// The caller's head.
+    pub head: &'a RequestHead,
+    /// What it says of itself.
+    pub terms: &'a RequestTerms,
+    /// The body.
+    pub body: &'a Bytes,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+}
+
+/// An answer whose head has come.
+pub struct OpenAnswer {
+    /// The head.
+    pub head: AnswerHead,
+    /// What it says of itself.
+    pub terms: AnswerTerms,
+    connection: HttpConnection,
+    decoder: BodyDecoder,
+    reusable: bool,
+}
+
+impl OpenAnswer {
+    /// Reads the next part of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off.
+    pub async fn read_part(&mut self) -> Result<Option<Bytes>, SendFailure> {
+        self.connection
+            .read_part(&mut self.decoder)
+            .await
+            .map_err(SendFailure::from)
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off or is too large.
+    pub async fn read_whole(&mut self) -> Result<Bytes, SendFailure> {
+        let mut body = BytesMut::new();
+        while let Some(part) = self.read_part().await? {
+            body.extend_from_slice(&part);
+            if body.len() > MAX_WHOLE_BODY {
+                return Err(SendFailure::Malformed);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    /// Keeps the connection for other requests, after the whole body was read.
+    pub fn release(self, gateway: &Gateway, id: &UpstreamId) {
+        let still_ready = gateway.upstreams.borrow().get(id).is_some();
+        if self.reusable && still_ready {
+            let now = gateway.now();
+            gateway.pool.borrow_mut().put(id, self.connection, now);
+        }
+    }
+}
+
+/// Sends a request to an upstream and waits for the head of its answer.
+///
+/// `on_sent` is called just before the first byte goes out.
+///
+/// # Errors
+///
+/// Says how far the request got.
+pub async fn send_request(
+    gateway: &Rc<Gateway>,
+    entry: &UpstreamEntry,
+    request: &OutgoingRequest<'_>,
+    plan: &ForwardPlan<'_>,
+    on_sent: impl FnOnce(),
+) -> Result<OpenAnswer, SendFailure> {
+    let mut connection = open_connection(gateway, entry, request.may_repeat).await?;
+    let head = gateway.dialect.forward_head(request.head, plan);
+    let mut bytes = BytesMut::with_capacity(1024 + request.body.len());
+    head.write(&mut bytes);
+    bytes.extend_from_slice(request.body);
+    on_sent();
+    let sent_whole = connection.send(&bytes).await?;
+    drop(bytes);
+    for strays in 0..=MAX_STRAY_ANSWERS {
+        let head = connection.read_head().await?;
+        let terms = gateway.dialect.decode_answer(&head);
+        let framing = answer_framing(&head, &request.head.method)
+            .map_err(|_| SendFailure::Malformed)?;
+        let mut decoder = BodyDecoder::new(framing);
+        let matches = terms
+            .attempt_id
+            .as_deref()
+            .is_none_or(|id| id == &*request.terms.attempt_id);
+        if matches {
+            let clean = sent_whole && strays == 0 && !head.will_close();
+            return Ok(OpenAnswer {
+                reusable: clean && framing != BodyFraming::UntilClose,
+                head,
+                terms,
+                connection,
+                decoder,
+            });
+        }
+        gateway.metrics.count("upstream.stray_answer");
+        while connection.read_part(&mut decoder).await?.is_some() {}
+    }
+    Err(SendFailure::Malformed)
+}
+
+async fn open_connection(
+    gateway: &Gateway,
+    entry: &UpstreamEntry,
+    may_repeat: bool,
+) -> Result<HttpConnection, SendFailure> {
+    let max_idle = if may_repeat { REPEATABLE_IDLE } else { ONCE_IDLE };
+    let now = gateway.now();
+    let kept = gateway.pool.borrow_mut().take(&entry.id, max_idle, now);
+    if let Some(connection) = kept {
+        gateway.metrics.count("upstream.connection_reused");
+        return Ok(connection);
+    }
+    gateway.metrics.count("upstream.connection_opened");
+    let stream = connect(entry.address, CONNECT_WAIT, SILENCE_WAIT).await?;
+    Ok(HttpConnection::new(stream, entry.address, gateway.now()))
+}
--- /dev/null
+++ b/lib/gateway/src/gateway.rs
@@ -0,0 +1,286 @@
+//! The state that all tasks of a VM's front share. One thread owns it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use siphasher::sip::SipHasher13;
+use slog::Logger;
+use slog::info;
+use snipegate_platform::StoreError;
+use snipegate_service::MetricRegistry;
+use snipegate_types::DataCentre;
+use snipegate_types::TimeSource;
+use snipegate_types::UpstreamId;
+use snipegate_types::VmId;
+use snipegate_types::WorkspaceId;
+use tokio::sync::Notify;
+
+use crate::config::FleetConfig;
+use crate::dialect::FrontDialect;
+use crate::gossip::PlacedPrompt;
+use crate::load::LoadTable;
+use crate::peers::PeerTable;
+use crate::peers::VmRecord;
+use crate::pool::ConnectionPool;
+use crate::purse::BudgetPurse;
+use crate::retry_budget::RetryBudget;
+use crate::retry_budget::RetryRule;
+use crate::stage::VmStage;
+use crate::store_contact::StoreContact;
+use crate::upstream::UpstreamChange;
+use crate::upstream::UpstreamTable;
+
+/// What a VM's front is told at its start.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The VM.
+    pub vm: VmId,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Where it takes callers.
+    pub front: SocketAddr,
+    /// Where it hears other VMs.
+    pub gossip: SocketAddr,
+    /// How many sends beyond the first are allowed.
+    pub retry: RetryRule,
+    /// Longest time that an address answer may be kept.
+    pub address_life: Duration,
+    /// How long a stopping process may finish requests.
+    pub grace: Duration,
+    /// Most connections of callers.
+    pub caller_connections: usize,
+}
+
+/// The state that all tasks of a VM's front share.
+pub struct Gateway {
+    /// What the VM was told at its start.
+    pub settings: GatewaySettings,
+    /// The run of this process.
+    pub incarnation: u64,
+    /// The wire formats.
+    pub dialect: Rc<dyn FrontDialect>,
+    /// The clock.
+    pub clock: Arc<dyn TimeSource>,
+    /// The log.
+    pub log: Logger,
+    /// Counters and latencies.
+    pub metrics: MetricRegistry,
+    /// The configuration in force.
+    pub config: RefCell<Option<Rc<FleetConfig>>>,
+    /// The upstreams.
+    pub upstreams: RefCell<UpstreamTable>,
+    /// Whether the upstreams were read once.
+    pub upstreams_known: Cell<bool>,
+    /// The work at the upstreams.
+    pub loads: RefCell<LoadTable>,
+    /// Upstreams whose load changed since it was last told to other VMs.
+    pub changed_loads: RefCell<IndexSet<UpstreamId>>,
+    /// Prompts that were placed lately, to be told to other VMs.
+    pub placed: RefCell<Vec<PlacedPrompt>>,
+    /// Idle connections to upstreams.
+    pub pool: RefCell<ConnectionPool>,
+    /// Repeats that are left.
+    pub retries: RefCell<RetryBudget>,
+    /// Budgets by workspace.
+    pub purses: RefCell<IndexMap<WorkspaceId, BudgetPurse>>,
+    /// Workspaces whose budget is short here, to be told to other VMs.
+    pub scarce: RefCell<IndexMap<WorkspaceId, Instant>>,
+    /// Workspaces whose budget is short elsewhere, by hash.
+    pub scarce_elsewhere: RefCell<IndexMap<u64, Instant>>,
+    /// The other VMs.
+    pub peers: RefCell<PeerTable>,
+    /// Contact with the configuration store.
+    pub contact: Cell<StoreContact>,
+    /// Where this VM is between start and end.
+    pub stage: Cell<VmStage>,
+    /// Requests that are not answered in full.
+    pub active: Cell<usize>,
+    /// Open connections of callers.
+    pub connections: Cell<usize>,
+    /// Woken when something is to be told to other VMs soon.
+    pub gossip_due: Notify,
+    /// Woken when a workspace needs a grant.
+    pub grant_due: Notify,
+    /// Woken when a budget's record changed.
+    pub grant_changed: Notify,
+    /// Woken when another VM knows a newer configuration.
+    pub config_hint: Notify,
+    /// Woken when another VM knows newer upstreams.
+    pub upstream_hint: Notify,
+    /// Woken when connections without a request should close.
+    pub closing: Notify,
+    /// Whether connections without a request should close.
+    pub is_closing: Cell<bool>,
+}
+
+impl Gateway {
+    /// Makes the state of a process that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: Rc<dyn FrontDialect>,
+        clock: Arc<dyn TimeSource>,
+        log: Logger,
+        metrics: MetricRegistry,
+    ) -> Self {
+        let retries = RetryBudget::new(settings.retry);
+        Self {
+            settings,
+            incarnation: fastrand::u64(1..),
+            dialect,
+            clock,
+            log,
+            metrics,
+            config: RefCell::default(),
+            upstreams: RefCell::default(),
+            upstreams_known: Cell::new(false),
+            loads: RefCell::default(),
+            changed_loads: RefCell::default(),
+            placed: RefCell::default(),
+            pool: RefCell::default(),
+            retries: RefCell::new(retries),
+            purses: RefCell::default(),
+            scarce: RefCell::default(),
+            scarce_elsewhere: RefCell::default(),
+            peers: RefCell::default(),
+            contact: Cell::new(StoreContact::new()),
+            stage: Cell::new(VmStage::Starting),
+            active: Cell::new(0),
+            connections: Cell::new(0),
+            gossip_due: Notify::new(),
+            grant_due: Notify::new(),
+            grant_changed: Notify::new(),
+            config_hint: Notify::new(),
+            upstream_hint: Notify::new(),
+            closing: Notify::new(),
+            is_closing: Cell::new(false),
+        }
+    }
+
+    /// Returns the monotonic time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the configuration in force.
+    pub fn current_config(&self) -> Option<Rc<FleetConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// Returns what this VM says of itself.
+    pub fn own_record(&self) -> VmRecord {
+        VmRecord {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            front: self.settings.front,
+            gossip: self.settings.gossip,
+            data_centre: self.settings.data_centre.clone(),
+            stage: self.stage.get(),
+        }
+    }
+
+    /// Returns how many VMs the fleet has.
+    pub fn vm_count(&self) -> usize {
+        self.peers.borrow().known() + 1
+    }
+
+    /// Begins to serve once configuration and upstreams are known.
+    pub fn update_stage(&self) {
+        let known = self.config.borrow().is_some() && self.upstreams_known.get();
+        if known && self.stage.get() == VmStage::Starting {
+            self.set_stage(VmStage::Serving);
+        }
+    }
+
+    /// Moves to another stage.
+    pub fn set_stage(&self, stage: VmStage) {
+        info!(self.log, "stage changed"; "from" => %self.stage.get(), "to" => %stage);
+        self.stage.set(stage);
+        self.gossip_due.notify_one();
+    }
+
+    /// Notes whether a call to the store was answered.
+    pub fn note_store(&self, error: Option<&StoreError>) {
+        let mut contact = self.contact.get();
+        let now = self.now();
+        match error {
+            None | Some(StoreError::LeaseLapsed | StoreError::ValueTooLarge { .. }) => {
+                if contact.note_answer(now) {
+                    info!(self.log, "store regained");
+                    self.upstreams.borrow_mut().note_store_return(now);
+                }
+            }
+            Some(error) => {
+                self.metrics.count_reason("store.failed", store_reason(error));
+                if contact.note_failure(now) {
+                    info!(self.log, "store call failed"; "error" => %error);
+                }
+            }
+        }
+        self.contact.set(contact);
+    }
+
+    /// Acts on changes of what is known of upstreams.
+    pub fn apply_upstream_changes(&self, changes: Vec<UpstreamChange>) {
+        for change in changes {
+            let revision = self.upstreams.borrow().latest().0;
+            match change {
+                UpstreamChange::Appeared(entry) => {
+                    info!(self.log, "upstream ready"; "upstream" => %entry.id,
+                        "service" => &*entry.service, "address" => %entry.address,
+                        "revision" => revision);
+                    self.pool.borrow_mut().forget(&entry.id);
+                    self.set_cache_capacity(&entry.id, &entry.service);
+                }
+                UpstreamChange::Left(id) => {
+                    info!(self.log, "upstream left"; "upstream" => %id, "revision" => revision);
+                    self.pool.borrow_mut().forget(&id);
+                    self.loads.borrow_mut().forget(&id);
+                }
+            }
+        }
+    }
+
+    fn set_cache_capacity(&self, id: &UpstreamId, service: &str) {
+        let config = self.config.borrow();
+        let engine = config
+            .as_ref()
+            .and_then(|config| config.services.get(service))
+            .and_then(|rule| rule.engine);
+        if let Some(engine) = engine {
+            let mut loads = self.loads.borrow_mut();
+            loads.set_cache_capacity(id, engine.cache_capacity.0);
+        }
+    }
+
+    /// Notes that the load of an upstream changed.
+    pub fn load_changed(&self, id: &UpstreamId) {
+        self.changed_loads.borrow_mut().insert(id.clone());
+        self.gossip_due.notify_one();
+    }
+}
+
+fn store_reason(error: &StoreError) -> &'static str {
+    match error {
+        StoreError::Unreachable => "unreachable",
+        StoreError::ReplyLost => "reply_lost",
+        StoreError::RateLimited { .. } => "rate_limited",
+        StoreError::ValueTooLarge { .. } => "value_too_large",
+        StoreError::LeaseLapsed => "lease_lapsed",
+        StoreError::BadReply => "bad_reply",
+    }
+}
+
+/// Hashes a name, the same on all VMs.
+pub fn hash_name(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/lib/gateway/src/gossip.rs
@@ -0,0 +1,200 @@
+//! What VMs tell each other by datagrams: their load at each upstream, prompts
+//! that they placed, budgets that are short, and what they know of the store.
+//!
+//! Nothing here is needed for safety; a lost datagram makes a choice worse.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use slog::info;
+use snipegate_types::UpstreamId;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::gateway::hash_name;
+use crate::load::UpstreamNews;
+use crate::peers::VmRecord;
+use crate::terms::PromptPart;
+
+/// Shortest pause between two messages.
+const MIN_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Longest pause between two messages.
+const MAX_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Every message with this number tells the load of all upstreams.
+const FULL_EVERY: u64 = 8;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE: usize = 16 * 1024;
+
+/// How long a budget that is short elsewhere counts as short.
+pub const SCARCE_LIFE: Duration = Duration::from_secs(1);
+
+/// A prompt that was sent to an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlacedPrompt {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Id and length of the parts of the prompt.
+    pub parts: Vec<(u64, u64)>,
+}
+
+/// One message from a VM to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GossipMessage {
+    /// The sender.
+    pub sender: VmRecord,
+    /// The version of the configuration that it has.
+    pub config: u64,
+    /// The revision of the newest change of upstreams that it knows.
+    pub upstreams: u64,
+    /// Its load at upstreams.
+    pub loads: Vec<(UpstreamId, UpstreamNews)>,
+    /// Prompts that it placed since its last message.
+    pub placed: Vec<PlacedPrompt>,
+    /// Hashes of workspaces whose budget is short there.
+    pub scarce: Vec<u64>,
+}
+
+/// Sends and receives messages until the process ends.
+///
+/// # Errors
+///
+/// Fails if the socket can't be bound.
+pub async fn exchange_gossip(gateway: Rc<Gateway>) -> io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(gateway.settings.gossip).await?);
+    let receiver = Rc::clone(&socket);
+    tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
+    let mut number = 0;
+    loop {
+        let _ = timeout(MAX_INTERVAL, gateway.gossip_due.notified()).await;
+        send_message(&gateway, &socket, number).await;
+        number += 1;
+        sleep(MIN_INTERVAL).await;
+    }
+}
+
+async fn send_message(gateway: &Gateway, socket: &UdpSocket, number: u64) {
+    let now = gateway.now();
+    let message = build_message(gateway, number, now);
+    let bytes = match rmp_serde::to_vec(&message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            info!(gateway.log, "gossip not encoded"; "error" => %error);
+            return;
+        }
+    };
+    gateway.peers.borrow_mut().forget_gone(now);
+    let targets: Vec<_> = gateway.peers.borrow().gossip_targets().collect();
+    for target in targets {
+        if let Err(error) = socket.try_send_to(&bytes, target) {
+            gateway.metrics.count("gossip.send_failed");
+            debug!(gateway.log, "gossip not sent"; "to" => %target, "error" => %error);
+        }
+    }
+    gateway.metrics.count("gossip.sent");
+}
+
+fn build_message(gateway: &Gateway, number: u64, now: Instant) -> GossipMessage {
+    let changed = std::mem::take(&mut *gateway.changed_loads.borrow_mut());
+    let full = number.is_multiple_of(FULL_EVERY);
+    let loads = gateway
+        .loads
+        .borrow()
+        .own_news(now)
+        .filter(|(id, _)| full || changed.contains(*id))
+        .map(|(id, news)| (id.clone(), news))
+        .collect();
+    let mut scarce = gateway.scarce.borrow_mut();
+    scarce.retain(|_, at| now.saturating_duration_since(*at) < SCARCE_LIFE);
+    let config = gateway.config.borrow();
+    GossipMessage {
+        sender: gateway.own_record(),
+        config: config.as_ref().map_or(0, |config| config.version.0),
+        upstreams: gateway.upstreams.borrow().latest().0,
+        loads,
+        placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
+        scarce: scarce.keys().map(|id| hash_name(id.as_str())).collect(),
+    }
+}
+
+async fn receive_messages(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_MESSAGE];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                debug!(gateway.log, "gossip not received"; "error" => %error);
+                sleep(MIN_INTERVAL).await;
+                continue;
+            }
+        };
+        match rmp_serde::from_slice::<GossipMessage>(&buffer[..length]) {
+            Ok(message) => apply_message(&gateway, message),
+            Err(error) => {
+                gateway.metrics.count("gossip.malformed");
+                debug!(gateway.log, "gossip not decoded"; "error" => %error);
+            }
+        }
+    }
+}
+
+fn apply_message(gateway: &Gateway, message: GossipMessage) {
+    let now = gateway.now();
+    if message.sender.vm == gateway.settings.vm {
+        return;
+    }
+    let peer = hash_name(message.sender.vm.as_str());
+    let vm = message.sender.vm.clone();
+    let stage = message.sender.stage;
+    if gateway.peers.borrow_mut().put_heard(message.sender, now) {
+        info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
+    }
+    apply_loads(gateway, peer, message.loads, message.placed, now);
+    let own_config = gateway.config.borrow().as_ref().map_or(0, |c| c.version.0);
+    if message.config > own_config {
+        gateway.config_hint.notify_one();
+    }
+    if message.upstreams > gateway.upstreams.borrow().known_through().0 {
+        gateway.upstream_hint.notify_one();
+    }
+    if !message.scarce.is_empty() {
+        let mut scarce = gateway.scarce_elsewhere.borrow_mut();
+        scarce.extend(message.scarce.into_iter().map(|workspace| (workspace, now)));
+        gateway.grant_due.notify_one();
+    }
+}
+
+fn apply_loads(
+    gateway: &Gateway,
+    peer: u64,
+    news: Vec<(UpstreamId, UpstreamNews)>,
+    placed: Vec<PlacedPrompt>,
+    now: Instant,
+) {
+    let upstreams = gateway.upstreams.borrow();
+    let mut loads = gateway.loads.borrow_mut();
+    for (id, news) in news {
+        if upstreams.get(&id).is_some() {
+            loads.note_peer(&id, peer, news, now);
+        }
+    }
+    for prompt in placed {
+        if upstreams.get(&prompt.upstream).is_some() {
+            let parts: Vec<PromptPart> = prompt
+                .parts
+                .iter()
+                .map(|&(id, tokens)| PromptPart { id, tokens })
+                .collect();
+            loads.entry(&prompt.upstream, now).cache.note(&parts, now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/gateway/src/lib.rs
@@ -0,0 +1,93 @@
+//! The front of a VM: takes callers' requests, relays them to upstreams and
+//! answers which addresses callers should use.
+//!
+//! What decides is pure and takes `now` as an argument: [`placement`],
+//! [`BudgetPurse`], [`RetryBudget`], [`UpstreamTable`], [`PeerTable`]. The rest
+//! moves bytes. What is spoken on the wire is behind [`FrontDialect`].
+
+mod admission;
+mod attempt;
+mod budget_keeper;
+mod budget_record;
+mod caller;
+mod config;
+mod config_follower;
+mod dialect;
+mod event_stream;
+mod front;
+mod gateway;
+mod gossip;
+mod load;
+mod membership;
+mod peers;
+pub mod placement;
+mod plain_server;
+mod pool;
+mod prompt_cache;
+mod purse;
+mod refusal;
+mod relay;
+mod retry_budget;
+mod stage;
+mod store_contact;
+mod terms;
+mod ticket;
+mod upstream;
+mod upstream_follower;
+
+pub use admission::Admission;
+pub use admission::admit;
+pub use budget_keeper::close_budgets;
+pub use budget_keeper::keep_budgets;
+pub use budget_record::BudgetHolder;
+pub use budget_record::BudgetRecord;
+pub use config::CallerLimits;
+pub use config::ConfigVersion;
+pub use config::EngineRule;
+pub use config::FleetConfig;
+pub use config::RepeatRule;
+pub use config::RouteRule;
+pub use config::ServiceName;
+pub use config::ServiceRule;
+pub use config::ServiceShare;
+pub use config::WorkspaceRule;
+pub use config_follower::follow_config;
+pub use dialect::AddressQuery;
+pub use dialect::ForwardPlan;
+pub use dialect::FrontDialect;
+pub use dialect::StoreLayout;
+pub use event_stream::EventBatch;
+pub use event_stream::EventCutter;
+pub use front::serve_front;
+pub use gateway::Gateway;
+pub use gateway::GatewaySettings;
+pub use gossip::GossipMessage;
+pub use gossip::PlacedPrompt;
+pub use gossip::exchange_gossip;
+pub use load::LoadTable;
+pub use load::OutcomeTally;
+pub use load::UpstreamNews;
+pub use load::WorkLoad;
+pub use membership::keep_membership;
+pub use membership::leave_membership;
+pub use peers::PeerTable;
+pub use peers::VmRecord;
+pub use plain_server::serve_addresses;
+pub use plain_server::serve_metrics;
+pub use plain_server::serve_readiness;
+pub use prompt_cache::PromptCache;
+pub use purse::BudgetPurse;
+pub use purse::PurseRefusal;
+pub use refusal::Refusal;
+pub use retry_budget::RetryBudget;
+pub use retry_budget::RetryRule;
+pub use stage::VmStage;
+pub use terms::AnswerTerms;
+pub use terms::PromptPart;
+pub use terms::PromptShape;
+pub use terms::RequestTerms;
+pub use upstream::UpstreamChange;
+pub use upstream::UpstreamEntry;
+pub use upstream::UpstreamPhase;
+pub use upstream::UpstreamTable;
+pub use upstream_follower::follow_upstreams;
--- /dev/null
+++ b/lib/gateway/src/membership.rs
@@ -0,0 +1,151 @@
+//! Keeps this VM's record in the store and follows those of the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::ExpectedVersion;
+use snipegate_platform::LeaseId;
+use snipegate_platform::StoreError;
+use snipegate_platform::SwapOutcome;
+use snipegate_platform::WatchBatch;
+use snipegate_types::VmId;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::peers::VmRecord;
+use crate::relay::spread;
+use crate::stage::VmStage;
+
+/// How long a VM's record outlives its last renewal.
+const RECORD_LIFE: Duration = Duration::from_secs(6);
+
+/// Pause between two renewals.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long one watch for other VMs waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a call that the store did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps the record and follows the others until the process ends.
+pub async fn keep_membership<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    let follower = (Rc::clone(&gateway), Rc::clone(&store));
+    tokio::task::spawn_local(follow_records(follower.0, follower.1));
+    loop {
+        if let Err(error) = register_and_renew(&gateway, &*store).await {
+            info!(gateway.log, "membership not kept"; "error" => %error);
+            gateway.note_store(Some(&error));
+            sleep(spread(FAILURE_PAUSE)).await;
+        }
+    }
+}
+
+async fn register_and_renew<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+) -> Result<(), StoreError> {
+    let lease = store.create_lease(RECORD_LIFE).await?;
+    write_record(gateway, store, Some(lease)).await?;
+    gateway.note_store(None);
+    loop {
+        sleep(RENEWAL_INTERVAL).await;
+        store.keep_lease(lease).await?;
+        gateway.note_store(None);
+    }
+}
+
+async fn write_record<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+    lease: Option<LeaseId>,
+) -> Result<(), StoreError> {
+    let key = record_key(gateway);
+    let mut record = gateway.own_record();
+    if record.stage == VmStage::Starting {
+        // The lease is written once; others learn of the start by gossip.
+        record.stage = VmStage::Serving;
+    }
+    let bytes = rmp_serde::to_vec(&record).map_err(|_| StoreError::BadReply)?;
+    let mut expected = ExpectedVersion::Absent;
+    loop {
+        match store.swap(&key, expected, bytes.clone(), lease).await? {
+            SwapOutcome::Swapped(_) => return Ok(()),
+            SwapOutcome::Conflict(None) => expected = ExpectedVersion::Absent,
+            SwapOutcome::Conflict(Some(stored)) => expected = ExpectedVersion::At(stored.revision),
+        }
+    }
+}
+
+/// Tells the other VMs through the store that this one leaves.
+pub async fn leave_membership<S: ConfigStore>(gateway: &Gateway, store: &S) {
+    if let Err(error) = write_record(gateway, store, None).await {
+        info!(gateway.log, "leaving not written"; "error" => %error);
+    }
+}
+
+async fn follow_records<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    loop {
+        if let Err(error) = read_and_watch(&gateway, &*store).await {
+            gateway.note_store(Some(&error));
+            sleep(spread(FAILURE_PAUSE)).await;
+        }
+    }
+}
+
+async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
+    let prefix = gateway.dialect.layout().vm_prefix;
+    let mut records = Vec::new();
+    let mut page = store.list(prefix, None).await?;
+    let mut after = page.revision;
+    loop {
+        records.extend(page.entries.iter().filter_map(|(key, stored)| {
+            other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
+        }));
+        let Some(last) = page.more_after else {
+            break;
+        };
+        page = store.list(prefix, Some(&last)).await?;
+    }
+    gateway.peers.borrow_mut().replace_listed(records);
+    loop {
+        let batch = store.watch(prefix, after, WATCH_WAIT).await?;
+        gateway.note_store(None);
+        let WatchBatch::Changes { revision, changes } = batch else {
+            return Ok(());
+        };
+        after = revision.max(after);
+        for change in changes {
+            let Some(vm) = other_vm(gateway, prefix, &change.key) else {
+                continue;
+            };
+            let record = change.value.as_deref().map(|v| decode_record(gateway, v));
+            info!(gateway.log, "vm record changed"; "vm" => %vm,
+                "present" => record.is_some(), "revision" => change.revision.0);
+            let mut peers = gateway.peers.borrow_mut();
+            match record {
+                Some(Some(record)) => peers.put_listed(record),
+                Some(None) => {}
+                None => peers.remove_listed(&vm),
+            }
+        }
+    }
+}
+
+fn record_key(gateway: &Gateway) -> String {
+    let prefix = gateway.dialect.layout().vm_prefix;
+    format!("{prefix}{}", gateway.settings.vm)
+}
+
+fn other_vm(gateway: &Gateway, prefix: &str, key: &str) -> Option<VmId> {
+    let vm: VmId = key.strip_prefix(prefix)?.parse().ok()?;
+    (vm != gateway.settings.vm).then_some(vm)
+}
+
+fn decode_record(gateway: &Gateway, bytes: &[u8]) -> Option<VmRecord> {
+    rmp_serde::from_slice(bytes)
+        .inspect_err(|error| info!(gateway.log, "vm record not decoded"; "error" => %error))
+        .ok()
+}
--- /dev/null
+++ b/lib/gateway/src/placement.rs
@@ -0,0 +1,111 @@
+//! Chooses the upstream for a request.
+//!
+//! Answers the load of bursts of long prompts over engines that keep parts of
+//! them: a prompt goes where its first token is expected first, counting what
+//! all VMs have outstanding there and what is already kept. Plain requests go
+//! where the least work is outstanding for the speed seen.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use snipegate_types::DataCentre;
+use snipegate_types::UpstreamId;
+
+use crate::load::LoadTable;
+use crate::load::UpstreamLoad;
+use crate::terms::PromptShape;
+use crate::upstream::UpstreamEntry;
+
+/// Weight of tokens that have to be read, beyond the time that they take this
+/// request: reading them also delays the requests that come after.
+const READING_WEIGHT: f64 = 1.5;
+
+/// Time that one more running request costs each token, as tokens to read.
+const RUNNING_TOKENS: f64 = 100.0;
+
+/// Tokens that stand for the fixed time of a request.
+const FIXED_TOKENS: f64 = 300.0;
+
+/// Cost of an upstream that fails every request, in ms.
+const FAILURE_COST_MS: f64 = 4000.0;
+
+/// Cost of sending a plain request to another data centre, in ms.
+const DISTANCE_COST_MS: f64 = 2.0;
+
+/// What there is to choose for.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementAsk<'a> {
+    /// The prompt; `None` for a plain request.
+    pub prompt: Option<&'a PromptShape>,
+    /// Upstreams that had this request already.
+    pub tried: &'a [UpstreamId],
+    /// Where this VM runs.
+    pub data_centre: &'a DataCentre,
+}
+
+/// The upstream that was chosen, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementChoice {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Tokens of the prompt that are not kept there.
+    pub unread: u64,
+    /// Tokens ahead of the first one, of all requests known there.
+    pub ahead: u64,
+    /// When the first byte is expected.
+    pub expected: Duration,
+    /// Requests that are outstanding there, as far as known.
+    pub running: u32,
+}
+
+/// Chooses among `ready` upstreams; `None` if there is none to try.
+pub fn choose<'a>(
+    table: &mut LoadTable,
+    ready: impl Iterator<Item = &'a UpstreamEntry>,
+    ask: &PlacementAsk<'_>,
+    now: Instant,
+) -> Option<PlacementChoice> {
+    let mut best: Option<(f64, PlacementChoice)> = None;
+    for entry in ready.filter(|entry| !ask.tried.contains(&entry.id)) {
+        let load = table.entry(&entry.id, now);
+        let (cost, choice) = weigh(load, entry, ask, now);
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// Returns the cost in ms and what would be chosen.
+fn weigh(
+    load: &UpstreamLoad,
+    entry: &UpstreamEntry,
+    ask: &PlacementAsk<'_>,
+    now: Instant,
+) -> (f64, PlacementChoice) {
+    let total = load.total(now);
+    let failing = FAILURE_COST_MS * load.outcomes(now).failed_share();
+    let near = entry.data_centre == *ask.data_centre;
+    let distance = if near { 0.0 } else { DISTANCE_COST_MS };
+    let jitter = fastrand::f64();
+    let choice = |unread, ahead, expected_ms: f64| PlacementChoice {
+        id: entry.id.clone(),
+        unread,
+        ahead,
+        expected: Duration::from_secs_f64(expected_ms / 1e3),
+        running: total.running,
+    };
+    let Some(prompt) = ask.prompt else {
+        let expected = f64::from(total.running + 1) * load.service_ms();
+        let cost = expected + failing + distance + jitter;
+        return (cost, choice(0, 0, expected));
+    };
+    let kept = load.cache.kept_tokens(&prompt.parts);
+    let unread = prompt.input.0.saturating_sub(kept);
+    let ahead = total.unread + unread;
+    let fixed = FIXED_TOKENS + RUNNING_TOKENS * f64::from(total.running);
+    let expected = load.pace_ms() * (ahead as f64 + fixed);
+    let reading = load.pace_ms() * (READING_WEIGHT - 1.0) * unread as f64;
+    let cost = expected + reading + failing + jitter;
+    (cost, choice(unread, ahead + fixed as u64, expected))
+}
--- /dev/null
+++ b/lib/gateway/src/plain_server.rs
@@ -0,0 +1,139 @@
+//! The small servers beside the front: addresses, readiness and metrics.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use slog::info;
+use snipegate_http1::AnswerHead;
+use snipegate_http1::RequestHead;
+use snipegate_http1::parse_request;
+use snipegate_http1::read_some;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::caller::CallerWriter;
+use crate::gateway::Gateway;
+use crate::stage::VmStage;
+
+/// Longest time that a connection may be idle or a head may take.
+const IDLE_WAIT: Duration = Duration::from_secs(10);
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD: usize = 8 * 1024;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a server answers.
+type Answer = fn(&Gateway, &RequestHead) -> (u16, Bytes);
+
+/// Answers callers' questions for addresses.
+pub async fn serve_addresses(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve(gateway, listener, "application/json", answer_addresses).await;
+}
+
+/// Answers whether the VM is ready.
+pub async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve(gateway, listener, "text/plain", answer_readiness).await;
+}
+
+/// Answers with the metrics.
+pub async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+    serve(gateway, listener, "text/plain", answer_metrics).await;
+}
+
+fn answer_addresses(gateway: &Gateway, head: &RequestHead) -> (u16, Bytes) {
+    let Some(query) = gateway.dialect.decode_address_query(head) else {
+        return (404, Bytes::new());
+    };
+    let own = gateway.own_record();
+    let own = (own.stage == VmStage::Serving).then_some(&own);
+    let now = gateway.now();
+    let peers = gateway.peers.borrow();
+    let addresses = peers.addresses(own, query.data_centre.as_deref(), now);
+    gateway.metrics.count("addresses.answered");
+    if addresses.is_empty() {
+        return (503, Bytes::new());
+    }
+    let body = gateway
+        .dialect
+        .encode_addresses(&addresses, gateway.settings.address_life);
+    (200, body.into())
+}
+
+fn answer_readiness(gateway: &Gateway, head: &RequestHead) -> (u16, Bytes) {
+    if !gateway.dialect.is_ready_query(head) {
+        return (404, Bytes::new());
+    }
+    match gateway.stage.get() {
+        VmStage::Serving => (200, Bytes::new()),
+        VmStage::Starting | VmStage::Leaving => (503, Bytes::new()),
+    }
+}
+
+fn answer_metrics(gateway: &Gateway, _head: &RequestHead) -> (u16, Bytes) {
+    (200, gateway.metrics.render().into())
+}
+
+async fn serve(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    content_type: &'static str,
+    answer: Answer,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                tokio::task::spawn_local(async move {
+                    serve_connection(&gateway, &stream, content_type, answer).await;
+                });
+            }
+            Err(error) => {
+                info!(gateway.log, "connection not accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    gateway: &Gateway,
+    stream: &TcpStream,
+    content_type: &str,
+    answer: Answer,
+) {
+    let mut buffer = BytesMut::new();
+    while let Ok(Some(request)) = timeout(IDLE_WAIT, read_head(stream, &mut buffer)).await {
+        let (status, body) = answer(gateway, &request);
+        let reason = if status == 200 { "OK" } else { "Unavailable" };
+        let mut head = AnswerHead::new(status, reason);
+        head.headers.push("Content-Type", content_type);
+        let mut writer = CallerWriter::new(stream, request.wants_close(), false);
+        if writer.answer(head, &body).await.is_err() || writer.close {
+            return;
+        }
+    }
+}
+
+/// Reads the head of a request without a body.
+async fn read_head(stream: &TcpStream, buffer: &mut BytesMut) -> Option<RequestHead> {
+    loop {
+        let (head, length) = match parse_request(buffer).ok()? {
+            Some(parsed) => parsed,
+            None if buffer.len() > MAX_HEAD => return None,
+            None => {
+                if !matches!(read_some(stream, buffer).await, Ok(1..)) {
+                    return None;
+                }
+                continue;
+            }
+        };
+        let _ = buffer.split_to(length);
+        return Some(head);
+    }
+}
--- /dev/null
+++ b/lib/gateway/src/relay.rs
@@ -0,0 +1,530 @@
+//! Carries one admitted request to upstreams and its answer back.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use snipegate_http1::AnswerHead;
+use snipegate_http1::RequestHead;
+use snipegate_types::ResultCode;
+use snipegate_types::UpstreamId;
+use slog::info;
+use tokio::time::timeout_at;
+
+use crate::admission::Admission;
+use crate::attempt::OpenAnswer;
+use crate::attempt::OutgoingRequest;
+use crate::attempt::SendFailure;
+use crate::attempt::send_request;
+use crate::caller::AnswerState;
+use crate::caller::CallerGone;
+use crate::caller::CallerWriter;
+use crate::config::ServiceName;
+use crate::dialect::ForwardPlan;
+use crate::event_stream::EventCutter;
+use crate::gateway::Gateway;
+use crate::gateway::hash_name;
+use crate::placement::PlacementAsk;
+use crate::placement::PlacementChoice;
+use crate::placement::choose;
+use crate::refusal::Refusal;
+use crate::terms::RequestTerms;
+use crate::ticket::LoadTicket;
+use crate::ticket::Reservation;
+use crate::upstream::UpstreamEntry;
+
+/// Connections that may fail before a request is refused.
+const MAX_CONNECT_FAILURES: u32 = 3;
+
+/// When to come back after all upstreams refused.
+const FULL_RETURN: Duration = Duration::from_millis(250);
+
+/// When to come back while a service has no upstream.
+const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(700);
+
+/// Part of the time left that a send waits for its first byte, where another
+/// upstream could be tried after it.
+const FIRST_TRY_PART: f64 = 0.45;
+
+/// Class of the least urgent generation.
+const LAST_URGENCY: u8 = 9;
+
+/// A request whose head and body were read.
+pub struct CallerRequest {
+    /// The head.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Bytes,
+    /// What it says of itself.
+    pub terms: RequestTerms,
+    /// When it was read.
+    pub received: Instant,
+}
+
+/// What one send came to.
+enum SendEnd {
+    /// The caller has its answer.
+    Answered,
+    /// The upstream failed with an answer that can be passed on.
+    Failed(AnswerHead, Bytes),
+    /// The upstream states that the request has not run.
+    NotRun,
+    /// No whole answer came.
+    Broken(SendFailure),
+}
+
+/// A stream that was begun at one upstream and may go on at another.
+#[derive(Default)]
+struct StreamProgress {
+    last_event: Option<Box<str>>,
+}
+
+/// Carries one request.
+pub struct RelayRun<'a> {
+    gateway: &'a Rc<Gateway>,
+    request: &'a CallerRequest,
+    admission: &'a Admission,
+    service: ServiceName,
+    reservation: Option<&'a Reservation>,
+    tried: Vec<UpstreamId>,
+    sends: u32,
+    connect_failures: u32,
+    may_have_run: bool,
+    progress: StreamProgress,
+    fallback: Option<(AnswerHead, Bytes)>,
+}
+
+impl<'a> RelayRun<'a> {
+    /// Prepares to carry a request to a service.
+    pub fn new(
+        gateway: &'a Rc<Gateway>,
+        request: &'a CallerRequest,
+        admission: &'a Admission,
+        service: ServiceName,
+        reservation: Option<&'a Reservation>,
+    ) -> Self {
+        Self {
+            gateway,
+            request,
+            admission,
+            service,
+            reservation,
+            tried: Vec::new(),
+            sends: 0,
+            connect_failures: 0,
+            may_have_run: false,
+            progress: StreamProgress::default(),
+            fallback: None,
+        }
+    }
+
+    /// Carries the request until the caller has a final answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone.
+    pub async fn run(&mut self, caller: &mut CallerWriter<'_>) -> Result<(), CallerGone> {
+        let now = self.gateway.now();
+        self.gateway
+            .retries
+            .borrow_mut()
+            .count_request(&self.service, now);
+        let deadline = tokio::time::Instant::from_std(self.admission.deadline);
+        let outcome = match timeout_at(deadline, self.try_upstreams(caller)).await {
+            Ok(outcome) => outcome?,
+            Err(_) => Some(self.timeout_refusal()),
+        };
+        match outcome {
+            None => Ok(()),
+            Some(refusal) => self.end_refused(caller, refusal).await,
+        }
+    }
+
+    /// Sends until there is an answer; returns the refusal where there is none.
+    async fn try_upstreams(
+        &mut self,
+        caller: &mut CallerWriter<'_>,
+    ) -> Result<Option<Refusal>, CallerGone> {
+        loop {
+            let Some((entry, choice)) = self.choose() else {
+                return Ok(Some(self.no_upstream_refusal()));
+            };
+            let end = self.send_once(caller, &entry, &choice).await?;
+            self.note_end(&entry.id, &end);
+            self.tried.push(entry.id.clone());
+            match end {
+                SendEnd::Answered => return Ok(None),
+                SendEnd::Failed(head, body) => {
+                    self.may_have_run = true;
+                    self.fallback = Some((head, body));
+                }
+                SendEnd::NotRun => {}
+                SendEnd::Broken(failure) if failure.is_unsent() => {
+                    self.connect_failures += 1;
+                    if self.connect_failures <= MAX_CONNECT_FAILURES {
+                        continue;
+                    }
+                }
+                SendEnd::Broken(_) => self.may_have_run = true,
+            }
+            if !self.may_send_again(caller) {
+                return Ok(Some(self.final_refusal()));
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Option<(UpstreamEntry, PlacementChoice)> {
+        let now = self.gateway.now();
+        let upstreams = self.gateway.upstreams.borrow();
+        let ask = PlacementAsk {
+            prompt: self.request.terms.prompt.as_ref(),
+            tried: &self.tried,
+            data_centre: &self.gateway.settings.data_centre,
+        };
+        let mut loads = self.gateway.loads.borrow_mut();
+        let choice = choose(&mut loads, upstreams.ready(&self.service), &ask, now)?;
+        let entry = upstreams.get(&choice.id)?.clone();
+        info!(self.gateway.log, "upstream chosen";
+            "request" => &*self.request.terms.attempt_id,
+            "upstream" => %choice.id, "unread" => choice.unread, "ahead" => choice.ahead,
+            "running" => choice.running, "expected_ms" => choice.expected.as_millis() as u64,
+            "send" => self.sends + 1, "upstreams_revision" => upstreams.latest().0,
+            "config" => self.admission.config.version.0);
+        Some((entry, choice))
+    }
+
+    /// Sends the request to one upstream and relays what comes.
+    async fn send_once(
+        &mut self,
+        caller: &mut CallerWriter<'_>,
+        entry: &UpstreamEntry,
+        choice: &PlacementChoice,
+    ) -> Result<SendEnd, CallerGone> {
+        let ticket = LoadTicket::new(self.gateway, choice, self.request.terms.prompt.as_ref());
+        let mut answer = match self.await_head(entry).await {
+            Ok(answer) => answer,
+            Err(failure) => return Ok(SendEnd::Broken(failure)),
+        };
+        if answer.terms.not_run {
+            // The body says nothing; reading it keeps the connection usable.
+            if answer.read_whole().await.is_ok() {
+                answer.release(self.gateway, &entry.id);
+            }
+            return Ok(SendEnd::NotRun);
+        }
+        if self.admission.route.repeat.is_stream() && answer.head.is_success() {
+            return self.relay_stream(caller, entry, choice, &ticket, answer).await;
+        }
+        self.relay_whole(caller, entry, &ticket, answer).await
+    }
+
+    /// Sends and waits for the head; gives up early where a retry is possible.
+    async fn await_head(&mut self, entry: &UpstreamEntry) -> Result<OpenAnswer, SendFailure> {
+        let now = self.gateway.now();
+        let time_left = self.admission.deadline.saturating_duration_since(now);
+        let repeat = self.admission.route.repeat;
+        let plan = ForwardPlan {
+            upstream: &entry.id,
+            workspace: self.admission.workspace.as_ref(),
+            time_left,
+            urgency: self.urgency(),
+            resume_after: self.progress.last_event.as_deref(),
+            body_length: self.request.body.len(),
+        };
+        let outgoing = OutgoingRequest {
+            head: &self.request.head,
+            terms: &self.request.terms,
+            body: &self.request.body,
+            may_repeat: repeat.may_repeat(),
+        };
+        let another = repeat.may_repeat() && self.sends + 1 < self.admission.route.max_attempts;
+        let patience = match another {
+            true => time_left.mul_f64(FIRST_TRY_PART),
+            false => time_left,
+        };
+        let reservation = self.reservation;
+        let sends = &mut self.sends;
+        let on_sent = || {
+            *sends += 1;
+            if let Some(reservation) = reservation {
+                reservation.note_sent();
+            }
+        };
+        let send = send_request(self.gateway, entry, &outgoing, &plan, on_sent);
+        match tokio::time::timeout(patience, send).await {
+            Ok(result) => result,
+            Err(_) => Err(SendFailure::Broken),
+        }
+    }
+
+    async fn relay_whole(
+        &mut self,
+        caller: &mut CallerWriter<'_>,
+        entry: &UpstreamEntry,
+        ticket: &LoadTicket,
+        mut answer: OpenAnswer,
+    ) -> Result<SendEnd, CallerGone> {
+        let body = match answer.read_whole().await {
+            Ok(body) => body,
+            Err(failure) => return Ok(SendEnd::Broken(failure)),
+        };
+        let head = answer.head.clone();
+        let signed = answer.terms.signed;
+        answer.release(self.gateway, &entry.id);
+        if head.is_success() && !signed {
+            return Ok(SendEnd::Broken(SendFailure::Malformed));
+        }
+        if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
+            return Ok(SendEnd::Failed(head, body));
+        }
+        if let Some(reservation) = self.reservation {
+            reservation.note_whole_answer();
+        }
+        let now = self.gateway.now();
+        let span = now.saturating_duration_since(ticket.placed_at);
+        if self.request.terms.prompt.is_none() {
+            let mut loads = self.gateway.loads.borrow_mut();
+            loads.note_service_time(&entry.id, span, now);
+        }
+        caller.answer(strip_connection_fields(&head), &body).await?;
+        self.note_answered(&entry.id, span);
+        Ok(SendEnd::Answered)
+    }
+
+    async fn relay_stream(
+        &mut self,
+        caller: &mut CallerWriter<'_>,
+        entry: &UpstreamEntry,
+        choice: &PlacementChoice,
+        ticket: &LoadTicket,
+        mut answer: OpenAnswer,
+    ) -> Result<SendEnd, CallerGone> {
+        if !answer.terms.signed {
+            return Ok(SendEnd::Broken(SendFailure::Malformed));
+        }
+        let mut cutter = EventCutter::default();
+        let mut first = true;
+        loop {
+            let part = match answer.read_part().await {
+                Ok(Some(part)) => part,
+                Ok(None) if cutter.has_partial() => {
+                    return Ok(SendEnd::Broken(SendFailure::Malformed));
+                }
+                Ok(None) => break,
+                Err(failure) => return Ok(SendEnd::Broken(failure)),
+            };
+            if first {
+                first = false;
+                self.note_first_byte(entry, choice, ticket);
+            }
+            if cutter.is_overlong() {
+                return Ok(SendEnd::Broken(SendFailure::Malformed));
+            }
+            let Some(batch) = cutter.push(&part) else {
+                continue;
+            };
+            if let Some(reservation) = self.reservation {
+                reservation.note_events(batch.events);
+            }
+            match caller.state() {
+                AnswerState::Unbegun => {
+                    let head = strip_connection_fields(&answer.head);
+                    caller.begin_stream(head, &batch.bytes).await?;
+                }
+                _ => caller.pass_on(&batch.bytes).await?,
+            }
+            if batch.last_id.is_some() {
+                self.progress.last_event = batch.last_id;
+            }
+        }
+        if caller.state() == AnswerState::Unbegun {
+            let head = strip_connection_fields(&answer.head);
+            caller.begin_stream(head, &[]).await?;
+        }
+        caller.finish().await?;
+        answer.release(self.gateway, &entry.id);
+        let now = self.gateway.now();
+        self.note_answered(&entry.id, now.saturating_duration_since(ticket.placed_at));
+        Ok(SendEnd::Answered)
+    }
+
+    fn note_first_byte(
+        &self,
+        entry: &UpstreamEntry,
+        choice: &PlacementChoice,
+        ticket: &LoadTicket,
+    ) {
+        ticket.prompt_read();
+        let now = self.gateway.now();
+        let span = now.saturating_duration_since(ticket.placed_at);
+        let mut loads = self.gateway.loads.borrow_mut();
+        loads.note_first_byte(&entry.id, choice.ahead, span, now);
+        self.gateway.metrics.time("first_byte", span);
+    }
+
+    fn note_answered(&self, id: &UpstreamId, span: Duration) {
+        self.gateway.metrics.count("request.answered");
+        self.gateway.metrics.time("request.time", span);
+        info!(self.gateway.log, "request answered";
+            "request" => &*self.request.terms.attempt_id, "upstream" => %id,
+            "sends" => self.sends, "ms" => span.as_millis() as u64);
+    }
+
+    /// Remembers how a send ended, for later choices.
+    fn note_end(&self, id: &UpstreamId, end: &SendEnd) {
+        let now = self.gateway.now();
+        let mut loads = self.gateway.loads.borrow_mut();
+        let (good, reason) = match end {
+            SendEnd::Answered => (true, None),
+            SendEnd::Failed(head, _) => (head.status == 500, Some(format!("status_{}", head.status))),
+            SendEnd::NotRun => (false, Some("not_run".to_owned())),
+            SendEnd::Broken(failure) => (false, Some(failure.to_string())),
+        };
+        loads.note_outcome(id, good, now);
+        drop(loads);
+        self.gateway.load_changed(id);
+        let Some(reason) = reason else {
+            return;
+        };
+        if let (SendEnd::NotRun, Some(reservation)) = (end, self.reservation)
+            && !self.may_have_run
+        {
+            reservation.note_not_run();
+        }
+        self.gateway.metrics.count_reason("send.failed", &reason);
+        info!(self.gateway.log, "send failed"; "request" => &*self.request.terms.attempt_id,
+            "upstream" => %id, "reason" => reason, "sends" => self.sends);
+    }
+
+    /// Decides whether one more send is allowed and could help.
+    fn may_send_again(&self, caller: &CallerWriter<'_>) -> bool {
+        let route = &self.admission.route;
+        let begun = caller.state() != AnswerState::Unbegun;
+        let allowed = match (self.may_have_run, begun) {
+            (false, _) => true,
+            (true, false) => route.repeat.may_repeat(),
+            (true, true) => {
+                route.repeat.may_repeat()
+                    && route.repeat.is_stream()
+                    && self.progress.last_event.is_some()
+            }
+        };
+        if !allowed || self.sends >= route.max_attempts {
+            return false;
+        }
+        let now = self.gateway.now();
+        let vms = self.gateway.vm_count();
+        let mut retries = self.gateway.retries.borrow_mut();
+        let taken = self.sends == 0 || retries.take_repeat(&self.service, vms, now);
+        let reason = if taken { "allowed" } else { "budget_spent" };
+        self.gateway.metrics.count_reason("send.again", reason);
+        taken
+    }
+
+    /// Ends a request without an answer of an upstream.
+    async fn end_refused(
+        &mut self,
+        caller: &mut CallerWriter<'_>,
+        refusal: Refusal,
+    ) -> Result<(), CallerGone> {
+        if caller.state() != AnswerState::Unbegun {
+            self.log_refusal("stream broken off", &refusal);
+            caller.close = true;
+            return Err(CallerGone);
+        }
+        if let Some((head, body)) = self.fallback.take()
+            && !matches!(head.status, 408 | 421 | 429 | 503)
+        {
+            self.gateway.metrics.count("request.failure_passed_on");
+            return caller.answer(strip_connection_fields(&head), &body).await;
+        }
+        self.log_refusal("request refused", &refusal);
+        refuse(self.gateway, caller, &self.request.terms, &refusal).await
+    }
+
+    fn log_refusal(&self, event: &str, refusal: &Refusal) {
+        info!(self.gateway.log, "{}", event; "request" => &*self.request.terms.attempt_id,
+            "code" => refusal.code.number(), "reason" => %refusal.code,
+            "run" => %refusal.run, "sends" => self.sends,
+            "config" => self.admission.config.version.0);
+    }
+
+    fn final_refusal(&self) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::unknown(ResultCode::UpstreamFailed),
+            false => Refusal::come_back(ResultCode::UpstreamsFull, spread(FULL_RETURN)),
+        }
+    }
+
+    fn no_upstream_refusal(&self) -> Refusal {
+        match self.may_have_run {
+            true => Refusal::unknown(ResultCode::UpstreamFailed),
+            false => Refusal::come_back(ResultCode::NoUpstream, spread(NO_UPSTREAM_RETURN)),
+        }
+    }
+
+    fn timeout_refusal(&self) -> Refusal {
+        match self.may_have_run || self.sends > 0 {
+            true => Refusal::unknown(ResultCode::DeadlinePassed),
+            false => Refusal::come_back(ResultCode::DeadlineUnmeetable, spread(FULL_RETURN)),
+        }
+    }
+
+    /// Returns the class in which engines admit the request.
+    fn urgency(&self) -> Option<u8> {
+        let generation = self.request.terms.prompt.is_some();
+        generation.then(|| self.admission.priority.saturating_mul(2).min(LAST_URGENCY))
+    }
+}
+
+/// Answers with a refusal.
+///
+/// # Errors
+///
+/// Fails if the caller is gone.
+pub async fn refuse(
+    gateway: &Gateway,
+    caller: &mut CallerWriter<'_>,
+    terms: &RequestTerms,
+    refusal: &Refusal,
+) -> Result<(), CallerGone> {
+    let reason: &'static str = refusal.code.into();
+    gateway.metrics.count_reason("request.refused", reason);
+    let mut head = refusal.head();
+    gateway.dialect.mark_own_answer(&mut head, terms);
+    caller.answer(head, refusal.body().as_bytes()).await
+}
+
+/// Picks the service of a request's route, the same for each of its sends.
+pub fn pick_service(admission: &Admission, terms: &RequestTerms) -> Option<ServiceName> {
+    let point = hash_name(&terms.attempt_id) as f64 / u64::MAX as f64;
+    admission.route.pick_service(point).cloned()
+}
+
+/// Spreads times to come back, so that callers do not return together.
+pub fn spread(time: Duration) -> Duration {
+    time.mul_f64(0.6 + 0.8 * fastrand::f64())
+}
+
+/// Drops the fields that concern only the connection to the upstream.
+fn strip_connection_fields(head: &AnswerHead) -> AnswerHead {
+    const DROPPED: [&str; 8] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "transfer-encoding",
+        "content-length",
+        "trailer",
+        "upgrade",
+        "te",
+    ];
+    let mut stripped = AnswerHead::new(head.status, &head.reason);
+    for (name, value) in head.headers.iter() {
+        let dropped = DROPPED.iter().any(|field| name.eq_ignore_ascii_case(field));
+        if !dropped && !head.headers.has_token("connection", name) {
+            stripped.headers.push(name, value);
+        }
+    }
+    stripped
+}
--- /dev/null
+++ b/lib/gateway/src/store_contact.rs
@@ -0,0 +1,60 @@
+//! How long ago the configuration store answered.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a VM without an answer of the store still counts as current.
+const CONTACT_SPAN: Duration = Duration::from_secs(7);
+
+/// Contact with the configuration store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreContact {
+    answered: Option<Instant>,
+    failing_since: Option<Instant>,
+}
+
+/// How long calls fail before the store counts as lost.
+const LOSS_SPAN: Duration = Duration::from_millis(800);
+
+impl StoreContact {
+    /// Makes the state of a process that has not asked yet.
+    pub fn new() -> Self {
+        Self {
+            answered: None,
+            failing_since: None,
+        }
+    }
+
+    /// Notes an answer; tells whether it ends an outage.
+    pub fn note_answer(&mut self, now: Instant) -> bool {
+        let was_lost = self.is_lost(now);
+        self.answered = Some(now);
+        self.failing_since = None;
+        was_lost
+    }
+
+    /// Notes a call without answer; tells whether the store counts as lost from now on.
+    pub fn note_failure(&mut self, now: Instant) -> bool {
+        let first = self.failing_since.is_none();
+        self.failing_since.get_or_insert(now);
+        first
+    }
+
+    /// Tells whether calls have failed for some time.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        self.failing_since
+            .is_some_and(|since| now.saturating_duration_since(since) > LOSS_SPAN)
+    }
+
+    /// Tells whether what was read can be taken as current.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < CONTACT_SPAN;
+        self.failing_since.is_none() && self.answered.is_some_and(recent)
+    }
+}
+
+impl Default for StoreContact {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/lib/gateway/src/upstream.rs
@@ -0,0 +1,217 @@
+//! The upstreams that are known and which of them may get new requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use snipegate_platform::StoreRevision;
+use snipegate_types::DataCentre;
+use snipegate_types::UpstreamId;
+use strum::Display;
+
+use crate::config::ServiceName;
+
+/// How long an entry that lapsed while the store was away may still be used.
+const LAPSE_GRACE: Duration = Duration::from_millis(1500);
+
+/// How long after the store's return a missing entry counts as lapsed and not
+/// as withdrawn.
+const RETURN_SPAN: Duration = Duration::from_secs(2);
+
+/// Whether an upstream takes new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum UpstreamPhase {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// What an upstream says of itself in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Its id, new with most starts.
+    pub id: UpstreamId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub data_centre: DataCentre,
+    /// Whether it takes new requests.
+    pub phase: UpstreamPhase,
+    /// When it started, in milliseconds since the Unix epoch, if it says so.
+    pub started_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct KnownUpstream {
+    entry: UpstreamEntry,
+    revision: StoreRevision,
+    lapsed_at: Option<Instant>,
+}
+
+/// A change of what is known of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum UpstreamChange {
+    /// It is new, or its address, service or start changed.
+    Appeared(UpstreamEntry),
+    /// It no longer takes new requests.
+    Left(UpstreamId),
+}
+
+/// The upstreams by id.
+#[derive(Debug, Default)]
+pub struct UpstreamTable {
+    known: IndexMap<UpstreamId, KnownUpstream>,
+    latest: StoreRevision,
+    known_through: StoreRevision,
+    store_returned: Option<Instant>,
+}
+
+impl UpstreamTable {
+    /// Returns the revision of the newest change that is known.
+    pub fn latest(&self) -> StoreRevision {
+        self.latest
+    }
+
+    /// Returns the revision up to which all changes are known.
+    pub fn known_through(&self) -> StoreRevision {
+        self.known_through
+    }
+
+    /// Notes that all changes up to `revision` are known.
+    pub fn note_known_through(&mut self, revision: StoreRevision) {
+        self.known_through = self.known_through.max(revision);
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn note_store_return(&mut self, now: Instant) {
+        self.store_returned = Some(now);
+    }
+
+    /// Takes one written entry; `None` stands for one that names no upstream.
+    pub fn put(
+        &mut self,
+        id: &UpstreamId,
+        entry: Option<UpstreamEntry>,
+        revision: StoreRevision,
+    ) -> Option<UpstreamChange> {
+        self.latest = self.latest.max(revision);
+        let known = self.known.get(id);
+        if known.is_some_and(|known| known.revision > revision) {
+            return None;
+        }
+        let before = known.map(|known| known.entry.clone());
+        let Some(entry) = entry else {
+            self.known.shift_remove(id);
+            return before.map(|_| UpstreamChange::Left(id.clone()));
+        };
+        let change = describe_change(before.as_ref(), &entry);
+        self.known.insert(
+            id.clone(),
+            KnownUpstream {
+                entry,
+                revision,
+                lapsed_at: None,
+            },
+        );
+        change
+    }
+
+    /// Notes the revision of a removal.
+    pub fn note_removal(&mut self, revision: StoreRevision) {
+        self.latest = self.latest.max(revision);
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove(
+        &mut self,
+        id: &UpstreamId,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Option<UpstreamChange> {
+        let after_outage = self
+            .store_returned
+            .is_some_and(|at| now.saturating_duration_since(at) < RETURN_SPAN);
+        let known = self.known.get_mut(id)?;
+        if known.revision > revision {
+            return None;
+        }
+        if after_outage && known.entry.phase == UpstreamPhase::Ready {
+            known.lapsed_at.get_or_insert(now);
+            return None;
+        }
+        self.known.shift_remove(id);
+        Some(UpstreamChange::Left(id.clone()))
+    }
+
+    /// Takes a full listing: what is not in it is gone.
+    pub fn replace(
+        &mut self,
+        listed: Vec<(UpstreamId, Option<UpstreamEntry>, StoreRevision)>,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Vec<UpstreamChange> {
+        let missing: Vec<UpstreamId> = self
+            .known
+            .keys()
+            .filter(|id| !listed.iter().any(|(listed, _, _)| listed == *id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<UpstreamChange> = listed
+            .into_iter()
+            .filter_map(|(id, entry, at)| self.put(&id, entry, at))
+            .collect();
+        changes.extend(
+            missing
+                .iter()
+                .filter_map(|id| self.remove(id, revision, now)),
+        );
+        self.note_known_through(revision);
+        changes
+    }
+
+    /// Drops entries that lapsed in an outage and did not come back.
+    pub fn drop_lapsed(&mut self, now: Instant) -> Vec<UpstreamChange> {
+        let gone: Vec<UpstreamId> = self
+            .known
+            .iter()
+            .filter(|(_, known)| {
+                known
+                    .lapsed_at
+                    .is_some_and(|at| now.saturating_duration_since(at) > LAPSE_GRACE)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.known.shift_remove(id);
+        }
+        gone.into_iter().map(UpstreamChange::Left).collect()
+    }
+
+    /// Returns the upstreams of a service that take new requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a UpstreamEntry> {
+        self.known
+            .values()
+            .map(|known| &known.entry)
+            .filter(move |entry| &*entry.service == service && entry.phase == UpstreamPhase::Ready)
+    }
+
+    /// Returns an upstream by id.
+    pub fn get(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
+        self.known.get(id).map(|known| &known.entry)
+    }
+}
+
+fn describe_change(before: Option<&UpstreamEntry>, entry: &UpstreamEntry) -> Option<UpstreamChange> {
+    let was_ready = before.is_some_and(|before| before.phase == UpstreamPhase::Ready);
+    match entry.phase {
+        UpstreamPhase::Draining if was_ready => Some(UpstreamChange::Left(entry.id.clone())),
+        UpstreamPhase::Draining => None,
+        UpstreamPhase::Ready if before == Some(entry) => None,
+        UpstreamPhase::Ready => Some(UpstreamChange::Appeared(entry.clone())),
+    }
+}
--- /dev/null
+++ b/lib/gateway/src/upstream_follower.rs
@@ -0,0 +1,130 @@
+//! Follows the upstreams' entries in the store.
+
+use std::rc::Rc;
+
+use slog::info;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::StoreError;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::WatchBatch;
+use snipegate_types::UpstreamId;
+use tokio::time::sleep;
+
+use crate::config_follower::FAILURE_PAUSE;
+use crate::config_follower::WATCH_WAIT;
+use crate::gateway::Gateway;
+use crate::relay::spread;
+use crate::upstream::UpstreamChange;
+use crate::upstream::UpstreamEntry;
+
+/// Follows the upstreams until the process ends.
+pub async fn follow_upstreams<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    loop {
+        if let Err(error) = read_and_watch(&gateway, &*store).await {
+            gateway.note_store(Some(&error));
+            sleep(spread(FAILURE_PAUSE)).await;
+        }
+        drop_lapsed(&gateway);
+    }
+}
+
+async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
+    let mut after = read_all(gateway, store).await?;
+    loop {
+        drop_lapsed(gateway);
+        let prefix = gateway.dialect.layout().upstream_prefix;
+        let watch = store.watch(prefix, after, WATCH_WAIT);
+        let batch = tokio::select! {
+            batch = watch => batch?,
+            () = gateway.upstream_hint.notified() => return Ok(()),
+        };
+        gateway.note_store(None);
+        let WatchBatch::Changes { revision, changes } = batch else {
+            return Ok(());
+        };
+        after = revision.max(after);
+        let now = gateway.now();
+        let mut applied: Vec<UpstreamChange> = Vec::new();
+        for change in changes {
+            let Some(id) = upstream_id(gateway, prefix, &change.key) else {
+                continue;
+            };
+            let mut table = gateway.upstreams.borrow_mut();
+            applied.extend(match &change.value {
+                Some(value) => {
+                    let entry = decode_entry(gateway, &id, value);
+                    table.put(&id, entry, change.revision)
+                }
+                None => {
+                    table.note_removal(change.revision);
+                    table.remove(&id, change.revision, now)
+                }
+            });
+        }
+        gateway.upstreams.borrow_mut().note_known_through(after);
+        gateway.apply_upstream_changes(applied);
+    }
+}
+
+/// Reads all entries, page by page; returns the revision to watch from.
+async fn read_all<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+) -> Result<StoreRevision, StoreError> {
+    let prefix = gateway.dialect.layout().upstream_prefix;
+    let mut listed = Vec::new();
+    let mut first_revision = None;
+    let mut after: Option<String> = None;
+    loop {
+        let listing = store.list(prefix, after.as_deref()).await?;
+        let revision = *first_revision.get_or_insert(listing.revision);
+        for (key, stored) in listing.entries {
+            if let Some(id) = upstream_id(gateway, prefix, &key) {
+                let entry = decode_entry(gateway, &id, &stored.value);
+                listed.push((id, entry, stored.revision));
+            }
+        }
+        after = listing.more_after;
+        if after.is_none() {
+            gateway.note_store(None);
+            let now = gateway.now();
+            let changes = gateway
+                .upstreams
+                .borrow_mut()
+                .replace(listed, revision, now);
+            gateway.apply_upstream_changes(changes);
+            gateway.upstreams_known.set(true);
+            gateway.update_stage();
+            return Ok(revision);
+        }
+    }
+}
+
+fn upstream_id(gateway: &Gateway, prefix: &str, key: &str) -> Option<UpstreamId> {
+    let name = key.strip_prefix(prefix)?;
+    match name.parse() {
+        Ok(id) => Some(id),
+        Err(error) => {
+            gateway.metrics.count("upstream.malformed");
+            info!(gateway.log, "upstream id not accepted"; "error" => %error);
+            None
+        }
+    }
+}
+
+fn decode_entry(gateway: &Gateway, id: &UpstreamId, value: &[u8]) -> Option<UpstreamEntry> {
+    match gateway.dialect.decode_upstream(id, value) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            gateway.metrics.count("upstream.malformed");
+            info!(gateway.log, "upstream entry not decoded"; "upstream" => %id, "error" => error);
+            None
+        }
+    }
+}
+
+fn drop_lapsed(gateway: &Gateway) {
+    let now = gateway.now();
+    let changes = gateway.upstreams.borrow_mut().drop_lapsed(now);
+    gateway.apply_upstream_changes(changes);
+}
--- /dev/null
+++ b/lib/http1/src/lib.rs
@@ -0,0 +1,30 @@
+//! HTTP/1.1 as the router needs it: message heads by `httparse`, strict body
+//! framing, and connections that one exchange uses at a time and whose state
+//! (idle, sent up to a byte, read to the end) is always known.
+
+mod body;
+mod connection;
+mod framing;
+mod head;
+mod socket;
+
+pub use body::BodyDecoder;
+pub use body::BodyStep;
+pub use connection::ExchangeError;
+pub use connection::HttpConnection;
+pub use connection::WholeAnswer;
+pub use framing::BodyFraming;
+pub use framing::FramingError;
+pub use framing::answer_framing;
+pub use framing::request_framing;
+pub use head::AnswerHead;
+pub use head::HeadError;
+pub use head::HeaderList;
+pub use head::RequestHead;
+pub use head::parse_answer;
+pub use head::parse_request;
+pub use socket::ConnectError;
+pub use socket::connect;
+pub use socket::prepare_socket;
+pub use socket::read_some;
+pub use socket::write_all;
--- a/lib/service/src/lib.rs
+++ b/lib/service/src/lib.rs
@@ -16,6 +16,7 @@
 pub use guard::GuardPort;
 pub use logs::LogFormat;
 pub use logs::LogLevel;
+pub use logs::build_line_logger;
 pub use logs::build_logger;
 pub use message::MESSAGE_CONTENT_TYPE;
 pub use message::decode_message;
--- a/lib/service/src/logs.rs
+++ b/lib/service/src/logs.rs
@@ -57,3 +57,18 @@
     let drain = slog_async::Async::new(filter).build().fuse();
     Logger::root(drain, o!("process" => process.to_owned()))
 }
+
+/// Lines that wait to be written; more are dropped and counted.
+const LINE_BUFFER: usize = 2048;
+
+/// Builds a logger that writes JSON lines to standard output and never blocks.
+pub fn build_line_logger(level: LogLevel, process: &str) -> Logger {
+    let drain = slog_json::Json::default(io::stdout()).fuse();
+    let filter = slog::LevelFilter::new(drain, level.level()).fuse();
+    let drain = slog_async::Async::new(filter)
+        .chan_size(LINE_BUFFER)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(drain, o!("process" => process.to_owned()))
+}
--- a/lib/types/src/result_code.rs
+++ b/lib/types/src/result_code.rs
@@ -88,6 +88,10 @@
     IdempotencyKeyReused = 1013,
     /// The path or method does not exist.
     UnknownPath = 1014,
+    /// The head of the request is larger than the limit.
+    HeadTooLarge = 1015,
+    /// The request's head or the framing of its body is malformed or ambiguous.
+    MalformedRequest = 1016,
     /// The budget cannot cover the request's worst case.
     BudgetExhausted = 2001,
     /// Budget may remain, but none of it can be reached from here now.
@@ -144,13 +148,15 @@
     pub const fn http_status(self) -> u16 {
         use ResultCode::*;
         match self {
-            MalformedBody | UnknownField | TokenCountInvalid | IdempotencyKeyMissing => 400,
+            MalformedBody | UnknownField | TokenCountInvalid | IdempotencyKeyMissing
+            | MalformedRequest => 400,
             KeyMissing | KeyInvalid => 401,
             UnknownWorkspace => 403,
             UnknownModel | UnknownProfile | UnknownService | UnknownPath => 404,
             SenderTooSlow => 408,
             IdempotencyKeyReused | OutcomeUnknown | StillRunning => 409,
             BodyTooLarge => 413,
+            HeadTooLarge => 431,
             BudgetExhausted | BudgetUnknown => 402,
             WorkspaceLimited | ProfileLimited | PriorityShed => 429,
             UpstreamFailed | UpstreamSilent => 502,
@@ -179,6 +185,8 @@
             | IdempotencyKeyMissing
             | IdempotencyKeyReused
             | UnknownPath
+            | HeadTooLarge
+            | MalformedRequest
             | BudgetUnknown
             | OutcomeUnknown => false,
             SenderTooSlow | BudgetExhausted | BudgetUnreachable | WorkspaceLimited
