gateway: grants that last through an outage of the store

Cause: VMs cut off from the store for 8 s refused nearly all generations, since a grant lasted 4 s and demand was underestimated while young. A grant now aims at 10 s of demand while a third of the budget is unassigned, demand is averaged without that bias, and a request is refused at once when the store is known to fail.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -47,7 +47,7 @@
 const HELD_RETURN: Duration = Duration::from_millis(600);
 
 /// When to come back while the store is out of reach.
-const OUTAGE_RETURN: Duration = Duration::from_millis(800);
+const OUTAGE_RETURN: Duration = Duration::from_millis(1500);
 
 /// Keeps the grants of all workspaces until the process ends.
 pub async fn keep_budgets<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
@@ -253,7 +253,8 @@
         };
         let now = gateway.now();
         let waiting = wait_until.saturating_duration_since(now);
-        if refusal == PurseRefusal::Exhausted || waiting.is_zero() {
+        let is_failing = gateway.contact.get().is_failing();
+        if refusal == PurseRefusal::Exhausted || waiting.is_zero() || is_failing {
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         }
         gateway.grant_due.notify_one();
@@ -288,7 +289,7 @@
     cost: TokenCount,
 ) -> Refusal {
     let now = gateway.now();
-    let lost = gateway.contact.get().is_lost(now);
+    let lost = gateway.contact.get().is_failing();
     with_purse(gateway, workspace, |purse| {
         info!(gateway.log, "budget refused"; "request" => &*terms.attempt_id,
             "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -14,21 +14,29 @@
 use crate::budget_record::BudgetHolder;
 use crate::budget_record::BudgetRecord;
 
-/// How long a grant should last at the present demand.
-const GRANT_SPAN: Duration = Duration::from_secs(4);
+/// How long a grant should last at the present demand: an outage of the store.
+const GRANT_SPAN: Duration = Duration::from_secs(10);
 
-/// How much shorter the span is for each part of the budget that is gone: with
-/// all of it gone, requests are granted one by one.
-const MIN_GRANT_SPAN: Duration = Duration::from_millis(300);
+/// Shortest time that a grant should last, when little is left of the budget.
+const MIN_GRANT_SPAN: Duration = Duration::from_millis(500);
+
+/// The span shrinks once less than this part of the budget is unassigned.
+const AMPLE_PART: f64 = 0.35;
+
+/// Part of what is unassigned that all VMs together may take at once.
+const SHARED_PART: f64 = 0.7;
 
 /// Time in which the weight of past demand falls to 1/e.
-const DEMAND_LIFE: Duration = Duration::from_secs(4);
+const DEMAND_LIFE: Duration = Duration::from_secs(8);
+
+/// Shortest time over which demand is averaged.
+const MIN_DEMAND_SPAN: Duration = Duration::from_millis(1500);
 
 /// A grant is renewed when less than this part of its target is free.
-const RENEW_PART: f64 = 0.5;
+const RENEW_PART: f64 = 0.7;
 
 /// A grant is given back when more than this many times its target is free.
-const RETURN_FACTOR: f64 = 3.0;
+const RETURN_FACTOR: f64 = 2.5;
 
 /// Smallest grant that is worth a write to give back.
 const MIN_RETURN: TokenCount = TokenCount(2000);
@@ -72,6 +80,7 @@
     wanted: TokenCount,
     demand: f64,
     demand_at: Instant,
+    demand_began: Option<Instant>,
     /// When the record was last read or written.
     checked_at: Option<Instant>,
     /// Whether a request waits for the record to be read anew.
@@ -95,6 +104,7 @@
             wanted: TokenCount::ZERO,
             demand: 0.0,
             demand_at: now,
+            demand_began: None,
             checked_at: None,
             check_due: false,
         }
@@ -172,7 +182,8 @@
 
     /// Notes that a request of this size came.
     pub fn note_demand(&mut self, cost: TokenCount, now: Instant) {
-        self.demand = self.demand_now(now) + cost.0 as f64 / DEMAND_LIFE.as_secs_f64();
+        self.demand = self.demand_now(now) + cost.0 as f64;
+        self.demand_began.get_or_insert(now);
         self.demand_at = now;
     }
 
@@ -294,12 +305,25 @@
     fn target(&self, vms: usize, now: Instant) -> f64 {
         let left = self.unassigned().0 as f64;
         let part = left / (self.prepaid.0 as f64).max(1.0);
-        let span = GRANT_SPAN.as_secs_f64() * (2.0 * part).min(1.0);
+        let span = GRANT_SPAN.as_secs_f64() * (part / AMPLE_PART).min(1.0);
         let span = span.max(MIN_GRANT_SPAN.as_secs_f64());
-        let share = left / (2.0 * vms.max(1) as f64);
-        (self.demand_now(now) * span).min(share)
+        let own = self.free().0 as f64;
+        let share = own + SHARED_PART * left / vms.max(1) as f64;
+        (self.demand_rate(now) * span).min(share)
+    }
+
+    /// Returns the tokens a second that requests asked for lately.
+    fn demand_rate(&self, now: Instant) -> f64 {
+        let Some(first) = self.demand_began else {
+            return 0.0;
+        };
+        let life = DEMAND_LIFE.as_secs_f64();
+        let watched = now.saturating_duration_since(first).max(MIN_DEMAND_SPAN);
+        let seen = 1.0 - (-watched.as_secs_f64() / life).exp();
+        self.demand_now(now) / (life * seen)
     }
 
+    /// Returns the tokens asked for, the older ones with less weight.
     fn demand_now(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.demand_at);
         self.demand * (-age.as_secs_f64() / DEMAND_LIFE.as_secs_f64()).exp()
--- a/lib/gateway/src/store_contact.rs
+++ b/lib/gateway/src/store_contact.rs
@@ -40,6 +40,11 @@
         first
     }
 
+    /// Tells whether the newest call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Tells whether calls have failed for some time.
     pub fn is_lost(&self, now: Instant) -> bool {
         self.failing_since
