--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -53,7 +53,11 @@
 pub async fn keep_budgets<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
         let _ = timeout(LOOK_INTERVAL, gateway.grant_due.notified()).await;
-        adopt_workspaces(&gateway);
+        if adopt_workspaces(&gateway)
+            && let Err(error) = read_records(&gateway, &*store).await
+        {
+            info!(gateway.log, "budgets not read"; "error" => %error);
+        }
         let workspaces: Vec<WorkspaceId> = gateway.purses.borrow().keys().cloned().collect();
         let mut failed = false;
         for workspace in workspaces {
@@ -65,10 +69,37 @@
     }
 }
 
-/// Makes purses for new workspaces and passes on what they have bought.
-fn adopt_workspaces(gateway: &Gateway) {
+/// Reads the records of all budgets at once.
+async fn read_records<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
+    let prefix = gateway.dialect.layout().budget_prefix;
+    let mut after: Option<String> = None;
+    loop {
+        let result = store.list(prefix, after.as_deref()).await;
+        gateway.note_store(result.as_ref().err());
+        let listing = result?;
+        for (key, stored) in listing.entries {
+            let name = key.strip_prefix(prefix).unwrap_or_default();
+            if let Ok(workspace) = name.parse() {
+                take_record(gateway, &workspace, Some(stored));
+            }
+        }
+        after = listing.more_after;
+        if after.is_none() {
+            break;
+        }
+    }
+    let mut purses = gateway.purses.borrow_mut();
+    for purse in purses.values_mut().filter(|purse| !purse.is_known()) {
+        purse.set_record(BudgetRecord::default(), StoreRevision(0));
+    }
+    Ok(())
+}
+
+/// Makes purses for new workspaces and passes on what they have bought; tells
+/// whether any record is not known yet.
+fn adopt_workspaces(gateway: &Gateway) -> bool {
     let Some(config) = gateway.current_config() else {
-        return;
+        return false;
     };
     let now = gateway.now();
     let vm = hash_name(gateway.settings.vm.as_str());
@@ -82,6 +113,7 @@
             .or_insert_with(|| BudgetPurse::new(vm, gateway.incarnation, prepaid, now))
             .set_prepaid(prepaid);
     }
+    purses.values().any(|purse| !purse.is_known())
 }
 
 /// Reads or writes one budget's record as far as that is needed.
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -16,7 +16,7 @@
 use crate::relay::spread;
 
 /// How long one watch waits for a change.
-pub const WATCH_WAIT: Duration = Duration::from_millis(4000);
+pub const WATCH_WAIT: Duration = Duration::from_secs(12);
 
 /// Pause after a call that the store did not answer.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(150);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -26,6 +26,9 @@
 /// Shortest pause between two messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Datagrams that a VM sends in a second at most.
+const DATAGRAM_RATE: f64 = 300.0;
+
 /// Longest pause between two messages.
 const MAX_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -78,7 +81,9 @@
         let _ = timeout(MAX_INTERVAL, gateway.gossip_due.notified()).await;
         send_message(&gateway, &socket, number).await;
         number += 1;
-        sleep(MIN_INTERVAL).await;
+        let peers = gateway.peers.borrow().known() as f64;
+        let spacing = Duration::from_secs_f64(peers / DATAGRAM_RATE);
+        sleep(MIN_INTERVAL.max(spacing)).await;
     }
 }
 
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -25,7 +25,10 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// How long one watch for other VMs waits.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after changes, in which more of them gather.
+const GATHER_PAUSE: Duration = Duration::from_millis(700);
 
 /// Pause after a call that the store did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
@@ -117,6 +120,7 @@
             return Ok(());
         };
         after = revision.max(after);
+        let changed = !changes.is_empty();
         for change in changes {
             let Some(vm) = other_vm(gateway, prefix, &change.key) else {
                 continue;
@@ -131,6 +135,9 @@
                 None => peers.remove_listed(&vm),
             }
         }
+        if changed {
+            sleep(GATHER_PAUSE).await;
+        }
     }
 }
 
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the upstreams' entries in the store.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use slog::info;
 use snipegate_platform::ConfigStore;
@@ -17,6 +18,9 @@
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamEntry;
 
+/// Pause after changes, in which more of them gather.
+const GATHER_PAUSE: Duration = Duration::from_millis(150);
+
 /// Follows the upstreams until the process ends.
 pub async fn follow_upstreams<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
@@ -62,7 +66,10 @@
             });
         }
         gateway.upstreams.borrow_mut().note_known_through(after);
-        gateway.apply_upstream_changes(applied);
+        if !applied.is_empty() {
+            gateway.apply_upstream_changes(applied);
+            sleep(GATHER_PAUSE).await;
+        }
     }
 }
 
