--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -135,6 +135,9 @@
         },
         address_life: site.address_life.min(ADDRESS_LIFE),
         grace: site.grace,
-        caller_connections: site.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64),
+        caller_connections: site
+            .descriptors
+            .saturating_sub(RESERVED_DESCRIPTORS)
+            .max(64),
     }
 }
--- a/bin/edge/src/stop.rs
+++ b/bin/edge/src/stop.rs
@@ -83,7 +83,10 @@
     }
     gateway.is_closing.set(true);
     gateway.closing.notify_waiters();
-    if timeout(CLOSE_WAIT, close_budgets(gateway, store)).await.is_err() {
+    if timeout(CLOSE_WAIT, close_budgets(gateway, store))
+        .await
+        .is_err()
+    {
         info!(gateway.log, "budgets not given back in time");
     }
     info!(gateway.log, "stopped"; "active" => gateway.active.get());
--- a/lib/gateway/src/attempt.rs
+++ b/lib/gateway/src/attempt.rs
@@ -57,6 +57,8 @@
     Broken,
     /// What came was not an answer.
     Malformed,
+    /// No answer began in time.
+    Silent,
 }
 
 impl SendFailure {
@@ -176,8 +178,8 @@
     for strays in 0..=MAX_STRAY_ANSWERS {
         let head = connection.read_head().await?;
         let terms = gateway.dialect.decode_answer(&head);
-        let framing = answer_framing(&head, &request.head.method)
-            .map_err(|_| SendFailure::Malformed)?;
+        let framing =
+            answer_framing(&head, &request.head.method).map_err(|_| SendFailure::Malformed)?;
         let mut decoder = BodyDecoder::new(framing);
         let matches = terms
             .attempt_id
@@ -204,7 +206,11 @@
     entry: &UpstreamEntry,
     may_repeat: bool,
 ) -> Result<HttpConnection, SendFailure> {
-    let max_idle = if may_repeat { REPEATABLE_IDLE } else { ONCE_IDLE };
+    let max_idle = if may_repeat {
+        REPEATABLE_IDLE
+    } else {
+        ONCE_IDLE
+    };
     let now = gateway.now();
     let kept = gateway.pool.borrow_mut().take(&entry.id, max_idle, now);
     if let Some(connection) = kept {
--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -64,7 +64,11 @@
             failed |= keep_budget(&gateway, &*store, &workspace).await.is_err();
         }
         gateway.grant_changed.notify_waiters();
-        let pause = if failed { FAILURE_PAUSE } else { MIN_LOOK_INTERVAL };
+        let pause = if failed {
+            FAILURE_PAUSE
+        } else {
+            MIN_LOOK_INTERVAL
+        };
         sleep(pause).await;
     }
 }
@@ -197,7 +201,9 @@
     });
     match result? {
         SwapOutcome::Swapped(revision) => {
-            with_purse(gateway, workspace, |purse| purse.set_record(record, revision));
+            with_purse(gateway, workspace, |purse| {
+                purse.set_record(record, revision)
+            });
         }
         SwapOutcome::Conflict(stored) => take_record(gateway, workspace, stored),
     }
@@ -227,7 +233,9 @@
             }
         },
     };
-    with_purse(gateway, workspace, |purse| purse.set_record(record, revision));
+    with_purse(gateway, workspace, |purse| {
+        purse.set_record(record, revision)
+    });
 }
 
 fn with_purse<T>(
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -78,7 +78,11 @@
             return;
         }
     };
-    let current = gateway.config.borrow().as_ref().map(|config| config.version);
+    let current = gateway
+        .config
+        .borrow()
+        .as_ref()
+        .map(|config| config.version);
     if current.is_some_and(|current| current >= config.version) {
         return;
     }
--- a/lib/gateway/src/front.rs
+++ b/lib/gateway/src/front.rs
@@ -138,7 +138,10 @@
     /// Reads the next request.
     async fn read_request(&mut self, gateway: &Gateway, limits: &CallerLimits) -> ReadEnd {
         if self.buffer.is_empty() {
-            let idle = timeout(limits.idle_timeout, read_some(&self.stream, &mut self.buffer));
+            let idle = timeout(
+                limits.idle_timeout,
+                read_some(&self.stream, &mut self.buffer),
+            );
             let read = tokio::select! {
                 read = idle => read,
                 () = wait_for_closing(gateway) => return ReadEnd::Closed,
@@ -373,7 +376,9 @@
     caller: &mut CallerWriter<'_>,
     refusal: &Refusal,
 ) -> Result<(), CallerGone> {
-    let version = gateway.current_config().map_or(0, |config| config.version.0);
+    let version = gateway
+        .current_config()
+        .map_or(0, |config| config.version.0);
     let waited: Instant = request.received;
     info!(gateway.log, "request refused"; "request" => &*request.terms.attempt_id,
         "code" => refusal.code.number(), "reason" => %refusal.code, "run" => %refusal.run,
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -218,7 +218,8 @@
                 }
             }
             Some(error) => {
-                self.metrics.count_reason("store.failed", store_reason(error));
+                self.metrics
+                    .count_reason("store.failed", store_reason(error));
                 if contact.note_failure(now) {
                     info!(self.log, "store call failed"; "error" => %error);
                 }
--- a/lib/gateway/src/load.rs
+++ b/lib/gateway/src/load.rs
@@ -113,10 +113,11 @@
 
     /// Returns what all VMs have outstanding, as far as they said so lately.
     pub fn total(&self, now: Instant) -> WorkLoad {
-        self.fresh_peers(now).fold(self.own, |total, peer| WorkLoad {
-            unread: total.unread + peer.news.load.unread,
-            running: total.running + peer.news.load.running,
-        })
+        self.fresh_peers(now)
+            .fold(self.own, |total, peer| WorkLoad {
+                unread: total.unread + peer.news.load.unread,
+                running: total.running + peer.news.load.running,
+            })
     }
 
     /// Returns how the requests of all VMs ended lately.
@@ -238,14 +239,12 @@
 
     /// Returns what this VM has to say of each upstream.
     pub fn own_news(&self, now: Instant) -> impl Iterator<Item = (&UpstreamId, UpstreamNews)> {
-        self.upstreams
-            .iter()
-            .map(move |(id, load)| {
-                let news = UpstreamNews {
-                    load: load.own,
-                    outcomes: load.own_outcomes(now),
-                };
-                (id, news)
-            })
+        self.upstreams.iter().map(move |(id, load)| {
+            let news = UpstreamNews {
+                load: load.own,
+                outcomes: load.own_outcomes(now),
+            };
+            (id, news)
+        })
     }
 }
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -135,7 +135,11 @@
     /// A silent VM is left out only where most others are heard: a VM that hears
     /// few is the one that is cut off.
     pub fn serving(&self, now: Instant) -> Vec<&VmRecord> {
-        let silent = self.peers.values().filter(|peer| peer.is_silent(now)).count();
+        let silent = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_silent(now))
+            .count();
         let trust_silence = silent * 2 < self.peers.len();
         self.peers
             .values()
@@ -156,8 +160,7 @@
         let mut records = self.serving(now);
         records.extend(own);
         let near = |record: &&VmRecord| Some(record.data_centre.as_str()) == data_centre;
-        let (mut near, far): (Vec<&VmRecord>, Vec<&VmRecord>) =
-            records.into_iter().partition(near);
+        let (mut near, far): (Vec<&VmRecord>, Vec<&VmRecord>) = records.into_iter().partition(near);
         near.extend(far);
         near.iter()
             .map(|record| record.front)
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -272,7 +272,9 @@
         let Some(granted) = self.in_flight.take() else {
             return;
         };
-        let least = self.pending.map_or(granted, |pending| pending.granted.min(granted));
+        let least = self
+            .pending
+            .map_or(granted, |pending| pending.granted.min(granted));
         self.pending = Some(PendingWrite {
             replaces: self.revision,
             granted: least,
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -5,11 +5,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use slog::info;
 use snipegate_http1::AnswerHead;
 use snipegate_http1::RequestHead;
 use snipegate_types::ResultCode;
 use snipegate_types::UpstreamId;
-use slog::info;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::admission::Admission;
@@ -88,6 +89,8 @@
     service: ServiceName,
     reservation: Option<&'a Reservation>,
     tried: Vec<UpstreamId>,
+    /// The upstream that has the request now.
+    current: Option<UpstreamId>,
     sends: u32,
     connect_failures: u32,
     may_have_run: bool,
@@ -111,6 +114,7 @@
             service,
             reservation,
             tried: Vec::new(),
+            current: None,
             sends: 0,
             connect_failures: 0,
             may_have_run: false,
@@ -133,7 +137,10 @@
         let deadline = tokio::time::Instant::from_std(self.admission.deadline);
         let outcome = match timeout_at(deadline, self.try_upstreams(caller)).await {
             Ok(outcome) => outcome?,
-            Err(_) => Some(self.timeout_refusal()),
+            Err(_) => {
+                self.note_timeout(caller);
+                Some(self.timeout_refusal())
+            }
         };
         match outcome {
             None => Ok(()),
@@ -150,7 +157,9 @@
             let Some((entry, choice)) = self.choose() else {
                 return Ok(Some(self.no_upstream_refusal()));
             };
+            self.current = Some(entry.id.clone());
             let end = self.send_once(caller, &entry, &choice).await?;
+            self.current = None;
             self.note_end(&entry.id, &end);
             self.tried.push(entry.id.clone());
             match end {
@@ -214,7 +223,9 @@
             return Ok(SendEnd::NotRun);
         }
         if self.admission.route.repeat.is_stream() && answer.head.is_success() {
-            return self.relay_stream(caller, entry, choice, &ticket, answer).await;
+            return self
+                .relay_stream(caller, entry, choice, &ticket, answer)
+                .await;
         }
         self.relay_whole(caller, entry, &ticket, answer).await
     }
@@ -239,10 +250,6 @@
             may_repeat: repeat.may_repeat(),
         };
         let another = repeat.may_repeat() && self.sends + 1 < self.admission.route.max_attempts;
-        let patience = match another {
-            true => time_left.mul_f64(FIRST_TRY_PART),
-            false => time_left,
-        };
         let reservation = self.reservation;
         let sends = &mut self.sends;
         let on_sent = || {
@@ -252,10 +259,12 @@
             }
         };
         let send = send_request(self.gateway, entry, &outgoing, &plan, on_sent);
-        match tokio::time::timeout(patience, send).await {
-            Ok(result) => result,
-            Err(_) => Err(SendFailure::Broken),
+        if !another {
+            return send.await;
         }
+        timeout(time_left.mul_f64(FIRST_TRY_PART), send)
+            .await
+            .unwrap_or(Err(SendFailure::Silent))
     }
 
     async fn relay_whole(
@@ -377,7 +386,9 @@
         let mut loads = self.gateway.loads.borrow_mut();
         let (good, reason) = match end {
             SendEnd::Answered => (true, None),
-            SendEnd::Failed(head, _) => (head.status == 500, Some(format!("status_{}", head.status))),
+            SendEnd::Failed(head, _) => {
+                (head.status == 500, Some(format!("status_{}", head.status)))
+            }
             SendEnd::NotRun => (false, Some("not_run".to_owned())),
             SendEnd::Broken(failure) => (false, Some(failure.to_string())),
         };
@@ -397,6 +408,15 @@
             "upstream" => %id, "reason" => reason, "sends" => self.sends);
     }
 
+    /// Remembers that an upstream did not begin its answer in all the time it had.
+    fn note_timeout(&self, caller: &CallerWriter<'_>) {
+        if let Some(id) = &self.current
+            && caller.state() == AnswerState::Unbegun
+        {
+            self.note_end(id, &SendEnd::Broken(SendFailure::Silent));
+        }
+    }
+
     /// Decides whether one more send is allowed and could help.
     fn may_send_again(&self, caller: &CallerWriter<'_>) -> bool {
         let route = &self.admission.route;
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -206,7 +206,10 @@
     }
 }
 
-fn describe_change(before: Option<&UpstreamEntry>, entry: &UpstreamEntry) -> Option<UpstreamChange> {
+fn describe_change(
+    before: Option<&UpstreamEntry>,
+    entry: &UpstreamEntry,
+) -> Option<UpstreamChange> {
     let was_ready = before.is_some_and(|before| before.phase == UpstreamPhase::Ready);
     match entry.phase {
         UpstreamPhase::Draining if was_ready => Some(UpstreamChange::Left(entry.id.clone())),
--- /dev/null
+++ b/lib/gateway/tests/test_tables.rs
@@ -0,0 +1,182 @@
+//! What is known of upstreams and VMs, retries and events.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use snipegate_gateway::EventCutter;
+use snipegate_gateway::PeerTable;
+use snipegate_gateway::RetryBudget;
+use snipegate_gateway::RetryRule;
+use snipegate_gateway::ServiceName;
+use snipegate_gateway::UpstreamChange;
+use snipegate_gateway::UpstreamEntry;
+use snipegate_gateway::UpstreamPhase;
+use snipegate_gateway::UpstreamTable;
+use snipegate_gateway::VmRecord;
+use snipegate_gateway::VmStage;
+use snipegate_platform::StoreRevision;
+use snipegate_types::UpstreamId;
+
+fn entry(id: &str, phase: UpstreamPhase) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.parse().expect("a name"),
+        service: "svc".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: "z1".parse().expect("a name"),
+        phase,
+        started_ms: None,
+    }
+}
+
+fn ready_count(table: &UpstreamTable) -> usize {
+    table.ready("svc").count()
+}
+
+#[test]
+fn older_revisions_change_nothing() {
+    let mut table = UpstreamTable::default();
+    let now = Instant::now();
+    let id: UpstreamId = "a".parse().expect("a name");
+    let ready = entry("a", UpstreamPhase::Ready);
+    let draining = entry("a", UpstreamPhase::Draining);
+    table.put(&id, Some(ready.clone()), StoreRevision(5));
+    let change = table.put(&id, Some(draining), StoreRevision(9));
+    assert_eq!(change, Some(UpstreamChange::Left(id.clone())));
+    assert_eq!(table.put(&id, Some(ready), StoreRevision(6)), None);
+    assert_eq!(table.remove(&id, StoreRevision(7), now), None);
+    assert_eq!(ready_count(&table), 0);
+    assert!(table.get(&id).is_some());
+}
+
+#[test]
+fn entry_that_names_no_upstream_takes_it_out() {
+    let mut table = UpstreamTable::default();
+    let id: UpstreamId = "a".parse().expect("a name");
+    table.put(
+        &id,
+        Some(entry("a", UpstreamPhase::Ready)),
+        StoreRevision(5),
+    );
+    table.put(&id, None, StoreRevision(6));
+    assert_eq!(ready_count(&table), 0);
+}
+
+#[test]
+fn entries_missing_after_an_outage_get_a_moment() {
+    let mut table = UpstreamTable::default();
+    let now = Instant::now();
+    let id: UpstreamId = "a".parse().expect("a name");
+    table.put(
+        &id,
+        Some(entry("a", UpstreamPhase::Ready)),
+        StoreRevision(5),
+    );
+    table.note_store_return(now);
+    assert!(table.replace(Vec::new(), StoreRevision(9), now).is_empty());
+    assert_eq!(ready_count(&table), 1);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(table.drop_lapsed(later), [UpstreamChange::Left(id)]);
+    assert_eq!(ready_count(&table), 0);
+}
+
+#[test]
+fn removal_in_calm_times_counts_at_once() {
+    let mut table = UpstreamTable::default();
+    let now = Instant::now();
+    let id: UpstreamId = "a".parse().expect("a name");
+    table.put(
+        &id,
+        Some(entry("a", UpstreamPhase::Ready)),
+        StoreRevision(5),
+    );
+    table.remove(&id, StoreRevision(6), now);
+    assert_eq!(ready_count(&table), 0);
+}
+
+fn vm(name: &str, stage: VmStage) -> VmRecord {
+    let number = name.len() as u8;
+    VmRecord {
+        vm: name.parse().expect("a name"),
+        incarnation: 1,
+        front: ([10, 0, 0, number], 80).into(),
+        gossip: ([10, 0, 0, number], 81).into(),
+        data_centre: "z1".parse().expect("a name"),
+        stage,
+    }
+}
+
+#[test]
+fn silent_vm_is_left_out_while_most_are_heard() {
+    let mut table = PeerTable::default();
+    let now = Instant::now();
+    for name in ["a", "bb", "ccc"] {
+        table.put_listed(vm(name, VmStage::Serving));
+    }
+    assert_eq!(table.serving(now).len(), 3);
+    table.put_heard(vm("a", VmStage::Serving), now);
+    table.put_heard(vm("bb", VmStage::Serving), now);
+    assert_eq!(table.serving(now).len(), 2);
+    // Cut off from all: the store's list is the best there is.
+    assert_eq!(table.serving(now + Duration::from_secs(3)).len(), 3);
+}
+
+#[test]
+fn leaving_vm_is_in_no_answer() {
+    let mut table = PeerTable::default();
+    let now = Instant::now();
+    table.put_heard(vm("a", VmStage::Serving), now);
+    table.put_heard(vm("bb", VmStage::Serving), now);
+    table.put_listed(vm("bb", VmStage::Leaving));
+    let own = vm("ccc", VmStage::Serving);
+    let addresses = table.addresses(Some(&own), Some("z1"), now);
+    assert_eq!(addresses.len(), 2);
+    assert!(!addresses.contains(&vm("bb", VmStage::Leaving).front));
+}
+
+#[test]
+fn repeats_stay_within_the_share_of_the_fleet() {
+    let rule = RetryRule {
+        ratio: 0.2,
+        slack: 60.0,
+        window: Duration::from_secs(10),
+    };
+    let service: ServiceName = "svc".into();
+    let now = Instant::now();
+    let vms = 6;
+    let mut taken = 0;
+    for _ in 0..vms {
+        let mut budget = RetryBudget::new(rule);
+        for _ in 0..50 {
+            budget.count_request(&service, now);
+        }
+        taken += (0..100)
+            .filter(|_| budget.take_repeat(&service, vms, now))
+            .count();
+        let later = now + Duration::from_secs(11);
+        assert!(budget.take_repeat(&service, vms, later));
+    }
+    assert!(taken as f64 <= 0.2 * 300.0 + 60.0);
+    assert!(taken > 40);
+}
+
+#[test]
+fn events_are_cut_at_their_ends_however_they_come() {
+    let text = "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: half";
+    for size in 1..text.len() {
+        let mut cutter = EventCutter::default();
+        let mut passed = Vec::new();
+        let mut events = 0;
+        let mut last = None;
+        for part in text.as_bytes().chunks(size) {
+            if let Some(batch) = cutter.push(part) {
+                passed.extend_from_slice(&batch.bytes);
+                events += batch.events;
+                last = batch.last_id.or(last);
+            }
+        }
+        assert!(cutter.has_partial());
+        assert!(text.as_bytes().starts_with(&passed));
+        assert!(passed.ends_with(b"data: b\r\n\r\n"), "cut by {size}");
+        assert_eq!((events, last.as_deref()), (2, Some("2")), "cut by {size}");
+    }
+}
--- a/lib/http1/src/framing.rs
+++ b/lib/http1/src/framing.rs
@@ -104,7 +104,5 @@
         return Err(FramingError::BadLength);
     }
     let text = std::str::from_utf8(value).map_err(|_| FramingError::BadLength)?;
-    text.parse()
-        .map(Some)
-        .map_err(|_| FramingError::BadLength)
+    text.parse().map(Some).map_err(|_| FramingError::BadLength)
 }
--- a/lib/types/src/result_code.rs
+++ b/lib/types/src/result_code.rs
@@ -148,7 +148,10 @@
     pub const fn http_status(self) -> u16 {
         use ResultCode::*;
         match self {
-            MalformedBody | UnknownField | TokenCountInvalid | IdempotencyKeyMissing
+            MalformedBody
+            | UnknownField
+            | TokenCountInvalid
+            | IdempotencyKeyMissing
             | MalformedRequest => 400,
             KeyMissing | KeyInvalid => 401,
             UnknownWorkspace => 403,
--- /dev/null
+++ b/testing/site/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins of the users' platform on loopback: the key-value store with its
+//! failures, and runners that misbehave as scripted. Small, for tests.
+
+mod runner;
+mod server;
+mod store;
+
+pub use runner::RunnerScript;
+pub use runner::SeenRequest;
+pub use runner::StandinRunner;
+pub use store::StandinStore;
+pub use store::StoreFault;
--- /dev/null
+++ b/testing/site/src/runner.rs
@@ -0,0 +1,226 @@
+//! A runner that answers as scripted.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use snipegate_http1::AnswerHead;
+use snipegate_http1::RequestHead;
+use snipegate_http1::write_all;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::server::read_request;
+use crate::server::write_answer;
+
+/// What a runner does with each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunnerScript {
+    /// It answers in full, with a length.
+    Whole,
+    /// It answers in full and the connection ends the answer.
+    NoLength,
+    /// It answers in full and sends bytes after it.
+    ExtraBytes,
+    /// It answers another request first.
+    StrayAnswerFirst,
+    /// It sends half of an answer and closes.
+    BreakOff,
+    /// It fails with 500.
+    Fail,
+    /// It refuses and says that the request has not run.
+    Refuse,
+    /// It reads the request and closes.
+    Close,
+    /// It reads the request and says nothing.
+    Silent,
+    /// It streams this many events with a pause between them.
+    Stream(u64, Duration),
+    /// It streams events and breaks off within the one after this many.
+    StreamBreak(u64),
+}
+
+/// A request as a runner saw it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    /// The head.
+    pub head: RequestHead,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+struct State {
+    script: Cell<RunnerScript>,
+    seen: RefCell<Vec<SeenRequest>>,
+    left: Cell<u64>,
+}
+
+/// A runner; clones share one state.
+#[derive(Clone)]
+pub struct StandinRunner {
+    state: Rc<State>,
+    address: SocketAddr,
+}
+
+impl StandinRunner {
+    /// Starts a runner on loopback, on the current local task set.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is to be had.
+    pub async fn start(script: RunnerScript) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(State {
+            script: Cell::new(script),
+            seen: RefCell::default(),
+            left: Cell::new(0),
+        });
+        let served = Rc::clone(&state);
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serve(Rc::clone(&served), stream));
+            }
+        });
+        Ok(Self { state, address })
+    }
+
+    /// Returns the runner's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what the runner does from now on.
+    pub fn set_script(&self, script: RunnerScript) {
+        self.state.script.set(script);
+    }
+
+    /// Returns the requests that reached the runner.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.state.seen.borrow().clone()
+    }
+
+    /// Returns how many streams broke because their reader left.
+    pub fn left(&self) -> u64 {
+        self.state.left.get()
+    }
+}
+
+async fn serve(state: Rc<State>, stream: TcpStream) {
+    let mut buffer = BytesMut::new();
+    while let Some((head, body)) = read_request(&stream, &mut buffer).await {
+        let seen = SeenRequest {
+            head: head.clone(),
+            body,
+        };
+        state.seen.borrow_mut().push(seen);
+        if !answer(&state, &stream, &head).await {
+            return;
+        }
+    }
+}
+
+/// Answers as scripted; tells whether the connection stays open.
+async fn answer(state: &State, stream: &TcpStream, request: &RequestHead) -> bool {
+    let body = b"the answer";
+    let head = signed_head(request, 200);
+    match state.script.get() {
+        RunnerScript::Whole => write_answer(stream, head, body).await,
+        RunnerScript::NoLength => {
+            let _ = write_raw(stream, &head, body).await;
+            false
+        }
+        RunnerScript::ExtraBytes => {
+            let _ = write_answer(stream, head, body).await;
+            write_all(stream, b"HTTP/1.1 200 OK\r\n").await.is_ok()
+        }
+        RunnerScript::StrayAnswerFirst => {
+            let mut stray = AnswerHead::new(200, "OK");
+            stray.headers.push("X-Attempt-Id", "another");
+            stray.headers.push("X-Server-Seal", "s");
+            let _ = write_answer(stream, stray, b"not yours").await;
+            write_answer(stream, head, body).await
+        }
+        RunnerScript::BreakOff => {
+            let mut head = head;
+            head.headers.push("Content-Length", "100");
+            let _ = write_raw(stream, &head, body).await;
+            false
+        }
+        RunnerScript::Fail => write_answer(stream, signed_head(request, 500), b"failed").await,
+        RunnerScript::Refuse => {
+            let mut head = AnswerHead::new(503, "Service Unavailable");
+            head.headers.push("X-Not-Executed", "1");
+            write_answer(stream, head, b"").await
+        }
+        RunnerScript::Close => false,
+        RunnerScript::Silent => {
+            std::future::pending::<()>().await;
+            false
+        }
+        RunnerScript::Stream(events, pause) => {
+            stream_events(state, stream, request, events, pause, false).await
+        }
+        RunnerScript::StreamBreak(events) => {
+            stream_events(state, stream, request, events, Duration::ZERO, true).await
+        }
+    }
+}
+
+async fn stream_events(
+    state: &State,
+    stream: &TcpStream,
+    request: &RequestHead,
+    events: u64,
+    pause: Duration,
+    breaks: bool,
+) -> bool {
+    let mut head = signed_head(request, 200);
+    head.headers.push("Content-Type", "text/event-stream");
+    head.headers.push("Transfer-Encoding", "chunked");
+    let first = request
+        .headers
+        .get("Last-Event-Id")
+        .and_then(|id| id.parse::<u64>().ok())
+        .map_or(1, |id| id + 1);
+    let mut written = write_raw(stream, &head, b"").await;
+    for id in first..=events {
+        written = written && write_chunk(stream, &format!("id: {id}\ndata: event {id}\n\n")).await;
+        sleep(pause).await;
+    }
+    if breaks {
+        let _ = write_chunk(stream, &format!("id: {}\ndata: ha", events + 1)).await;
+        return false;
+    }
+    let whole = written && write_all(stream, b"0\r\n\r\n").await.is_ok();
+    if !whole {
+        state.left.set(state.left.get() + 1);
+    }
+    whole
+}
+
+async fn write_chunk(stream: &TcpStream, text: &str) -> bool {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    write_all(stream, chunk.as_bytes()).await.is_ok()
+}
+
+async fn write_raw(stream: &TcpStream, head: &AnswerHead, body: &[u8]) -> bool {
+    let mut out = BytesMut::new();
+    head.write(&mut out);
+    out.extend_from_slice(body);
+    write_all(stream, &out).await.is_ok()
+}
+
+fn signed_head(request: &RequestHead, status: u16) -> AnswerHead {
+    let mut head = AnswerHead::new(status, "Answer");
+    let id = request.headers.get("X-Attempt-Id").unwrap_or_default();
+    head.headers.push("X-Attempt-Id", id);
+    head.headers.push("X-Server-Seal", "seal");
+    head
+}
--- /dev/null
+++ b/testing/site/src/server.rs
@@ -0,0 +1,50 @@
+//! Reads requests and writes answers on one connection.
+
+use bytes::BytesMut;
+use snipegate_http1::AnswerHead;
+use snipegate_http1::BodyDecoder;
+use snipegate_http1::BodyStep;
+use snipegate_http1::RequestHead;
+use snipegate_http1::parse_request;
+use snipegate_http1::read_some;
+use snipegate_http1::request_framing;
+use snipegate_http1::write_all;
+use tokio::net::TcpStream;
+
+/// Reads one request; `None` at the end of the connection.
+pub async fn read_request(
+    stream: &TcpStream,
+    buffer: &mut BytesMut,
+) -> Option<(RequestHead, Vec<u8>)> {
+    let head = loop {
+        if let Some((head, length)) = parse_request(buffer).ok()? {
+            let _ = buffer.split_to(length);
+            break head;
+        }
+        if read_some(stream, buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let mut decoder = BodyDecoder::new(request_framing(&head).ok()?);
+    let mut body = Vec::new();
+    loop {
+        match decoder.decode(buffer).ok()? {
+            BodyStep::Data(data) => body.extend_from_slice(&data),
+            BodyStep::End => return Some((head, body)),
+            BodyStep::NeedMore => {
+                if read_some(stream, buffer).await.ok()? == 0 {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Writes an answer with a length.
+pub async fn write_answer(stream: &TcpStream, mut head: AnswerHead, body: &[u8]) -> bool {
+    head.headers.push("Content-Length", body.len().to_string());
+    let mut out = BytesMut::new();
+    head.write(&mut out);
+    out.extend_from_slice(body);
+    write_all(stream, &out).await.is_ok()
+}
