--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -1,9 +1,17 @@
 //! Moves grants between the budgets' records in the store and this VM.
+//!
+//! The VMs agree, as far as they hear each other, on one of them that writes a
+//! shard of records for all; so the store sees few writes and few conflicts. A VM
+//! that gets no answer from it writes itself. Who writes decides nothing: every
+//! write names the revision that it replaces.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexMap;
+use slog::debug;
 use slog::info;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::ExpectedVersion;
@@ -11,99 +19,386 @@
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
 use snipegate_platform::SwapOutcome;
-use snipegate_types::ResultCode;
 use snipegate_types::TokenCount;
 use snipegate_types::WorkspaceId;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::admission::Admission;
-use crate::budget_record::BudgetRecord;
+use crate::budget_record::BudgetShard;
+use crate::budget_record::BudgetView;
+use crate::budget_record::GrantAsk;
 use crate::gateway::Gateway;
 use crate::gateway::hash_name;
+use crate::gossip::PeerMessage;
 use crate::gossip::SCARCE_LIFE;
 use crate::purse::BudgetPurse;
-use crate::purse::PurseRefusal;
-use crate::refusal::Refusal;
 use crate::relay::spread;
-use crate::terms::RequestTerms;
+
+/// Number of keys that the records of all budgets are spread over.
+const SHARDS: u64 = 4;
 
 /// Longest pause between two looks at the grants.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Shortest pause between two looks at the grants.
-const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(15);
+/// Time in which asks gather before they are written, where a request waits.
+const URGENT_GATHER: Duration = Duration::from_millis(8);
+
+/// Time in which asks gather before they are written, where none waits.
+const CALM_GATHER: Duration = Duration::from_millis(400);
 
-/// Pause after a call that the store did not answer.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for the answer of the VM that writes.
+const WRITER_WAIT: Duration = Duration::from_millis(120);
 
-/// Longest time that a request waits for a grant.
-const GRANT_WAIT: Duration = Duration::from_millis(250);
+/// How long a VM that did not answer is not asked again.
+const WRITER_PAUSE: Duration = Duration::from_millis(1500);
 
-/// Part of the time left that a request waits for a grant at most.
-const GRANT_WAIT_PART: f64 = 0.1;
+/// Pause after a conflict or a call that the store did not answer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(60);
 
-/// When to come back while other VMs hold what is left of a budget.
-const HELD_RETURN: Duration = Duration::from_millis(600);
+/// Most asks of other VMs that wait.
+const MAX_FOREIGN_ASKS: usize = 4096;
 
-/// When to come back while the store is out of reach.
-const OUTAGE_RETURN: Duration = Duration::from_millis(1500);
+/// A shard as this VM knows it.
+struct ShardKeeper {
+    number: u64,
+    shard: BudgetShard,
+    revision: StoreRevision,
+    /// Whether the shard was read, so that it can be written.
+    read: bool,
+    /// When the other VM that writes did not answer.
+    writer_failed: Option<Instant>,
+    wrote_at: Option<Instant>,
+}
 
 /// Keeps the grants of all workspaces until the process ends.
 pub async fn keep_budgets<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    for number in 0..SHARDS {
+        let gateway = Rc::clone(&gateway);
+        spawn_local(keep_shard(gateway, Rc::clone(&store), number));
+    }
     loop {
         let _ = timeout(LOOK_INTERVAL, gateway.grant_due.notified()).await;
-        if adopt_workspaces(&gateway)
-            && let Err(error) = read_records(&gateway, &*store).await
+        adopt_workspaces(&gateway);
+        gateway.shard_due.notify_waiters();
+    }
+}
+
+async fn keep_shard<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>, number: u64) {
+    let mut keeper = ShardKeeper {
+        number,
+        shard: BudgetShard::default(),
+        revision: StoreRevision(0),
+        read: false,
+        writer_failed: None,
+        wrote_at: None,
+    };
+    loop {
+        match keeper.look(&gateway, &*store).await {
+            Ok(LookEnd::Idle) => {
+                let _ = timeout(LOOK_INTERVAL, gateway.shard_due.notified()).await;
+            }
+            Ok(LookEnd::Acted) => {}
+            Err(error) => {
+                debug!(gateway.log, "budgets not written"; "shard" => number, "error" => %error);
+                sleep(spread(FAILURE_PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// What a look at the budgets came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LookEnd {
+    /// Nothing was needed.
+    Idle,
+    /// Something was asked or written.
+    Acted,
+}
+
+impl ShardKeeper {
+    /// Takes one look at what the budgets of the shard need, and sees to it.
+    async fn look<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+    ) -> Result<LookEnd, StoreError> {
+        if !self.all_known(gateway) {
+            self.read(gateway, store).await?;
+        }
+        let Some(urgent) = self.gather(gateway).await else {
+            return Ok(LookEnd::Idle);
+        };
+        let now = gateway.now();
+        self.wrote_at = Some(now);
+        let mut own = self.plan_asks(gateway, now);
+        if let Some(writer) = self.other_writer(gateway, now)
+            && !own.is_empty()
         {
-            info!(gateway.log, "budgets not read"; "error" => %error);
+            if self.ask_writer(gateway, writer, &own, urgent).await {
+                own.clear();
+            } else {
+                self.writer_failed = Some(gateway.now());
+            }
         }
-        let workspaces: Vec<WorkspaceId> = gateway.purses.borrow().keys().cloned().collect();
-        let mut failed = false;
-        for workspace in workspaces {
-            failed |= keep_budget(&gateway, &*store, &workspace).await.is_err();
+        let foreign = self.take_foreign(gateway);
+        if !own.is_empty() || !foreign.is_empty() {
+            self.write(gateway, store, &own, &foreign).await?;
         }
-        gateway.grant_changed.notify_waiters();
-        let pause = if failed {
-            FAILURE_PAUSE
-        } else {
-            MIN_LOOK_INTERVAL
+        Ok(LookEnd::Acted)
+    }
+
+    /// Waits while asks gather, longer where no request waits for a grant.
+    ///
+    /// Tells whether one waits; `None` where nothing is needed.
+    async fn gather(&self, gateway: &Gateway) -> Option<bool> {
+        loop {
+            let now = gateway.now();
+            if self.is_urgent(gateway, now)? {
+                sleep(URGENT_GATHER).await;
+                return Some(true);
+            }
+            let since = self
+                .wrote_at
+                .map_or(CALM_GATHER, |at| now.saturating_duration_since(at));
+            let left = CALM_GATHER.saturating_sub(since);
+            if left.is_zero() {
+                return Some(false);
+            }
+            let _ = timeout(left, gateway.shard_due.notified()).await;
+        }
+    }
+
+    /// Tells whether a request waits for a grant; `None` where nothing is needed.
+    fn is_urgent(&self, gateway: &Gateway, now: Instant) -> Option<bool> {
+        let asks = gateway.foreign_asks.borrow();
+        let foreign = asks
+            .iter()
+            .filter(|(_, ask)| ask.workspace % SHARDS == self.number)
+            .map(|(_, ask)| ask.urgent);
+        let vms = gateway.vm_count();
+        let purses = gateway.purses.borrow();
+        let own = purses
+            .iter()
+            .filter(|(workspace, _)| shard_of(workspace) == self.number)
+            .filter_map(|(id, purse)| purse.need(vms, is_scarce(gateway, id, now), now))
+            .map(|need| need.urgent);
+        foreign.chain(own).reduce(|one, other| one || other)
+    }
+
+    fn plan_asks(&self, gateway: &Gateway, now: Instant) -> Vec<GrantAsk> {
+        let vms = gateway.vm_count();
+        let mut purses = gateway.purses.borrow_mut();
+        purses
+            .iter_mut()
+            .filter(|(workspace, purse)| shard_of(workspace) == self.number && purse.is_known())
+            .filter_map(|(id, purse)| purse.plan_ask(vms, is_scarce(gateway, id, now), now))
+            .collect()
+    }
+
+    fn all_known(&self, gateway: &Gateway) -> bool {
+        let purses = gateway.purses.borrow();
+        purses
+            .iter()
+            .filter(|(workspace, _)| shard_of(workspace) == self.number)
+            .all(|(_, purse)| purse.is_known())
+    }
+
+    /// Returns the other VM that writes this shard, if it is not this one.
+    fn other_writer(&self, gateway: &Gateway, now: Instant) -> Option<SocketAddr> {
+        let failed = |at: Instant| now.saturating_duration_since(at) < WRITER_PAUSE;
+        if self.writer_failed.is_some_and(failed) {
+            return None;
+        }
+        let weight = |vm: &str| hash_name(&format!("{vm}/{}", self.number));
+        let own = weight(gateway.settings.vm.as_str());
+        let peers = gateway.peers.borrow();
+        peers
+            .heard(now)
+            .map(|record| (weight(record.vm.as_str()), record.gossip))
+            .max()
+            .filter(|(best, _)| *best > own)
+            .map(|(_, address)| address)
+    }
+
+    /// Asks another VM to write; where a request waits, tells whether the answer
+    /// came in time.
+    async fn ask_writer(
+        &self,
+        gateway: &Gateway,
+        writer: SocketAddr,
+        asks: &[GrantAsk],
+        urgent: bool,
+    ) -> bool {
+        gateway.send_direct(writer, PeerMessage::Asks(asks.to_vec()));
+        if !urgent {
+            return true;
+        }
+        let answered = async {
+            loop {
+                let changed = gateway.grant_changed.notified();
+                if asks.iter().all(|ask| is_answered(gateway, ask)) {
+                    return;
+                }
+                changed.await;
+            }
         };
-        sleep(pause).await;
+        let in_time = timeout(WRITER_WAIT, answered).await.is_ok();
+        let outcome = if in_time { "answered" } else { "not_answered" };
+        gateway.metrics.count_reason("budget.ask", outcome);
+        info!(gateway.log, "grants asked"; "shard" => self.number, "writer" => %writer,
+            "asks" => asks.len(), "outcome" => outcome);
+        in_time
     }
-}
 
-/// Reads the records of all budgets at once.
-async fn read_records<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
-    let prefix = gateway.dialect.layout().budget_prefix;
-    let mut after: Option<String> = None;
-    loop {
-        let result = store.list(prefix, after.as_deref()).await;
+    async fn read<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+    ) -> Result<(), StoreError> {
+        let result = store.read(&self.key(gateway)).await;
+        gateway.note_store(result.as_ref().err());
+        self.take(gateway, result?)
+    }
+
+    /// Writes the asks of this VM and of others.
+    async fn write<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+        own: &[GrantAsk],
+        foreign: &[(SocketAddr, GrantAsk)],
+    ) -> Result<(), StoreError> {
+        if !self.read {
+            self.read(gateway, store).await?;
+        }
+        let mut shard = self.shard.clone();
+        let asks = own.iter().chain(foreign.iter().map(|(_, ask)| ask));
+        let prepaid = prepaid_by_hash(gateway);
+        let mut changed = false;
+        for ask in asks {
+            let prepaid = prepaid.get(&ask.workspace).copied().unwrap_or_default();
+            let record = shard.records.entry(ask.workspace).or_default();
+            changed |= record.apply(ask, prepaid);
+        }
+        if changed {
+            self.swap(gateway, store, shard).await?;
+        }
+        self.answer(gateway, foreign);
+        Ok(())
+    }
+
+    async fn swap<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+        shard: BudgetShard,
+    ) -> Result<(), StoreError> {
+        let bytes = shard.encode().map_err(|error| {
+            info!(gateway.log, "budget records not encoded"; "error" => %error);
+            StoreError::BadReply
+        })?;
+        let expected = match self.revision {
+            StoreRevision(0) => ExpectedVersion::Absent,
+            revision => ExpectedVersion::At(revision),
+        };
+        let result = store.swap(&self.key(gateway), expected, bytes, None).await;
         gateway.note_store(result.as_ref().err());
-        let listing = result?;
-        for (key, stored) in listing.entries {
-            let name = key.strip_prefix(prefix).unwrap_or_default();
-            if let Ok(workspace) = name.parse() {
-                take_record(gateway, &workspace, Some(stored));
+        self.wrote_at = Some(gateway.now());
+        let outcome = match &result {
+            Ok(SwapOutcome::Swapped(_)) => "written",
+            Ok(SwapOutcome::Conflict(_)) => "conflict",
+            Err(error) if error.may_have_applied() => "unknown",
+            Err(_) => "not_written",
+        };
+        gateway.metrics.count_reason("budget.write", outcome);
+        info!(gateway.log, "budgets written"; "shard" => self.number, "outcome" => outcome,
+            "replaces" => self.revision.0);
+        match result? {
+            SwapOutcome::Swapped(revision) => {
+                self.shard = shard;
+                self.revision = revision;
+                self.show_views(gateway);
+                Ok(())
+            }
+            SwapOutcome::Conflict(stored) => {
+                self.take(gateway, stored)?;
+                Err(StoreError::Unreachable)
             }
         }
-        after = listing.more_after;
-        if after.is_none() {
-            break;
+    }
+
+    fn answer(&self, gateway: &Gateway, foreign: &[(SocketAddr, GrantAsk)]) {
+        let mut answers: IndexMap<SocketAddr, Vec<BudgetView>> = IndexMap::new();
+        for (sender, ask) in foreign {
+            let view = self
+                .shard
+                .view(ask.workspace, self.revision.0, ask.vm, ask.incarnation);
+            answers.entry(*sender).or_default().push(view);
+        }
+        for (sender, views) in answers {
+            gateway.send_direct(sender, PeerMessage::Views(views));
         }
     }
-    let mut purses = gateway.purses.borrow_mut();
-    for purse in purses.values_mut().filter(|purse| !purse.is_known()) {
-        purse.set_record(BudgetRecord::default(), StoreRevision(0));
+
+    /// Takes the shard as the store has it.
+    fn take(&mut self, gateway: &Gateway, stored: Option<StoredValue>) -> Result<(), StoreError> {
+        let (shard, revision) = match stored {
+            None => (BudgetShard::default(), StoreRevision(0)),
+            Some(stored) => match BudgetShard::decode(&stored.value) {
+                Ok(shard) => (shard, stored.revision),
+                Err(error) => {
+                    // Without readable records nothing more is granted.
+                    info!(gateway.log, "budget records not decoded"; "shard" => self.number,
+                        "revision" => stored.revision.0, "error" => %error);
+                    return Err(StoreError::BadReply);
+                }
+            },
+        };
+        self.shard = shard;
+        self.revision = revision;
+        self.read = true;
+        self.show_views(gateway);
+        Ok(())
+    }
+
+    /// Shows the purses of this VM what the records say.
+    fn show_views(&self, gateway: &Gateway) {
+        let vm = hash_name(gateway.settings.vm.as_str());
+        let mut purses = gateway.purses.borrow_mut();
+        let own = purses
+            .iter_mut()
+            .filter(|(workspace, _)| shard_of(workspace) == self.number);
+        for (workspace, purse) in own {
+            let hash = hash_name(workspace.as_str());
+            let view = self
+                .shard
+                .view(hash, self.revision.0, vm, gateway.incarnation);
+            purse.set_view(view);
+        }
+        drop(purses);
+        gateway.grant_changed.notify_waiters();
+    }
+
+    fn take_foreign(&self, gateway: &Gateway) -> Vec<(SocketAddr, GrantAsk)> {
+        let mut asks = gateway.foreign_asks.borrow_mut();
+        let (mine, rest) = std::mem::take(&mut *asks)
+            .into_iter()
+            .partition(|(_, ask)| ask.workspace % SHARDS == self.number);
+        *asks = rest;
+        mine
+    }
+
+    fn key(&self, gateway: &Gateway) -> String {
+        let prefix = gateway.dialect.layout().budget_prefix;
+        format!("{prefix}{}", self.number)
     }
-    Ok(())
 }
 
-/// Makes purses for new workspaces and passes on what they have bought; tells
-/// whether any record is not known yet.
-fn adopt_workspaces(gateway: &Gateway) -> bool {
+/// Makes purses for new workspaces and passes on what they have bought.
+pub fn adopt_workspaces(gateway: &Gateway) {
     let Some(config) = gateway.current_config() else {
-        return false;
+        return;
     };
     let now = gateway.now();
     let vm = hash_name(gateway.settings.vm.as_str());
@@ -112,256 +407,91 @@
         let Some(prepaid) = rule.prepaid else {
             continue;
         };
+        let hash = hash_name(workspace.as_str());
         purses
             .entry(workspace.clone())
-            .or_insert_with(|| BudgetPurse::new(vm, gateway.incarnation, prepaid, now))
+            .or_insert_with(|| BudgetPurse::new(hash, vm, gateway.incarnation, prepaid, now))
             .set_prepaid(prepaid);
     }
-    purses.values().any(|purse| !purse.is_known())
 }
 
-/// Reads or writes one budget's record as far as that is needed.
-async fn keep_budget<S: ConfigStore>(
-    gateway: &Gateway,
-    store: &S,
-    workspace: &WorkspaceId,
-) -> Result<(), StoreError> {
-    let key = budget_key(gateway, workspace);
-    let now = gateway.now();
-    let is_scarce = is_scarce_elsewhere(gateway, workspace, now);
-    let vms = gateway.vm_count();
-    let planned = {
-        let mut purses = gateway.purses.borrow_mut();
-        let Some(purse) = purses.get_mut(workspace) else {
-            return Ok(());
-        };
-        if !purse.is_known() || purse.is_check_due() {
-            None
-        } else {
-            match purse.plan_write(vms, is_scarce, now) {
-                Some(record) => Some(record),
-                None => return Ok(()),
-            }
-        }
-    };
-    match planned {
-        Some(record) => write_record(gateway, store, workspace, &key, record).await,
-        None => read_record(gateway, store, workspace, &key).await,
-    }
-}
-
-async fn read_record<S: ConfigStore>(
-    gateway: &Gateway,
-    store: &S,
-    workspace: &WorkspaceId,
-    key: &str,
-) -> Result<(), StoreError> {
-    let began = gateway.now();
-    let result = store.read(key).await;
-    gateway.note_store(result.as_ref().err());
-    let stored = result?;
-    take_record(gateway, workspace, stored);
-    if let Some(purse) = gateway.purses.borrow_mut().get_mut(workspace) {
-        purse.note_checked(began);
-    }
-    Ok(())
+/// Takes asks of another VM, to be written with the next ones.
+pub fn take_asks(gateway: &Gateway, sender: SocketAddr, asks: Vec<GrantAsk>) {
+    let mut waiting = gateway.foreign_asks.borrow_mut();
+    let room = MAX_FOREIGN_ASKS.saturating_sub(waiting.len());
+    waiting.extend(asks.into_iter().take(room).map(|ask| (sender, ask)));
+    drop(waiting);
+    gateway.grant_due.notify_one();
 }
 
-async fn write_record<S: ConfigStore>(
-    gateway: &Gateway,
-    store: &S,
-    workspace: &WorkspaceId,
-    key: &str,
-    record: BudgetRecord,
-) -> Result<(), StoreError> {
-    let bytes = match record.encode() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            info!(gateway.log, "budget record not encoded"; "error" => %error);
-            return Err(StoreError::BadReply);
-        }
-    };
-    let Some(expected) = with_purse(gateway, workspace, |purse| {
-        purse.write_sent(&record);
-        expected_version(purse.revision())
-    }) else {
-        return Ok(());
-    };
-    let result = store.swap(key, expected, bytes, None).await;
-    gateway.note_store(result.as_ref().err());
-    let outcome = match &result {
-        Ok(SwapOutcome::Swapped(_)) => "granted",
-        Ok(SwapOutcome::Conflict(_)) => "conflict",
-        Err(error) if error.may_have_applied() => "unknown",
-        Err(_) => "not_written",
-    };
-    with_purse(gateway, workspace, |purse| match &result {
-        Err(error) if error.may_have_applied() => purse.write_unknown(),
-        _ => purse.write_answered(),
-    });
-    match result? {
-        SwapOutcome::Swapped(revision) => {
-            with_purse(gateway, workspace, |purse| {
-                purse.set_record(record, revision)
-            });
+/// Takes what the VM that writes says of the records.
+pub fn take_views(gateway: &Gateway, views: &[BudgetView]) {
+    let mut purses = gateway.purses.borrow_mut();
+    for (workspace, purse) in purses.iter_mut() {
+        let hash = hash_name(workspace.as_str());
+        if let Some(view) = views.iter().find(|view| view.workspace == hash) {
+            purse.set_view(*view);
         }
-        SwapOutcome::Conflict(stored) => take_record(gateway, workspace, stored),
     }
-    log_grant(gateway, workspace, outcome);
-    Ok(())
+    drop(purses);
+    gateway.grant_changed.notify_waiters();
 }
 
-fn log_grant(gateway: &Gateway, workspace: &WorkspaceId, outcome: &str) {
-    gateway.metrics.count_reason("budget.write", outcome);
-    with_purse(gateway, workspace, |purse| {
-        info!(gateway.log, "budget grant"; "workspace" => %workspace, "outcome" => outcome,
-            "granted" => purse.granted().0, "free" => purse.free().0,
-            "unassigned" => purse.unassigned().0, "revision" => purse.revision().0);
-    });
+fn is_answered(gateway: &Gateway, ask: &GrantAsk) -> bool {
+    let purses = gateway.purses.borrow();
+    purses
+        .iter()
+        .find(|(workspace, _)| hash_name(workspace.as_str()) == ask.workspace)
+        .is_none_or(|(_, purse)| !purse.is_open(ask.sequence))
 }
 
-fn take_record(gateway: &Gateway, workspace: &WorkspaceId, stored: Option<StoredValue>) {
-    let (record, revision) = match stored {
-        None => (BudgetRecord::default(), StoreRevision(0)),
-        Some(stored) => match BudgetRecord::decode(&stored.value) {
-            Ok(record) => (record, stored.revision),
-            Err(error) => {
-                // Without a readable record nothing more is granted.
-                info!(gateway.log, "budget record not decoded"; "workspace" => %workspace,
-                    "revision" => stored.revision.0, "error" => %error);
-                return;
-            }
-        },
+fn prepaid_by_hash(gateway: &Gateway) -> IndexMap<u64, TokenCount> {
+    let Some(config) = gateway.current_config() else {
+        return IndexMap::new();
     };
-    with_purse(gateway, workspace, |purse| {
-        purse.set_record(record, revision)
-    });
-}
-
-fn with_purse<T>(
-    gateway: &Gateway,
-    workspace: &WorkspaceId,
-    act: impl FnOnce(&mut BudgetPurse) -> T,
-) -> Option<T> {
-    gateway.purses.borrow_mut().get_mut(workspace).map(act)
-}
-
-fn expected_version(revision: StoreRevision) -> ExpectedVersion {
-    match revision {
-        StoreRevision(0) => ExpectedVersion::Absent,
-        revision => ExpectedVersion::At(revision),
-    }
-}
-
-fn budget_key(gateway: &Gateway, workspace: &WorkspaceId) -> String {
-    format!("{}{workspace}", gateway.dialect.layout().budget_prefix)
+    config
+        .workspaces
+        .iter()
+        .filter_map(|(id, rule)| Some((hash_name(id.as_str()), rule.prepaid?)))
+        .collect()
 }
 
-fn is_scarce_elsewhere(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> bool {
-    let hash = hash_name(workspace.as_str());
+/// Tells whether another VM is short of a workspace's budget.
+fn is_scarce(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> bool {
     gateway
         .scarce_elsewhere
         .borrow()
-        .get(&hash)
+        .get(&hash_name(workspace.as_str()))
         .is_some_and(|at| now.saturating_duration_since(*at) < SCARCE_LIFE)
 }
 
-/// Reserves `cost` tokens, waiting a little for a grant if need be.
-///
-/// # Errors
-///
-/// Refuses for good only what the newest record shows to be beyond the budget.
-pub async fn reserve(
-    gateway: &Gateway,
-    workspace: &WorkspaceId,
-    cost: TokenCount,
-    admission: &Admission,
-    terms: &RequestTerms,
-) -> Result<(), Refusal> {
-    let began = gateway.now();
-    let left = admission.deadline.saturating_duration_since(began);
-    let wait_until = began + GRANT_WAIT.min(left.mul_f64(GRANT_WAIT_PART));
-    adopt_workspaces(gateway);
-    with_purse(gateway, workspace, |purse| purse.note_demand(cost, began));
-    loop {
-        let changed = gateway.grant_changed.notified();
-        let verdict = with_purse(gateway, workspace, |purse| try_reserve(purse, cost, began));
-        let refusal = match verdict {
-            None => return Err(Refusal::come_back(ResultCode::BudgetUnknown, OUTAGE_RETURN)),
-            Some(Ok(())) => return Ok(()),
-            Some(Err(refusal)) => refusal,
-        };
-        let now = gateway.now();
-        let waiting = wait_until.saturating_duration_since(now);
-        let is_failing = gateway.contact.get().is_failing();
-        if refusal == PurseRefusal::Exhausted || waiting.is_zero() || is_failing {
-            return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
-        }
-        gateway.grant_due.notify_one();
-        let _ = timeout(waiting, changed).await;
-    }
-}
-
-/// Reserves, or says why not; only a record read since `began` shows exhaustion.
-fn try_reserve(
-    purse: &mut BudgetPurse,
-    cost: TokenCount,
-    began: Instant,
-) -> Result<(), PurseRefusal> {
-    if purse.reserve(cost).is_ok() {
-        return Ok(());
-    }
-    match purse.why_refused(cost) {
-        PurseRefusal::NeedsGrant => Err(PurseRefusal::NeedsGrant),
-        refusal if purse.is_checked_since(began) => Err(refusal),
-        _ => {
-            purse.ask_check();
-            Err(PurseRefusal::NeedsGrant)
-        }
-    }
-}
-
-fn describe_refusal(
-    gateway: &Gateway,
-    workspace: &WorkspaceId,
-    refusal: PurseRefusal,
-    terms: &RequestTerms,
-    cost: TokenCount,
-) -> Refusal {
-    let now = gateway.now();
-    let lost = gateway.contact.get().is_failing();
-    with_purse(gateway, workspace, |purse| {
-        info!(gateway.log, "budget refused"; "request" => &*terms.attempt_id,
-            "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
-            "free" => purse.free().0, "unassigned" => purse.unassigned().0,
-            "revision" => purse.revision().0, "store_lost" => lost);
-    });
-    if !lost && refusal != PurseRefusal::NeedsGrant {
-        gateway.scarce.borrow_mut().insert(workspace.clone(), now);
-        gateway.gossip_due.notify_one();
-    }
-    match refusal {
-        PurseRefusal::Exhausted if !lost => Refusal::fatal(ResultCode::BudgetExhausted),
-        _ if lost => Refusal::come_back(ResultCode::BudgetUnreachable, spread(OUTAGE_RETURN)),
-        _ => Refusal::come_back(ResultCode::BudgetUnreachable, spread(HELD_RETURN)),
-    }
+fn shard_of(workspace: &WorkspaceId) -> u64 {
+    hash_name(workspace.as_str()) % SHARDS
 }
 
 /// Gives back what is not used, at the end of the process.
 pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
-    let workspaces: Vec<WorkspaceId> = gateway.purses.borrow().keys().cloned().collect();
-    for workspace in workspaces {
-        let planned = with_purse(gateway, &workspace, |purse| {
-            let open = purse.is_known() && !purse.granted().is_zero();
-            open.then(|| purse.plan_close())
-        });
-        let Some(Some(record)) = planned else {
-            continue;
+    for number in 0..SHARDS {
+        let mut keeper = ShardKeeper {
+            number,
+            shard: BudgetShard::default(),
+            revision: StoreRevision(0),
+            read: false,
+            writer_failed: None,
+            wrote_at: None,
         };
-        let key = budget_key(gateway, &workspace);
-        if let Err(error) = write_record(gateway, store, &workspace, &key, record).await {
-            info!(gateway.log, "budget not given back"; "workspace" => %workspace,
-                "error" => %error);
+        let asks: Vec<GrantAsk> = gateway
+            .purses
+            .borrow_mut()
+            .iter_mut()
+            .filter(|(id, purse)| shard_of(id) == number && !purse.granted().is_zero())
+            .map(|(_, purse)| purse.plan_return())
+            .collect();
+        if asks.is_empty() {
+            continue;
+        }
+        if let Err(error) = keeper.write(gateway, store, &asks, &[]).await {
+            info!(gateway.log, "budgets not given back"; "shard" => number, "error" => %error);
         }
     }
 }
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -1,6 +1,6 @@
-//! The record of a workspace's budget in the configuration store: who holds how
-//! much of it.
+//! The records of budgets in the configuration store: who holds how much.
 
+use indexmap::IndexMap;
 use rmp_serde::decode;
 use rmp_serde::encode;
 use serde::Deserialize;
@@ -14,9 +14,11 @@
     pub vm: u64,
     /// The run of its process.
     pub incarnation: u64,
+    /// Number of the last ask of this run that was applied.
+    pub sequence: u64,
     /// Tokens that it was granted and did not give back.
     pub granted: TokenCount,
-    /// Tokens that it had used when it last wrote.
+    /// Tokens that it had used when it last asked.
     pub used: TokenCount,
 }
 
@@ -32,25 +34,45 @@
     pub holders: Vec<BudgetHolder>,
 }
 
-impl BudgetRecord {
-    /// Decodes a record.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the bytes are not a record.
-    pub fn decode(bytes: &[u8]) -> Result<Self, decode::Error> {
-        rmp_serde::from_slice(bytes)
-    }
+/// What a run wants to hold of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantAsk {
+    /// The workspace, as a hash of its id.
+    pub workspace: u64,
+    /// The VM, as a hash of its id.
+    pub vm: u64,
+    /// The run of its process.
+    pub incarnation: u64,
+    /// Number of the ask; a later one replaces it.
+    pub sequence: u64,
+    /// Tokens that the run wants to hold in all.
+    pub granted: TokenCount,
+    /// Tokens that it has used.
+    pub used: TokenCount,
+    /// Whether a request waits for the grant.
+    pub urgent: bool,
+}
 
-    /// Encodes the record.
-    ///
-    /// # Errors
-    ///
-    /// Fails only if memory does.
-    pub fn encode(&self) -> Result<Vec<u8>, encode::Error> {
-        rmp_serde::to_vec(self)
-    }
+/// What a run has to know of a record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetView {
+    /// The workspace, as a hash of its id.
+    pub workspace: u64,
+    /// The revision of the record.
+    pub revision: u64,
+    /// Tokens that were taken by all.
+    pub taken: TokenCount,
+    /// Tokens that are used for good, as far as known.
+    pub used: TokenCount,
+    /// What the run holds.
+    pub own_granted: TokenCount,
+    /// What the record says that the run had used.
+    pub own_used: TokenCount,
+    /// Number of the run's last ask that was applied.
+    pub own_sequence: u64,
+}
 
+impl BudgetRecord {
     /// Returns all tokens that were taken.
     pub fn taken(&self) -> TokenCount {
         let held: TokenCount = self.holders.iter().map(|holder| holder.granted).sum();
@@ -63,31 +85,95 @@
         self.closed.saturating_add(used)
     }
 
-    /// Returns what this run holds.
-    pub fn granted_to(&self, vm: u64, incarnation: u64) -> TokenCount {
-        self.holders
-            .iter()
-            .find(|holder| holder.vm == vm && holder.incarnation == incarnation)
-            .map_or(TokenCount::ZERO, |holder| holder.granted)
+    /// Returns what a run has to know.
+    pub fn view(&self, workspace: u64, revision: u64, vm: u64, incarnation: u64) -> BudgetView {
+        let own = self.holder(vm, incarnation);
+        BudgetView {
+            workspace,
+            revision,
+            taken: self.taken(),
+            used: self.used(),
+            own_granted: own.map_or(TokenCount::ZERO, |own| own.granted),
+            own_used: own.map_or(TokenCount::ZERO, |own| own.used),
+            own_sequence: own.map_or(0, |own| own.sequence),
+        }
+    }
+
+    /// Applies an ask as far as `prepaid` allows; tells whether anything changed.
+    ///
+    /// An ask that is older than the last one applied changes nothing.
+    pub fn apply(&mut self, ask: &GrantAsk, prepaid: TokenCount) -> bool {
+        let own = self.holder(ask.vm, ask.incarnation).copied();
+        if own.is_some_and(|own| own.sequence >= ask.sequence) {
+            return false;
+        }
+        self.close_earlier_runs(ask);
+        let before = own.map_or(TokenCount::ZERO, |own| own.granted);
+        let spare = prepaid.saturating_sub(self.taken());
+        let granted = ask.granted.min(before.saturating_add(spare));
+        self.holders.retain(|holder| holder.vm != ask.vm);
+        self.holders.push(BudgetHolder {
+            vm: ask.vm,
+            incarnation: ask.incarnation,
+            sequence: ask.sequence,
+            granted,
+            used: ask.used,
+        });
+        true
     }
 
-    /// Sets what a run holds and closes the grants of earlier runs of its VM.
-    pub fn set_holder(&mut self, holder: BudgetHolder) {
+    /// Counts the grants of earlier runs of the asker's VM as used.
+    fn close_earlier_runs(&mut self, ask: &GrantAsk) {
+        let is_earlier =
+            |other: &BudgetHolder| other.vm == ask.vm && other.incarnation != ask.incarnation;
         let earlier: TokenCount = self
             .holders
             .iter()
-            .filter(|other| other.vm == holder.vm && other.incarnation != holder.incarnation)
+            .filter(|other| is_earlier(other))
             .map(|other| other.granted)
             .sum();
         self.closed = self.closed.saturating_add(earlier);
-        self.holders.retain(|other| other.vm != holder.vm);
-        self.holders.push(holder);
+        self.holders.retain(|other| !is_earlier(other));
     }
 
-    /// Takes a run out that has used `used` tokens and holds nothing any more.
-    pub fn close_holder(&mut self, vm: u64, incarnation: u64, used: TokenCount) {
+    fn holder(&self, vm: u64, incarnation: u64) -> Option<&BudgetHolder> {
         self.holders
-            .retain(|holder| holder.vm != vm || holder.incarnation != incarnation);
-        self.closed = self.closed.saturating_add(used);
+            .iter()
+            .find(|holder| holder.vm == vm && holder.incarnation == incarnation)
+    }
+}
+
+/// The records of several budgets, written together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetShard {
+    /// The records by the hash of the workspace's id.
+    pub records: IndexMap<u64, BudgetRecord>,
+}
+
+impl BudgetShard {
+    /// Decodes the records.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not records.
+    pub fn decode(bytes: &[u8]) -> Result<Self, decode::Error> {
+        rmp_serde::from_slice(bytes)
+    }
+
+    /// Encodes the records.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if memory does.
+    pub fn encode(&self) -> Result<Vec<u8>, encode::Error> {
+        rmp_serde::to_vec(self)
+    }
+
+    /// Returns what a run has to know of a budget.
+    pub fn view(&self, workspace: u64, revision: u64, vm: u64, incarnation: u64) -> BudgetView {
+        match self.records.get(&workspace) {
+            Some(record) => record.view(workspace, revision, vm, incarnation),
+            None => BudgetRecord::default().view(workspace, revision, vm, incarnation),
+        }
     }
 }
--- a/lib/gateway/src/front.rs
+++ b/lib/gateway/src/front.rs
@@ -28,7 +28,6 @@
 
 use crate::admission::Admission;
 use crate::admission::admit;
-use crate::budget_keeper::reserve;
 use crate::caller::AnswerState;
 use crate::caller::CallerGone;
 use crate::caller::CallerWriter;
@@ -40,6 +39,7 @@
 use crate::relay::pick_service;
 use crate::relay::refuse;
 use crate::relay::spread;
+use crate::reserve::reserve;
 use crate::stage::VmStage;
 use crate::terms::RequestTerms;
 use crate::ticket::ActiveGuard;
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -23,8 +23,10 @@
 use snipegate_types::WorkspaceId;
 use tokio::sync::Notify;
 
+use crate::budget_record::GrantAsk;
 use crate::config::FleetConfig;
 use crate::dialect::FrontDialect;
+use crate::gossip::PeerMessage;
 use crate::gossip::PlacedPrompt;
 use crate::load::LoadTable;
 use crate::peers::PeerTable;
@@ -105,10 +107,18 @@
     pub active: Cell<usize>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Grants that other VMs ask this one to write, and where to answer.
+    pub foreign_asks: RefCell<Vec<(SocketAddr, GrantAsk)>>,
+    /// Messages for single VMs.
+    pub direct_messages: RefCell<Vec<(SocketAddr, PeerMessage)>>,
+    /// Woken when there are messages for single VMs.
+    pub direct_due: Notify,
     /// Woken when something is to be told to other VMs soon.
     pub gossip_due: Notify,
     /// Woken when a workspace needs a grant.
     pub grant_due: Notify,
+    /// Wakes the tasks that write budgets' records.
+    pub shard_due: Notify,
     /// Woken when a budget's record changed.
     pub grant_changed: Notify,
     /// Woken when another VM knows a newer configuration.
@@ -154,8 +164,12 @@
             stage: Cell::new(VmStage::Starting),
             active: Cell::new(0),
             connections: Cell::new(0),
+            foreign_asks: RefCell::default(),
+            direct_messages: RefCell::default(),
+            direct_due: Notify::new(),
             gossip_due: Notify::new(),
             grant_due: Notify::new(),
+            shard_due: Notify::new(),
             grant_changed: Notify::new(),
             config_hint: Notify::new(),
             upstream_hint: Notify::new(),
@@ -261,6 +275,12 @@
         }
     }
 
+    /// Sends a message to one VM.
+    pub fn send_direct(&self, target: SocketAddr, message: PeerMessage) {
+        self.direct_messages.borrow_mut().push((target, message));
+        self.direct_due.notify_one();
+    }
+
     /// Notes that the load of an upstream changed.
     pub fn load_changed(&self, id: &UpstreamId) {
         self.changed_loads.borrow_mut().insert(id.clone());
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 //! Nothing here is needed for safety; a lost datagram makes a choice worse.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +18,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::budget_keeper::take_asks;
+use crate::budget_keeper::take_views;
+use crate::budget_record::BudgetView;
+use crate::budget_record::GrantAsk;
 use crate::gateway::Gateway;
 use crate::gateway::hash_name;
 use crate::load::UpstreamNews;
@@ -67,6 +72,17 @@
     pub scarce: Vec<u64>,
 }
 
+/// What goes from one VM to another in one datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What the sender knows and does.
+    Gossip(Box<GossipMessage>),
+    /// Grants that the sender asks for, to be written by the receiver.
+    Asks(Vec<GrantAsk>),
+    /// What the records say of the receiver's grants.
+    Views(Vec<BudgetView>),
+}
+
 /// Sends and receives messages until the process ends.
 ///
 /// # Errors
@@ -78,34 +94,61 @@
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
     let mut number = 0;
     loop {
-        let _ = timeout(MAX_INTERVAL, gateway.gossip_due.notified()).await;
-        send_message(&gateway, &socket, number).await;
+        let due = timeout(MAX_INTERVAL, gateway.gossip_due.notified());
+        tokio::select! {
+            _ = due => {}
+            () = gateway.direct_due.notified() => {
+                send_direct(&gateway, &socket);
+                continue;
+            }
+        }
+        send_message(&gateway, &socket, number);
         number += 1;
+        send_direct(&gateway, &socket);
         let peers = gateway.peers.borrow().known() as f64;
         let spacing = Duration::from_secs_f64(peers / DATAGRAM_RATE);
-        sleep(MIN_INTERVAL.max(spacing)).await;
+        let pause = sleep(MIN_INTERVAL.max(spacing));
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                () = &mut pause => break,
+                () = gateway.direct_due.notified() => send_direct(&gateway, &socket),
+            }
+        }
     }
 }
 
-async fn send_message(gateway: &Gateway, socket: &UdpSocket, number: u64) {
+/// Sends what is meant for single VMs.
+fn send_direct(gateway: &Gateway, socket: &UdpSocket) {
+    let messages = std::mem::take(&mut *gateway.direct_messages.borrow_mut());
+    for (target, message) in messages {
+        send_to(gateway, socket, &message, &[target]);
+    }
+}
+
+fn send_message(gateway: &Gateway, socket: &UdpSocket, number: u64) {
     let now = gateway.now();
-    let message = build_message(gateway, number, now);
-    let bytes = match rmp_serde::to_vec(&message) {
+    let message = PeerMessage::Gossip(Box::new(build_message(gateway, number, now)));
+    gateway.peers.borrow_mut().forget_gone(now);
+    let targets: Vec<SocketAddr> = gateway.peers.borrow().gossip_targets().collect();
+    send_to(gateway, socket, &message, &targets);
+    gateway.metrics.count("gossip.sent");
+}
+
+fn send_to(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
+    let bytes = match rmp_serde::to_vec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
-            info!(gateway.log, "gossip not encoded"; "error" => %error);
+            info!(gateway.log, "message not encoded"; "error" => %error);
             return;
         }
     };
-    gateway.peers.borrow_mut().forget_gone(now);
-    let targets: Vec<_> = gateway.peers.borrow().gossip_targets().collect();
     for target in targets {
-        if let Err(error) = socket.try_send_to(&bytes, target) {
+        if let Err(error) = socket.try_send_to(&bytes, *target) {
             gateway.metrics.count("gossip.send_failed");
-            debug!(gateway.log, "gossip not sent"; "to" => %target, "error" => %error);
+            debug!(gateway.log, "message not sent"; "to" => %target, "error" => %error);
         }
     }
-    gateway.metrics.count("gossip.sent");
 }
 
 fn build_message(gateway: &Gateway, number: u64, now: Instant) -> GossipMessage {
@@ -134,16 +177,18 @@
 async fn receive_messages(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_MESSAGE];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 debug!(gateway.log, "gossip not received"; "error" => %error);
                 sleep(MIN_INTERVAL).await;
                 continue;
             }
         };
-        match rmp_serde::from_slice::<GossipMessage>(&buffer[..length]) {
-            Ok(message) => apply_message(&gateway, message),
+        match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
+            Ok(PeerMessage::Gossip(message)) => apply_message(&gateway, *message),
+            Ok(PeerMessage::Asks(asks)) => take_asks(&gateway, sender, asks),
+            Ok(PeerMessage::Views(views)) => take_views(&gateway, &views),
             Err(error) => {
                 gateway.metrics.count("gossip.malformed");
                 debug!(gateway.log, "gossip not decoded"; "error" => %error);
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -125,6 +125,15 @@
         self.peers.values().map(|peer| peer.record.gossip)
     }
 
+    /// Returns the VMs that serve and were heard lately.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
+        self.peers
+            .values()
+            .filter(move |peer| !peer.is_silent(now))
+            .map(|peer| &peer.record)
+            .filter(|record| record.stage == VmStage::Serving)
+    }
+
     /// Returns how many other VMs there are, whether they are heard or not.
     pub fn known(&self) -> usize {
         self.peers.len()
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -2,17 +2,17 @@
 //!
 //! A grant counts only once the store has it. A request reserves its greatest
 //! cost and settles at its true cost, so what is spent never exceeds what was
-//! granted. Every write names the revision that it replaces: after a lost reply
-//! the lower of the two possible grants counts until the record has moved on.
+//! granted. Asks are numbered and the record names the last one applied: until an
+//! ask is known to be applied, the lower of the possible grants counts, and an
+//! ask that comes late changes nothing once a newer one was applied.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use snipegate_platform::StoreRevision;
 use snipegate_types::TokenCount;
 
-use crate::budget_record::BudgetHolder;
-use crate::budget_record::BudgetRecord;
+use crate::budget_record::BudgetView;
+use crate::budget_record::GrantAsk;
 
 /// How long a grant should last at the present demand: an outage of the store.
 const GRANT_SPAN: Duration = Duration::from_secs(10);
@@ -33,21 +33,32 @@
 const MIN_DEMAND_SPAN: Duration = Duration::from_millis(1500);
 
 /// A grant is renewed when less than this part of its target is free.
-const RENEW_PART: f64 = 0.7;
+const RENEW_PART: f64 = 0.6;
 
 /// A grant is given back when more than this many times its target is free.
 const RETURN_FACTOR: f64 = 2.5;
 
-/// Smallest grant that is worth a write to give back.
+/// Smallest part of a grant that is worth giving back.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
-/// Writes whose replies were lost.
+/// Asks whose answers have not come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct PendingWrite {
-    replaces: StoreRevision,
+struct OpenAsk {
+    /// Number of the newest.
+    sequence: u64,
+    /// The least that any of them leaves.
     granted: TokenCount,
 }
 
+/// What a run should hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantNeed {
+    /// Tokens in all.
+    pub granted: TokenCount,
+    /// Whether a request waits for them.
+    pub urgent: bool,
+}
+
 /// Why a request has no reservation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PurseRefusal {
@@ -62,16 +73,13 @@
 /// What this VM may spend of one budget.
 #[derive(Clone, Debug)]
 pub struct BudgetPurse {
+    workspace: u64,
     vm: u64,
     incarnation: u64,
     prepaid: TokenCount,
-    record: BudgetRecord,
-    revision: StoreRevision,
-    known: bool,
-    /// Writes whose effect is open; the least that they grant.
-    pending: Option<PendingWrite>,
-    /// What the write that is on its way grants.
-    in_flight: Option<TokenCount>,
+    view: Option<BudgetView>,
+    open: Option<OpenAsk>,
+    sequence: u64,
     /// Tokens of requests that ended.
     used: TokenCount,
     /// Tokens of requests that run, at their greatest.
@@ -81,32 +89,31 @@
     demand: f64,
     demand_at: Instant,
     demand_began: Option<Instant>,
-    /// When the record was last read or written.
-    checked_at: Option<Instant>,
-    /// Whether a request waits for the record to be read anew.
-    check_due: bool,
 }
 
 impl BudgetPurse {
     /// Makes a purse for one run of one VM.
-    pub fn new(vm: u64, incarnation: u64, prepaid: TokenCount, now: Instant) -> Self {
+    pub fn new(
+        workspace: u64,
+        vm: u64,
+        incarnation: u64,
+        prepaid: TokenCount,
+        now: Instant,
+    ) -> Self {
         Self {
+            workspace,
             vm,
             incarnation,
             prepaid,
-            record: BudgetRecord::default(),
-            revision: StoreRevision(0),
-            known: false,
-            pending: None,
-            in_flight: None,
+            view: None,
+            open: None,
+            sequence: 0,
             used: TokenCount::ZERO,
             reserved: TokenCount::ZERO,
             wanted: TokenCount::ZERO,
             demand: 0.0,
             demand_at: now,
             demand_began: None,
-            checked_at: None,
-            check_due: false,
         }
     }
 
@@ -115,57 +122,43 @@
         self.prepaid = prepaid;
     }
 
-    /// Takes the record as it was read or written at `revision`.
-    pub fn set_record(&mut self, record: BudgetRecord, revision: StoreRevision) {
-        if self.known && revision < self.revision {
+    /// Takes what the record says, unless something newer is known.
+    pub fn set_view(&mut self, view: BudgetView) {
+        if self
+            .view
+            .is_some_and(|known| known.revision > view.revision)
+        {
             return;
         }
-        self.known = true;
-        self.record = record;
-        self.revision = revision;
-        let settled = |pending: &PendingWrite| pending.replaces != revision;
-        if self.pending.as_ref().is_some_and(settled) {
-            self.pending = None;
+        let settled = |open: &OpenAsk| view.own_sequence >= open.sequence;
+        if self.open.as_ref().is_some_and(settled) {
+            self.open = None;
         }
+        self.view = Some(view);
     }
 
     /// Tells whether the record has been read.
     pub fn is_known(&self) -> bool {
-        self.known
-    }
-
-    /// Asks for the record to be read anew.
-    pub fn ask_check(&mut self) {
-        self.check_due = true;
-    }
-
-    /// Tells whether the record should be read anew.
-    pub fn is_check_due(&self) -> bool {
-        self.check_due
+        self.view.is_some()
     }
 
-    /// Notes that the record was read at `now`.
-    pub fn note_checked(&mut self, now: Instant) {
-        self.checked_at = Some(now);
-        self.check_due = false;
-    }
-
-    /// Tells whether the record was read at or after `time`.
-    pub fn is_checked_since(&self, time: Instant) -> bool {
-        self.checked_at.is_some_and(|at| at >= time)
+    /// Tells whether it is open what became of the ask with this number.
+    pub fn is_open(&self, sequence: u64) -> bool {
+        self.view.is_none_or(|view| view.own_sequence < sequence)
     }
 
     /// Returns the revision of the record that is known.
-    pub fn revision(&self) -> StoreRevision {
-        self.revision
+    pub fn revision(&self) -> u64 {
+        self.view.map_or(0, |view| view.revision)
     }
 
     /// Returns what is granted for certain.
     pub fn granted(&self) -> TokenCount {
-        let recorded = self.record.granted_to(self.vm, self.incarnation);
-        let pending = self.pending.map_or(recorded, |pending| pending.granted);
-        let in_flight = self.in_flight.unwrap_or(recorded);
-        recorded.min(pending).min(in_flight)
+        let recorded = self.view.unwrap_or_default().own_granted;
+        match self.open {
+            Some(open) => recorded.min(open.granted),
+            None => recorded,
+        }
     }
 
     /// Returns what can be reserved now.
@@ -177,7 +170,8 @@
 
     /// Returns what no VM holds, as far as known.
     pub fn unassigned(&self) -> TokenCount {
-        self.prepaid.saturating_sub(self.record.taken())
+        self.prepaid
+            .saturating_sub(self.view.unwrap_or_default().taken)
     }
 
     /// Notes that a request of this size came.
@@ -202,16 +196,20 @@
     }
 
     /// Says why a request can't be granted, going by the record as it is known.
+    ///
+    /// What is used only grows, so exhaustion shows in an old record as well.
     pub fn why_refused(&self, cost: TokenCount) -> PurseRefusal {
-        let missing = cost.saturating_sub(self.free());
-        if !self.known || missing <= self.unassigned() {
+        let Some(view) = self.view else {
             return PurseRefusal::NeedsGrant;
+        };
+        let others = view.used.saturating_sub(view.own_used);
+        let used = others.saturating_add(self.used.max(view.own_used));
+        if used.saturating_add(cost) > self.prepaid {
+            return PurseRefusal::Exhausted;
         }
-        let own = self.used.max(self.own_recorded_use());
-        let used = self.record.used().saturating_sub(self.own_recorded_use());
-        let certain = used.saturating_add(own);
-        match certain.saturating_add(cost) > self.prepaid {
-            true => PurseRefusal::Exhausted,
+        let missing = cost.saturating_sub(self.free());
+        match missing <= self.unassigned() {
+            true => PurseRefusal::NeedsGrant,
             false => PurseRefusal::HeldElsewhere,
         }
     }
@@ -222,85 +220,57 @@
         self.used = self.used.saturating_add(cost);
     }
 
-    /// Returns the record to write, if the grant should grow or shrink.
-    pub fn plan_write(&mut self, vms: usize, scarce: bool, now: Instant) -> Option<BudgetRecord> {
-        if !self.known {
-            return None;
-        }
-        let target = self.target(vms, now);
-        let free = self.free().0 as f64;
-        let lacking = !self.wanted.is_zero() && self.free() < self.wanted;
-        let low = free < target * RENEW_PART && !self.unassigned().is_zero();
-        if lacking || low {
-            return self.plan_growth(target);
+    /// Returns what this run should hold, if the grant should grow or shrink.
+    pub fn need(&self, vms: usize, scarce: bool, now: Instant) -> Option<GrantNeed> {
+        let target = TokenCount(self.target(vms, now) as u64);
+        let free = self.free();
+        let urgent = !self.wanted.is_zero() && free < self.wanted;
+        let low = (free.0 as f64) < target.0 as f64 * RENEW_PART && !self.unassigned().is_zero();
+        if urgent || low {
+            let aim = self.wanted.saturating_add(target);
+            let missing = aim.saturating_sub(free);
+            let granted = self.granted().saturating_add(missing);
+            return Some(GrantNeed { granted, urgent });
         }
         let factor = if scarce { 1.0 } else { RETURN_FACTOR };
-        let idle = free > target * factor && free - target >= MIN_RETURN.0 as f64;
-        if idle && free > self.wanted.0 as f64 {
-            let keep = TokenCount(target as u64);
-            return Some(self.with_granted(self.used_and_reserved().saturating_add(keep)));
+        let keep = TokenCount((target.0 as f64 * factor) as u64).max(self.wanted);
+        if free > keep && free.saturating_sub(target) >= MIN_RETURN {
+            let granted = self.used_and_reserved().saturating_add(target);
+            let urgent = false;
+            return Some(GrantNeed { granted, urgent });
         }
         None
     }
 
-    /// Returns the record that gives back all that is not in use.
-    pub fn plan_return(&self) -> BudgetRecord {
-        self.with_granted(self.used_and_reserved())
+    /// Returns the ask for what this run should hold, if that should change.
+    pub fn plan_ask(&mut self, vms: usize, scarce: bool, now: Instant) -> Option<GrantAsk> {
+        let need = self.need(vms, scarce, now)?;
+        Some(self.ask(need.granted, need.urgent))
     }
 
-    /// Returns the record without this run, once no request runs any more.
-    pub fn plan_close(&self) -> BudgetRecord {
-        let mut record = self.record.clone();
-        let spent = self.used_and_reserved();
-        record.close_holder(self.vm, self.incarnation, spent);
-        record
+    /// Returns the ask that gives back all that is not in use.
+    pub fn plan_return(&mut self) -> GrantAsk {
+        self.ask(self.used_and_reserved(), false)
     }
 
-    /// Notes that a write is on its way.
-    pub fn write_sent(&mut self, record: &BudgetRecord) {
+    /// Makes an ask; from now on no more than it leaves can be used.
+    fn ask(&mut self, granted: TokenCount, urgent: bool) -> GrantAsk {
+        self.sequence += 1;
         self.wanted = TokenCount::ZERO;
-        self.in_flight = Some(record.granted_to(self.vm, self.incarnation));
-    }
-
-    /// Notes that the write was answered: it took effect, or it never will.
-    pub fn write_answered(&mut self) {
-        self.in_flight = None;
-    }
-
-    /// Notes that the reply of the write was lost: it may take effect later.
-    pub fn write_unknown(&mut self) {
-        let Some(granted) = self.in_flight.take() else {
-            return;
-        };
-        let least = self
-            .pending
-            .map_or(granted, |pending| pending.granted.min(granted));
-        self.pending = Some(PendingWrite {
-            replaces: self.revision,
+        let least = self.open.map_or(granted, |open| open.granted.min(granted));
+        self.open = Some(OpenAsk {
+            sequence: self.sequence,
             granted: least,
         });
-    }
-
-    fn plan_growth(&self, target: f64) -> Option<BudgetRecord> {
-        let aim = self.wanted.0.saturating_add(target as u64);
-        let missing = aim.saturating_sub(self.free().0);
-        let growth = missing.min(self.unassigned().0);
-        if growth == 0 {
-            return None;
-        }
-        let granted = self.granted().saturating_add(TokenCount(growth));
-        Some(self.with_granted(granted))
-    }
-
-    fn with_granted(&self, granted: TokenCount) -> BudgetRecord {
-        let mut record = self.record.clone();
-        record.set_holder(BudgetHolder {
+        GrantAsk {
+            workspace: self.workspace,
             vm: self.vm,
             incarnation: self.incarnation,
+            sequence: self.sequence,
             granted,
             used: self.used,
-        });
-        record
+            urgent,
+        }
     }
 
     /// Returns how many tokens should be free at the present demand.
@@ -334,12 +304,4 @@
     fn used_and_reserved(&self) -> TokenCount {
         self.used.saturating_add(self.reserved)
     }
-
-    fn own_recorded_use(&self) -> TokenCount {
-        self.record
-            .holders
-            .iter()
-            .find(|holder| holder.vm == self.vm && holder.incarnation == self.incarnation)
-            .map_or(TokenCount::ZERO, |holder| holder.used)
-    }
 }
--- /dev/null
+++ b/lib/gateway/src/reserve.rs
@@ -0,0 +1,104 @@
+//! Reserves a request's greatest cost in its workspace's budget.
+
+use std::time::Duration;
+
+use slog::info;
+use snipegate_types::ResultCode;
+use snipegate_types::TokenCount;
+use snipegate_types::WorkspaceId;
+use tokio::time::timeout;
+
+use crate::admission::Admission;
+use crate::budget_keeper::adopt_workspaces;
+use crate::gateway::Gateway;
+use crate::purse::BudgetPurse;
+use crate::purse::PurseRefusal;
+use crate::refusal::Refusal;
+use crate::relay::spread;
+use crate::terms::RequestTerms;
+
+/// Longest time that a request waits for a grant.
+const GRANT_WAIT: Duration = Duration::from_millis(250);
+
+/// Part of the time left that a request waits for a grant at most.
+const GRANT_WAIT_PART: f64 = 0.1;
+
+/// When to come back while other VMs hold what is left of a budget.
+const HELD_RETURN: Duration = Duration::from_millis(600);
+
+/// When to come back while the store is out of reach.
+const OUTAGE_RETURN: Duration = Duration::from_millis(1500);
+
+/// Reserves `cost` tokens, waiting a little for a grant if need be.
+///
+/// # Errors
+///
+/// Refuses for good only what is beyond the budget by tokens that are used.
+pub async fn reserve(
+    gateway: &Gateway,
+    workspace: &WorkspaceId,
+    cost: TokenCount,
+    admission: &Admission,
+    terms: &RequestTerms,
+) -> Result<(), Refusal> {
+    let began = gateway.now();
+    let left = admission.deadline.saturating_duration_since(began);
+    let wait_until = began + GRANT_WAIT.min(left.mul_f64(GRANT_WAIT_PART));
+    adopt_workspaces(gateway);
+    with_purse(gateway, workspace, |purse| purse.note_demand(cost, began));
+    loop {
+        let changed = gateway.grant_changed.notified();
+        let verdict = with_purse(gateway, workspace, |purse| try_reserve(purse, cost));
+        let refusal = match verdict {
+            None => return Err(Refusal::come_back(ResultCode::BudgetUnknown, OUTAGE_RETURN)),
+            Some(Ok(())) => return Ok(()),
+            Some(Err(refusal)) => refusal,
+        };
+        let now = gateway.now();
+        let waiting = wait_until.saturating_duration_since(now);
+        let is_failing = gateway.contact.get().is_failing();
+        if refusal == PurseRefusal::Exhausted || waiting.is_zero() || is_failing {
+            return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
+        }
+        gateway.grant_due.notify_one();
+        let _ = timeout(waiting, changed).await;
+    }
+}
+
+fn try_reserve(purse: &mut BudgetPurse, cost: TokenCount) -> Result<(), PurseRefusal> {
+    purse.reserve(cost).map_err(|_| purse.why_refused(cost))
+}
+
+fn with_purse<T>(
+    gateway: &Gateway,
+    workspace: &WorkspaceId,
+    act: impl FnOnce(&mut BudgetPurse) -> T,
+) -> Option<T> {
+    gateway.purses.borrow_mut().get_mut(workspace).map(act)
+}
+
+fn describe_refusal(
+    gateway: &Gateway,
+    workspace: &WorkspaceId,
+    refusal: PurseRefusal,
+    terms: &RequestTerms,
+    cost: TokenCount,
+) -> Refusal {
+    let now = gateway.now();
+    let lost = gateway.contact.get().is_failing();
+    with_purse(gateway, workspace, |purse| {
+        info!(gateway.log, "budget refused"; "request" => &*terms.attempt_id,
+            "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
+            "free" => purse.free().0, "unassigned" => purse.unassigned().0,
+            "revision" => purse.revision(), "store_lost" => lost);
+    });
+    if !lost && refusal != PurseRefusal::NeedsGrant {
+        gateway.scarce.borrow_mut().insert(workspace.clone(), now);
+        gateway.gossip_due.notify_one();
+    }
+    match refusal {
+        PurseRefusal::Exhausted if !lost => Refusal::fatal(ResultCode::BudgetExhausted),
+        _ if lost => Refusal::come_back(ResultCode::BudgetUnreachable, spread(OUTAGE_RETURN)),
+        _ => Refusal::come_back(ResultCode::BudgetUnreachable, spread(HELD_RETURN)),
+    }
+}
--- a/lib/gateway/tests/test_purse.rs
+++ b/lib/gateway/tests/test_purse.rs
@@ -7,10 +7,11 @@
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
+use snipegate_gateway::BudgetHolder;
 use snipegate_gateway::BudgetPurse;
 use snipegate_gateway::BudgetRecord;
+use snipegate_gateway::GrantAsk;
 use snipegate_gateway::PurseRefusal;
-use snipegate_platform::StoreRevision;
 use snipegate_types::TokenCount;
 
 const PREPAID: u64 = 12_000;
@@ -18,58 +19,79 @@
 
 /// A write that may still take effect.
 struct LateWrite {
-    expected: StoreRevision,
+    expected: u64,
     record: BudgetRecord,
 }
 
-/// The record in the store, and writes whose replies were lost.
+/// The record in the store, with what lost its way to it.
 #[derive(Default)]
 struct TestStore {
     record: BudgetRecord,
     revision: u64,
-    late: Vec<LateWrite>,
+    late_writes: Vec<LateWrite>,
+    /// Asks on their way to the VM that writes, some of them twice.
+    late_asks: Vec<GrantAsk>,
 }
 
 impl TestStore {
-    fn swap(&mut self, expected: StoreRevision, record: BudgetRecord) -> bool {
-        if expected.0 != self.revision {
+    fn swap(&mut self, expected: u64, record: BudgetRecord) -> bool {
+        if expected != self.revision {
             return false;
         }
         self.record = record;
         self.revision += 1;
         true
     }
+
+    /// Applies an ask as the VM that writes does.
+    fn write(&mut self, ask: &GrantAsk, fate: u8) {
+        let mut record = self.record.clone();
+        if !record.apply(ask, TokenCount(PREPAID)) {
+            return;
+        }
+        let expected = self.revision;
+        match fate {
+            0 => self.late_writes.push(LateWrite { expected, record }),
+            _ => assert!(self.swap(expected, record)),
+        }
+    }
 }
 
 struct TestVm {
     purse: BudgetPurse,
+    vm: u64,
+    incarnation: u64,
     running: Vec<u64>,
 }
 
-fn new_vm(vm: u64, incarnation: u64, now: Instant) -> TestVm {
-    TestVm {
-        purse: BudgetPurse::new(vm, incarnation, TokenCount(PREPAID), now),
-        running: Vec::new(),
+impl TestVm {
+    fn new(vm: u64, incarnation: u64, now: Instant) -> Self {
+        Self {
+            purse: BudgetPurse::new(1, vm, incarnation, TokenCount(PREPAID), now),
+            vm,
+            incarnation,
+            running: Vec::new(),
+        }
+    }
+
+    fn see(&mut self, store: &TestStore) {
+        let view = store
+            .record
+            .view(1, store.revision, self.vm, self.incarnation);
+        self.purse.set_view(view);
     }
 }
 
-fn write(store: &mut TestStore, purse: &mut BudgetPurse, record: BudgetRecord, fate: u8) {
-    let expected = purse.revision();
-    purse.write_sent(&record);
+/// Sends an ask to the store: at once, late, twice, or never.
+fn send(store: &mut TestStore, ask: GrantAsk, fate: u8) {
     match fate {
-        0 => {
-            store.late.push(LateWrite { expected, record });
-            purse.write_unknown();
-        }
-        1 => {
-            store.swap(expected, record);
-            purse.write_unknown();
-        }
-        _ => {
-            store.swap(expected, record);
-            purse.write_answered();
-            purse.set_record(store.record.clone(), StoreRevision(store.revision));
+        0 | 1 => store.write(&ask, fate),
+        2 => store.late_asks.push(ask),
+        3 => {
+            store.late_asks.push(ask);
+            store.write(&ask, 1);
         }
+        _ => {}
     }
 }
 
@@ -82,7 +104,7 @@
 ) -> Result<()> {
     let at = u.int_in_range(0..=vms.len() - 1)?;
     let vm = &mut vms[at];
-    match u.int_in_range(0..=9)? {
+    match u.int_in_range(0..=10)? {
         0 | 1 => {
             let cost = u.int_in_range(1..=6_000)?;
             vm.purse.note_demand(TokenCount(cost), now);
@@ -99,30 +121,30 @@
         }
         3 | 4 => {
             let scarce = u.arbitrary()?;
-            if let Some(record) = vm.purse.plan_write(VMS, scarce, now) {
-                write(store, &mut vm.purse, record, u.int_in_range(0..=3)?);
+            if let Some(ask) = vm.purse.plan_ask(VMS, scarce, now) {
+                send(store, ask, u.int_in_range(0..=4)?);
             }
         }
         5 => {
-            let record = vm.purse.plan_return();
-            if vm.purse.is_known() {
-                write(store, &mut vm.purse, record, u.int_in_range(0..=3)?);
-            }
+            let ask = vm.purse.plan_return();
+            send(store, ask, u.int_in_range(0..=4)?);
         }
         6 => {
-            if !store.late.is_empty() {
-                let late = store.late.swap_remove(0);
+            if !store.late_writes.is_empty() {
+                let late = store.late_writes.swap_remove(0);
                 store.swap(late.expected, late.record);
             }
         }
-        7 | 8 => {
-            let revision = StoreRevision(store.revision);
-            vm.purse.set_record(store.record.clone(), revision);
+        7 => {
+            if let Some(ask) = store.late_asks.pop() {
+                store.write(&ask, u.int_in_range(0..=1)?);
+            }
         }
+        8 | 9 => vm.see(store),
         _ => {
             // A kill: what ran may have run to its end.
             *spent += vm.running.iter().sum::<u64>();
-            *vm = new_vm(at as u64, u.arbitrary()?, now);
+            *vm = TestVm::new(at as u64, u.arbitrary()?, now);
         }
     }
     Ok(())
@@ -137,7 +159,9 @@
 fn play(u: &mut Unstructured<'_>) -> Result<()> {
     let start = Instant::now();
     let mut store = TestStore::default();
-    let mut vms: Vec<TestVm> = (0..VMS as u64).map(|vm| new_vm(vm, vm, start)).collect();
+    let mut vms: Vec<TestVm> = (0..VMS as u64)
+        .map(|vm| TestVm::new(vm, vm, start))
+        .collect();
     let mut spent = 0;
     for turn in 0..300 {
         let now = start + Duration::from_millis(40 * turn);
@@ -157,41 +181,61 @@
 }
 
 #[test]
-fn returned_grant_is_not_used_while_its_write_is_open() {
+fn returned_grant_is_not_used_while_its_ask_is_open() {
     let now = Instant::now();
-    let mut purse = BudgetPurse::new(1, 1, TokenCount(10_000), now);
-    purse.set_record(BudgetRecord::default(), StoreRevision(0));
-    purse.note_demand(TokenCount(4000), now);
+    let mut store = TestStore::default();
+    let mut vm = TestVm::new(1, 1, now);
+    vm.see(&store);
+    vm.purse.note_demand(TokenCount(4000), now);
     assert_eq!(
-        purse.reserve(TokenCount(4000)),
+        vm.purse.reserve(TokenCount(4000)),
         Err(PurseRefusal::NeedsGrant)
     );
-    let grant = purse.plan_write(1, false, now).expect("a grant");
-    purse.write_sent(&grant);
-    purse.write_answered();
-    purse.set_record(grant, StoreRevision(1));
-    assert!(purse.free() >= TokenCount(4000));
-    let given_back = purse.plan_return();
-    purse.write_sent(&given_back);
-    purse.write_unknown();
-    assert_eq!(purse.free(), TokenCount::ZERO);
+    let ask = vm.purse.plan_ask(1, false, now).expect("an ask");
+    store.write(&ask, 1);
+    assert_eq!(vm.purse.free(), TokenCount::ZERO);
+    vm.see(&store);
+    assert!(vm.purse.free() >= TokenCount(4000));
+    let _lost = vm.purse.plan_return();
+    assert_eq!(vm.purse.free(), TokenCount::ZERO);
+    vm.see(&store);
+    assert_eq!(vm.purse.free(), TokenCount::ZERO);
+}
+
+#[test]
+fn ask_that_comes_late_or_twice_changes_nothing() {
+    let now = Instant::now();
+    let mut store = TestStore::default();
+    let mut vm = TestVm::new(1, 1, now);
+    vm.see(&store);
+    vm.purse.note_demand(TokenCount(4000), now);
+    let first = vm.purse.plan_ask(1, false, now).expect("an ask");
+    let last = vm.purse.plan_return();
+    store.write(&last, 1);
+    store.write(&first, 1);
+    store.write(&last, 1);
+    assert_eq!(store.record.taken(), TokenCount::ZERO);
+    assert_eq!(store.revision, 1);
 }
 
 #[test]
 fn exhaustion_is_told_from_tokens_that_others_hold() {
     let now = Instant::now();
-    let mut purse = BudgetPurse::new(1, 1, TokenCount(10_000), now);
-    let mut record = BudgetRecord::default();
-    record.set_holder(snipegate_gateway::BudgetHolder {
+    let mut store = TestStore::default();
+    let mut vm = TestVm::new(1, 1, now);
+    store.record.holders.push(BudgetHolder {
         vm: 2,
         incarnation: 9,
-        granted: TokenCount(9_500),
+        sequence: 1,
+        granted: TokenCount(11_500),
         used: TokenCount(2_000),
     });
-    purse.set_record(record.clone(), StoreRevision(1));
-    let refusal = purse.why_refused(TokenCount(1000));
+    vm.see(&store);
+    let refusal = vm.purse.why_refused(TokenCount(1000));
     assert_eq!(refusal, PurseRefusal::HeldElsewhere);
-    record.holders[0].used = TokenCount(9_400);
-    purse.set_record(record, StoreRevision(2));
-    assert_eq!(purse.why_refused(TokenCount(1000)), PurseRefusal::Exhausted);
+    store.record.holders[0].used = TokenCount(11_400);
+    store.revision += 1;
+    vm.see(&store);
+    let refusal = vm.purse.why_refused(TokenCount(1000));
+    assert_eq!(refusal, PurseRefusal::Exhausted);
 }
