--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -137,10 +137,16 @@
         {
             if self.ask_writer(gateway, writer, &own, urgent).await {
                 own.clear();
-            } else {
+            } else if !gateway.contact.get().is_failing() {
                 self.writer_failed = Some(gateway.now());
             }
         }
+        if gateway.contact.get().is_failing() {
+            // Those who follow the store find out when it is back.
+            self.take_foreign(gateway);
+            sleep(FAILURE_PAUSE).await;
+            return Ok(LookEnd::Idle);
+        }
         let foreign = self.take_foreign(gateway);
         if !own.is_empty() || !foreign.is_empty() {
             self.write(gateway, store, &own, &foreign).await?;
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use snipegate_service::MetricRegistry;
 use snipegate_types::DataCentre;
 use snipegate_types::TimeSource;
+use snipegate_types::TokenCount;
 use snipegate_types::UpstreamId;
 use snipegate_types::VmId;
 use snipegate_types::WorkspaceId;
@@ -37,6 +38,7 @@
 use crate::retry_budget::RetryRule;
 use crate::stage::VmStage;
 use crate::store_contact::StoreContact;
+use crate::transfer::TransferLog;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamTable;
 
@@ -107,6 +109,11 @@
     pub active: Cell<usize>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Tokens that are free at other VMs, by hash of the workspace, and when they
+    /// said so.
+    pub free_elsewhere: RefCell<IndexMap<SocketAddr, (Instant, IndexMap<u64, TokenCount>)>>,
+    /// Transfers of tokens that were sent and received.
+    pub transfers: RefCell<TransferLog>,
     /// Grants that other VMs ask this one to write, and where to answer.
     pub foreign_asks: RefCell<Vec<(SocketAddr, GrantAsk)>>,
     /// Messages for single VMs.
@@ -164,6 +171,8 @@
             stage: Cell::new(VmStage::Starting),
             active: Cell::new(0),
             connections: Cell::new(0),
+            free_elsewhere: RefCell::default(),
+            transfers: RefCell::default(),
             foreign_asks: RefCell::default(),
             direct_messages: RefCell::default(),
             direct_due: Notify::new(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
+use snipegate_types::TokenCount;
 use snipegate_types::UpstreamId;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -27,6 +28,9 @@
 use crate::load::UpstreamNews;
 use crate::peers::VmRecord;
 use crate::terms::PromptPart;
+use crate::transfer::TokenTransfer;
+use crate::transfer::hand_over;
+use crate::transfer::take_transfer;
 
 /// Shortest pause between two messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
@@ -70,6 +74,8 @@
     pub placed: Vec<PlacedPrompt>,
     /// Hashes of workspaces whose budget is short there.
     pub scarce: Vec<u64>,
+    /// Tokens that are free there, by hash of the workspace.
+    pub free: Vec<(u64, TokenCount)>,
 }
 
 /// What goes from one VM to another in one datagram.
@@ -81,6 +87,15 @@
     Asks(Vec<GrantAsk>),
     /// What the records say of the receiver's grants.
     Views(Vec<BudgetView>),
+    /// A budget that the sender is short of, and how many tokens it needs.
+    TransferAsk {
+        /// The workspace, as a hash of its id.
+        workspace: u64,
+        /// The tokens.
+        need: TokenCount,
+    },
+    /// Tokens that the sender took out of its grant for the receiver.
+    Transfer(TokenTransfer),
 }
 
 /// Sends and receives messages until the process ends.
@@ -170,10 +185,24 @@
         upstreams: gateway.upstreams.borrow().latest().0,
         loads,
         placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
+        free: if full {
+            free_tokens(gateway)
+        } else {
+            Vec::new()
+        },
         scarce: scarce.keys().map(|id| hash_name(id.as_str())).collect(),
     }
 }
 
+fn free_tokens(gateway: &Gateway) -> Vec<(u64, TokenCount)> {
+    let purses = gateway.purses.borrow();
+    purses
+        .iter()
+        .map(|(id, purse)| (hash_name(id.as_str()), purse.free()))
+        .filter(|(_, free)| !free.is_zero())
+        .collect()
+}
+
 async fn receive_messages(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_MESSAGE];
     loop {
@@ -189,6 +218,10 @@
             Ok(PeerMessage::Gossip(message)) => apply_message(&gateway, *message),
             Ok(PeerMessage::Asks(asks)) => take_asks(&gateway, sender, asks),
             Ok(PeerMessage::Views(views)) => take_views(&gateway, &views),
+            Ok(PeerMessage::TransferAsk { workspace, need }) => {
+                hand_over(&gateway, sender, workspace, need);
+            }
+            Ok(PeerMessage::Transfer(transfer)) => take_transfer(&gateway, transfer),
             Err(error) => {
                 gateway.metrics.count("gossip.malformed");
                 debug!(gateway.log, "gossip not decoded"; "error" => %error);
@@ -202,6 +235,13 @@
     if message.sender.vm == gateway.settings.vm {
         return;
     }
+    if !message.free.is_empty() {
+        let free = message.free.into_iter().collect();
+        let holders = &gateway.free_elsewhere;
+        holders
+            .borrow_mut()
+            .insert(message.sender.gossip, (now, free));
+    }
     let peer = hash_name(message.sender.vm.as_str());
     let vm = message.sender.vm.clone();
     let stage = message.sender.stage;
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod store_contact;
 mod terms;
 mod ticket;
+mod transfer;
 mod upstream;
 mod upstream_follower;
 
@@ -91,6 +92,8 @@
 pub use terms::PromptPart;
 pub use terms::PromptShape;
 pub use terms::RequestTerms;
+pub use transfer::TokenTransfer;
+pub use transfer::TransferLog;
 pub use upstream::UpstreamChange;
 pub use upstream::UpstreamEntry;
 pub use upstream::UpstreamPhase;
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -4,7 +4,8 @@
 //! cost and settles at its true cost, so what is spent never exceeds what was
 //! granted. Asks are numbered and the record names the last one applied: until an
 //! ask is known to be applied, the lower of the possible grants counts, and an
-//! ask that comes late changes nothing once a newer one was applied.
+//! ask that comes late changes nothing once a newer one was applied. VMs hand
+//! tokens to each other; the giver takes them out first.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +39,9 @@
 /// A grant is given back when more than this many times its target is free.
 const RETURN_FACTOR: f64 = 2.5;
 
+/// Part of what is free that is handed to a VM in need, if it needs less.
+const GIVEN_PART: f64 = 0.4;
+
 /// Smallest part of a grant that is worth giving back.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
@@ -84,6 +88,10 @@
     used: TokenCount,
     /// Tokens of requests that run, at their greatest.
     reserved: TokenCount,
+    /// Tokens that were handed to other VMs; they count as used here.
+    given: TokenCount,
+    /// Tokens that other VMs handed over; they count as used there.
+    received: TokenCount,
     /// The largest request that waits for a grant.
     wanted: TokenCount,
     demand: f64,
@@ -110,6 +118,8 @@
             sequence: 0,
             used: TokenCount::ZERO,
             reserved: TokenCount::ZERO,
+            given: TokenCount::ZERO,
+            received: TokenCount::ZERO,
             wanted: TokenCount::ZERO,
             demand: 0.0,
             demand_at: now,
@@ -164,8 +174,28 @@
     /// Returns what can be reserved now.
     pub fn free(&self) -> TokenCount {
         self.granted()
-            .saturating_sub(self.used)
-            .saturating_sub(self.reserved)
+            .saturating_add(self.received)
+            .saturating_sub(self.spent())
+    }
+
+    /// Takes tokens out to hand them to another VM that needs `need`; zero where
+    /// there are not enough.
+    ///
+    /// They are lost, not doubled, if they do not arrive.
+    pub fn give(&mut self, need: TokenCount) -> TokenCount {
+        let free = self.free();
+        if free < need {
+            return TokenCount::ZERO;
+        }
+        let part = TokenCount((free.0 as f64 * GIVEN_PART) as u64);
+        let given = part.max(need);
+        self.given = self.given.saturating_add(given);
+        given
+    }
+
+    /// Takes tokens that another VM took out of its grant.
+    pub fn receive(&mut self, tokens: TokenCount) {
+        self.received = self.received.saturating_add(tokens);
     }
 
     /// Returns what no VM holds, as far as known.
@@ -235,7 +265,7 @@
         let factor = if scarce { 1.0 } else { RETURN_FACTOR };
         let keep = TokenCount((target.0 as f64 * factor) as u64).max(self.wanted);
         if free > keep && free.saturating_sub(target) >= MIN_RETURN {
-            let granted = self.used_and_reserved().saturating_add(target);
+            let granted = self.least_grant().saturating_add(target);
             let urgent = false;
             return Some(GrantNeed { granted, urgent });
         }
@@ -250,7 +280,7 @@
 
     /// Returns the ask that gives back all that is not in use.
     pub fn plan_return(&mut self) -> GrantAsk {
-        self.ask(self.used_and_reserved(), false)
+        self.ask(self.least_grant(), false)
     }
 
     /// Makes an ask; from now on no more than it leaves can be used.
@@ -301,7 +331,15 @@
         self.demand * (-age.as_secs_f64() / DEMAND_LIFE.as_secs_f64()).exp()
     }
 
-    fn used_and_reserved(&self) -> TokenCount {
-        self.used.saturating_add(self.reserved)
+    /// Returns what is used, reserved or handed on.
+    fn spent(&self) -> TokenCount {
+        self.used
+            .saturating_add(self.reserved)
+            .saturating_add(self.given)
+    }
+
+    /// Returns the least that has to be granted for what is spent.
+    fn least_grant(&self) -> TokenCount {
+        self.spent().saturating_sub(self.received)
     }
 }
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -16,6 +16,7 @@
 use crate::refusal::Refusal;
 use crate::relay::spread;
 use crate::terms::RequestTerms;
+use crate::transfer::ask_for_tokens;
 
 /// Longest time that a request waits for a grant.
 const GRANT_WAIT: Duration = Duration::from_millis(250);
@@ -23,6 +24,9 @@
 /// Part of the time left that a request waits for a grant at most.
 const GRANT_WAIT_PART: f64 = 0.1;
 
+/// Longest wait for tokens of one other VM.
+const TRANSFER_WAIT: Duration = Duration::from_millis(25);
+
 /// When to come back while other VMs hold what is left of a budget.
 const HELD_RETURN: Duration = Duration::from_millis(600);
 
@@ -46,6 +50,7 @@
     let wait_until = began + GRANT_WAIT.min(left.mul_f64(GRANT_WAIT_PART));
     adopt_workspaces(gateway);
     with_purse(gateway, workspace, |purse| purse.note_demand(cost, began));
+    let mut asked = Vec::new();
     loop {
         let changed = gateway.grant_changed.notified();
         let verdict = with_purse(gateway, workspace, |purse| try_reserve(purse, cost));
@@ -54,17 +59,23 @@
             Some(Ok(())) => return Ok(()),
             Some(Err(refusal)) => refusal,
         };
-        let now = gateway.now();
-        let waiting = wait_until.saturating_duration_since(now);
+        let waiting = wait_until.saturating_duration_since(gateway.now());
+        if refusal == PurseRefusal::Exhausted || waiting.is_zero() {
+            return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
+        }
         let is_failing = gateway.contact.get().is_failing();
-        if refusal == PurseRefusal::Exhausted || waiting.is_zero() || is_failing {
+        let needs_peers = is_failing || refusal == PurseRefusal::HeldElsewhere;
+        let is_asked = needs_peers && ask_for_tokens(gateway, workspace, cost, &mut asked);
+        if is_failing && !is_asked {
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         }
         gateway.grant_due.notify_one();
-        let _ = timeout(waiting, changed).await;
+        let wait = if is_asked { TRANSFER_WAIT } else { waiting };
+        let _ = timeout(wait.min(waiting), changed).await;
     }
 }
 
+/// Reserves, or says why not.
 fn try_reserve(purse: &mut BudgetPurse, cost: TokenCount) -> Result<(), PurseRefusal> {
     purse.reserve(cost).map_err(|_| purse.why_refused(cost))
 }
--- a/lib/gateway/tests/test_purse.rs
+++ b/lib/gateway/tests/test_purse.rs
@@ -103,8 +103,9 @@
     now: Instant,
 ) -> Result<()> {
     let at = u.int_in_range(0..=vms.len() - 1)?;
+    let other = u.int_in_range(0..=VMS - 1)?;
     let vm = &mut vms[at];
-    match u.int_in_range(0..=10)? {
+    match u.int_in_range(0..=12)? {
         0 | 1 => {
             let cost = u.int_in_range(1..=6_000)?;
             vm.purse.note_demand(TokenCount(cost), now);
@@ -141,6 +142,13 @@
             }
         }
         8 | 9 => vm.see(store),
+        10 | 11 => {
+            let need = TokenCount(u.int_in_range(1..=4_000)?);
+            let tokens = vm.purse.give(need);
+            if other != at && u.arbitrary()? {
+                vms[other].purse.receive(tokens);
+            }
+        }
         _ => {
             // A kill: what ran may have run to its end.
             *spent += vm.running.iter().sum::<u64>();
