--- a/bin/edge/src/stop.rs
+++ b/bin/edge/src/stop.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use slog::info;
 use slog::warn;
@@ -27,7 +28,7 @@
 const WORK_PART: f64 = 0.9;
 
 /// Pause between two looks at the requests that are left.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Longest time that the last calls to the store may take.
 const CLOSE_WAIT: Duration = Duration::from_millis(500);
@@ -69,20 +70,18 @@
     if told.is_err() {
         info!(gateway.log, "leaving not told in time");
     }
-    loop {
-        let now = gateway.now();
-        let spent = now.saturating_duration_since(began);
-        let done = gateway.active.get() == 0 && spent >= MIN_LEAVING;
-        if done || now >= work_until {
-            break;
-        }
-        tokio::select! {
-            () = sleep(LOOK_INTERVAL) => {}
-            _ = interrupt.recv() => return,
-        }
+    let is_idle = || gateway.active.get() == 0;
+    let is_done = || {
+        let spent = gateway.now().saturating_duration_since(began);
+        is_idle() && spent >= MIN_LEAVING
+    };
+    tokio::select! {
+        () = wait_until(gateway, work_until, is_done) => {}
+        _ = interrupt.recv() => return,
     }
-    gateway.is_closing.set(true);
-    gateway.closing.notify_waiters();
+    gateway.begin_closing();
+    // A request may have come in the last moment.
+    wait_until(gateway, work_until, is_idle).await;
     if timeout(CLOSE_WAIT, close_budgets(gateway, store))
         .await
         .is_err()
@@ -91,3 +90,10 @@
     }
     info!(gateway.log, "stopped"; "active" => gateway.active.get());
 }
+
+/// Waits until `is_done`, but no longer than until `end`.
+async fn wait_until(gateway: &Gateway, end: Instant, is_done: impl Fn() -> bool) {
+    while !is_done() && gateway.now() < end {
+        sleep(LOOK_INTERVAL).await;
+    }
+}
--- a/lib/gateway/src/front.rs
+++ b/lib/gateway/src/front.rs
@@ -65,10 +65,14 @@
 /// Bytes of a later request that are read while one is being answered.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
-/// Takes callers' connections until the process ends.
+/// Takes callers' connections until the process closes.
 pub async fn serve_front(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_for_closing(&gateway) => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 info!(gateway.log, "connection not accepted"; "error" => %error);
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -284,6 +284,12 @@
         }
     }
 
+    /// Takes no more connections and closes those without a request.
+    pub fn begin_closing(&self) {
+        self.is_closing.set(true);
+        self.closing.notify_waiters();
+    }
+
     /// Sends a message to one VM.
     pub fn send_direct(&self, target: SocketAddr, message: PeerMessage) {
         self.direct_messages.borrow_mut().push((target, message));
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -27,6 +27,10 @@
 /// Part of what is unassigned that all VMs together may take at once.
 const SHARED_PART: f64 = 0.7;
 
+/// Part of what is unassigned that all VMs together hold without demand, to hand
+/// it on where it is needed.
+const STOCK_PART: f64 = 0.25;
+
 /// Time in which the weight of past demand falls to 1/e.
 const DEMAND_LIFE: Duration = Duration::from_secs(8);
 
@@ -311,7 +315,8 @@
         let span = span.max(MIN_GRANT_SPAN.as_secs_f64());
         let own = self.free().0 as f64;
         let share = own + SHARED_PART * left / vms.max(1) as f64;
-        (self.demand_rate(now) * span).min(share)
+        let stock = STOCK_PART * part * left / vms.max(1) as f64;
+        (self.demand_rate(now) * span).min(share).max(stock)
     }
 
     /// Returns the tokens a second that requests asked for lately.
