--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -56,6 +56,9 @@
 /// Pause after a conflict or a call that the store did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(60);
 
+/// Most writes that are tried to give a shard's grants back.
+const MAX_CLOSE_TRIES: u32 = 8;
+
 /// Most asks of other VMs that wait.
 const MAX_FOREIGN_ASKS: usize = 4096;
 
@@ -93,7 +96,7 @@
         writer_failed: None,
         wrote_at: None,
     };
-    loop {
+    while !gateway.is_closing.get() {
         match keeper.look(&gateway, &*store).await {
             Ok(LookEnd::Idle) => {
                 let _ = timeout(LOOK_INTERVAL, gateway.shard_due.notified()).await;
@@ -496,8 +499,12 @@
         if asks.is_empty() {
             continue;
         }
-        if let Err(error) = keeper.write(gateway, store, &asks, &[]).await {
-            info!(gateway.log, "budgets not given back"; "shard" => number, "error" => %error);
+        for _ in 0..MAX_CLOSE_TRIES {
+            match keeper.write(gateway, store, &asks, &[]).await {
+                Ok(()) => break,
+                Err(error) => info!(gateway.log, "budgets not given back";
+                    "shard" => number, "error" => %error),
+            }
         }
     }
 }
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -90,6 +90,8 @@
     sequence: u64,
     /// Tokens of requests that ended.
     used: TokenCount,
+    /// What of them was told in an ask.
+    told_used: TokenCount,
     /// Tokens of requests that run, at their greatest.
     reserved: TokenCount,
     /// Tokens that were handed to other VMs; they count as used here.
@@ -121,6 +123,7 @@
             open: None,
             sequence: 0,
             used: TokenCount::ZERO,
+            told_used: TokenCount::ZERO,
             reserved: TokenCount::ZERO,
             given: TokenCount::ZERO,
             received: TokenCount::ZERO,
@@ -182,17 +185,19 @@
             .saturating_sub(self.spent())
     }
 
-    /// Takes tokens out to hand them to another VM that needs `need`; zero where
-    /// there are not enough.
+    /// Returns what is missing for a request.
+    pub fn missing(&self, cost: TokenCount) -> TokenCount {
+        cost.saturating_sub(self.free())
+    }
+
+    /// Takes tokens out to hand them to another VM that needs `need`, or what
+    /// there is of them.
     ///
     /// They are lost, not doubled, if they do not arrive.
     pub fn give(&mut self, need: TokenCount) -> TokenCount {
         let free = self.free();
-        if free < need {
-            return TokenCount::ZERO;
-        }
         let part = TokenCount((free.0 as f64 * GIVEN_PART) as u64);
-        let given = part.max(need);
+        let given = part.max(need).min(free);
         self.given = self.given.saturating_add(given);
         given
     }
@@ -241,7 +246,7 @@
         if used.saturating_add(cost) > self.prepaid {
             return PurseRefusal::Exhausted;
         }
-        let missing = cost.saturating_sub(self.free());
+        let missing = self.missing(cost);
         match missing <= self.unassigned() {
             true => PurseRefusal::NeedsGrant,
             false => PurseRefusal::HeldElsewhere,
@@ -273,7 +278,11 @@
             let urgent = false;
             return Some(GrantNeed { granted, urgent });
         }
-        None
+        let untold = self.used.saturating_sub(self.told_used);
+        (scarce && untold >= MIN_RETURN).then(|| GrantNeed {
+            granted: self.granted(),
+            urgent: false,
+        })
     }
 
     /// Returns the ask for what this run should hold, if that should change.
@@ -290,6 +299,7 @@
     /// Makes an ask; from now on no more than it leaves can be used.
     fn ask(&mut self, granted: TokenCount, urgent: bool) -> GrantAsk {
         self.sequence += 1;
+        self.told_used = self.used;
         self.wanted = TokenCount::ZERO;
         let least = self.open.map_or(granted, |open| open.granted.min(granted));
         self.open = Some(OpenAsk {
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -65,7 +65,9 @@
         }
         let is_failing = gateway.contact.get().is_failing();
         let needs_peers = is_failing || refusal == PurseRefusal::HeldElsewhere;
-        let is_asked = needs_peers && ask_for_tokens(gateway, workspace, cost, &mut asked);
+        let missing = with_purse(gateway, workspace, |purse| purse.missing(cost));
+        let is_asked =
+            needs_peers && ask_for_tokens(gateway, workspace, missing.unwrap_or(cost), &mut asked);
         if is_failing && !is_asked {
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         }
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -64,7 +64,7 @@
 }
 
 /// Asks the VM with the most free tokens that was not asked yet; `false` if there
-/// is none with enough.
+/// is none with any.
 pub fn ask_for_tokens(
     gateway: &Gateway,
     workspace: &WorkspaceId,
@@ -72,7 +72,7 @@
     asked: &mut Vec<SocketAddr>,
 ) -> bool {
     let hash = hash_name(workspace.as_str());
-    let Some(holder) = richest_holder(gateway, hash, need, asked, gateway.now()) else {
+    let Some(holder) = richest_holder(gateway, hash, asked, gateway.now()) else {
         return false;
     };
     asked.push(holder);
@@ -88,7 +88,6 @@
 fn richest_holder(
     gateway: &Gateway,
     workspace: u64,
-    need: TokenCount,
     asked: &[SocketAddr],
     now: Instant,
 ) -> Option<SocketAddr> {
@@ -99,7 +98,6 @@
             now.saturating_duration_since(*at) < FREE_LIFE && !asked.contains(*address)
         })
         .filter_map(|(address, (_, free))| Some((*free.get(&workspace)?, *address)))
-        .filter(|(free, _)| *free >= need)
         .max()
         .map(|(_, address)| address)
 }
