--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -288,7 +288,14 @@
         for ask in asks {
             let prepaid = prepaid.get(&ask.workspace).copied().unwrap_or_default();
             let record = shard.records.entry(ask.workspace).or_default();
+            let closed = record.closed;
             changed |= record.apply(ask, prepaid);
+            let lost = record.closed.saturating_sub(closed);
+            if !lost.is_zero() {
+                info!(gateway.log, "grants of an ended run count as used"; "vm" => ask.vm,
+                    "workspace" => ask.workspace, "tokens" => lost.0,
+                    "revision" => self.revision.0);
+            }
         }
         if changed {
             self.swap(gateway, store, shard).await?;
--- a/lib/gateway/src/placement.rs
+++ b/lib/gateway/src/placement.rs
@@ -18,7 +18,7 @@
 
 /// Weight of tokens that have to be read, beyond the time that they take this
 /// request: reading them also delays the requests that come after.
-const READING_WEIGHT: f64 = 1.5;
+const READING_WEIGHT: f64 = 2.5;
 
 /// Time that one more running request costs each token, as tokens to read.
 const RUNNING_TOKENS: f64 = 100.0;
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -29,7 +29,7 @@
 
 /// Part of what is unassigned that all VMs together hold without demand, to hand
 /// it on where it is needed.
-const STOCK_PART: f64 = 0.25;
+const STOCK_PART: f64 = 0.15;
 
 /// Time in which the weight of past demand falls to 1/e.
 const DEMAND_LIFE: Duration = Duration::from_secs(8);
