--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -42,7 +42,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time in which asks gather before they are written, where a request waits.
-const URGENT_GATHER: Duration = Duration::from_millis(8);
+const URGENT_GATHER: Duration = Duration::from_millis(5);
+
+/// Shortest pause between two writes, where a request waits.
+const URGENT_SPACING: Duration = Duration::from_millis(30);
 
 /// Time in which asks gather before they are written, where none waits.
 const CALM_GATHER: Duration = Duration::from_millis(400);
@@ -163,13 +166,14 @@
     async fn gather(&self, gateway: &Gateway) -> Option<bool> {
         loop {
             let now = gateway.now();
-            if self.is_urgent(gateway, now)? {
-                sleep(URGENT_GATHER).await;
-                return Some(true);
-            }
+            let urgent = self.is_urgent(gateway, now)?;
             let since = self
                 .wrote_at
                 .map_or(CALM_GATHER, |at| now.saturating_duration_since(at));
+            if urgent {
+                sleep(URGENT_SPACING.saturating_sub(since).max(URGENT_GATHER)).await;
+                return Some(true);
+            }
             let left = CALM_GATHER.saturating_sub(since);
             if left.is_zero() {
                 return Some(false);
@@ -347,9 +351,10 @@
     fn answer(&self, gateway: &Gateway, foreign: &[(SocketAddr, GrantAsk)]) {
         let mut answers: IndexMap<SocketAddr, Vec<BudgetView>> = IndexMap::new();
         for (sender, ask) in foreign {
-            let view = self
+            let mut view = self
                 .shard
                 .view(ask.workspace, self.revision.0, ask.vm, ask.incarnation);
+            view.answers = ask.sequence;
             answers.entry(*sender).or_default().push(view);
         }
         for (sender, views) in answers {
@@ -458,7 +463,7 @@
     purses
         .iter()
         .find(|(workspace, _)| hash_name(workspace.as_str()) == ask.workspace)
-        .is_none_or(|(_, purse)| !purse.is_open(ask.sequence))
+        .is_none_or(|(_, purse)| purse.is_answered(ask.sequence))
 }
 
 fn prepaid_by_hash(gateway: &Gateway) -> IndexMap<u64, TokenCount> {
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use snipegate_types::TokenCount;
 
+/// Least use that is worth a write by itself.
+const MIN_TOLD: TokenCount = TokenCount(2000);
+
 /// What one run of one VM took from a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetHolder {
@@ -70,6 +73,8 @@
     pub own_used: TokenCount,
     /// Number of the run's last ask that was applied.
     pub own_sequence: u64,
+    /// Number of the ask that this answers; 0 where it answers none.
+    pub answers: u64,
 }
 
 impl BudgetRecord {
@@ -96,17 +101,27 @@
             own_granted: own.map_or(TokenCount::ZERO, |own| own.granted),
             own_used: own.map_or(TokenCount::ZERO, |own| own.used),
             own_sequence: own.map_or(0, |own| own.sequence),
+            answers: 0,
         }
     }
 
     /// Applies an ask as far as `prepaid` allows; tells whether anything changed.
     ///
-    /// An ask that is older than the last one applied changes nothing.
+    /// An ask that is older than the last one applied changes nothing, and neither
+    /// does one that can't be granted and tells little that is new.
     pub fn apply(&mut self, ask: &GrantAsk, prepaid: TokenCount) -> bool {
         let own = self.holder(ask.vm, ask.incarnation).copied();
         if own.is_some_and(|own| own.sequence >= ask.sequence) {
             return false;
         }
+        let is_vain = |own: BudgetHolder| {
+            let spare = prepaid.saturating_sub(self.taken());
+            let told = ask.used.saturating_sub(own.used);
+            spare.is_zero() && ask.granted >= own.granted && told < MIN_TOLD
+        };
+        if own.is_some_and(is_vain) {
+            return false;
+        }
         self.close_earlier_runs(ask);
         let before = own.map_or(TokenCount::ZERO, |own| own.granted);
         let spare = prepaid.saturating_sub(self.taken());
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -88,6 +88,8 @@
     view: Option<BudgetView>,
     open: Option<OpenAsk>,
     sequence: u64,
+    /// Number of the last ask that was answered.
+    answered: u64,
     /// Tokens of requests that ended.
     used: TokenCount,
     /// What of them was told in an ask.
@@ -122,6 +124,7 @@
             view: None,
             open: None,
             sequence: 0,
+            answered: 0,
             used: TokenCount::ZERO,
             told_used: TokenCount::ZERO,
             reserved: TokenCount::ZERO,
@@ -141,6 +144,7 @@
 
     /// Takes what the record says, unless something newer is known.
     pub fn set_view(&mut self, view: BudgetView) {
+        self.answered = self.answered.max(view.answers);
         if self
             .view
             .is_some_and(|known| known.revision > view.revision)
@@ -159,9 +163,10 @@
         self.view.is_some()
     }
 
-    /// Tells whether it is open what became of the ask with this number.
-    pub fn is_open(&self, sequence: u64) -> bool {
-        self.view.is_none_or(|view| view.own_sequence < sequence)
+    /// Tells whether the ask with this number was answered.
+    pub fn is_answered(&self, sequence: u64) -> bool {
+        let applied = self.view.is_some_and(|view| view.own_sequence >= sequence);
+        applied || self.answered >= sequence
     }
 
     /// Returns the revision of the record that is known.
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -28,7 +28,7 @@
 const TRANSFER_WAIT: Duration = Duration::from_millis(25);
 
 /// When to come back while other VMs hold what is left of a budget.
-const HELD_RETURN: Duration = Duration::from_millis(600);
+const HELD_RETURN: Duration = Duration::from_millis(1200);
 
 /// When to come back while the store is out of reach.
 const OUTAGE_RETURN: Duration = Duration::from_millis(1500);
@@ -68,7 +68,7 @@
         let missing = with_purse(gateway, workspace, |purse| purse.missing(cost));
         let is_asked =
             needs_peers && ask_for_tokens(gateway, workspace, missing.unwrap_or(cost), &mut asked);
-        if is_failing && !is_asked {
+        if needs_peers && !is_asked {
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         }
         gateway.grant_due.notify_one();
