--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -72,8 +72,6 @@
     revision: StoreRevision,
     /// Whether the shard was read, so that it can be written.
     read: bool,
-    /// When the other VM that writes did not answer.
-    writer_failed: Option<Instant>,
     wrote_at: Option<Instant>,
 }
 
@@ -96,7 +94,6 @@
         shard: BudgetShard::default(),
         revision: StoreRevision(0),
         read: false,
-        writer_failed: None,
         wrote_at: None,
     };
     while !gateway.is_closing.get() {
@@ -143,13 +140,16 @@
         {
             if self.ask_writer(gateway, writer, &own, urgent).await {
                 own.clear();
-            } else if !gateway.contact.get().is_failing() {
-                self.writer_failed = Some(gateway.now());
+            } else {
+                note_failed_writer(gateway, writer);
+                return Ok(LookEnd::Acted);
             }
         }
         if gateway.contact.get().is_failing() {
             // Those who follow the store find out when it is back.
-            self.take_foreign(gateway);
+            for (sender, _) in self.take_foreign(gateway) {
+                gateway.send_direct(sender, PeerMessage::CannotWrite);
+            }
             sleep(FAILURE_PAUSE).await;
             return Ok(LookEnd::Idle);
         }
@@ -218,16 +218,21 @@
     }
 
     /// Returns the other VM that writes this shard, if it is not this one.
+    ///
+    /// VMs that did not answer lately are passed over.
     fn other_writer(&self, gateway: &Gateway, now: Instant) -> Option<SocketAddr> {
-        let failed = |at: Instant| now.saturating_duration_since(at) < WRITER_PAUSE;
-        if self.writer_failed.is_some_and(failed) {
-            return None;
-        }
         let weight = |vm: &str| hash_name(&format!("{vm}/{}", self.number));
         let own = weight(gateway.settings.vm.as_str());
+        let failed = gateway.failed_writers.borrow();
+        let is_failed = |address: &SocketAddr| {
+            failed
+                .get(address)
+                .is_some_and(|at| now.saturating_duration_since(*at) < WRITER_PAUSE)
+        };
         let peers = gateway.peers.borrow();
         peers
             .heard(now)
+            .filter(|record| !is_failed(&record.gossip))
             .map(|record| (weight(record.vm.as_str()), record.gossip))
             .max()
             .filter(|(best, _)| *best > own)
@@ -247,16 +252,21 @@
         if !urgent {
             return true;
         }
+        let began = gateway.now();
         let answered = async {
             loop {
                 let changed = gateway.grant_changed.notified();
                 if asks.iter().all(|ask| is_answered(gateway, ask)) {
-                    return;
+                    return true;
+                }
+                let failed = gateway.failed_writers.borrow().get(&writer).copied();
+                if failed.is_some_and(|at| at >= began) {
+                    return false;
                 }
                 changed.await;
             }
         };
-        let in_time = timeout(WRITER_WAIT, answered).await.is_ok();
+        let in_time = timeout(WRITER_WAIT, answered).await.unwrap_or(false);
         let outcome = if in_time { "answered" } else { "not_answered" };
         gateway.metrics.count_reason("budget.ask", outcome);
         info!(gateway.log, "grants asked"; "shard" => self.number, "writer" => %writer,
@@ -436,6 +446,14 @@
     }
 }
 
+/// Notes that a VM does not write, for it did not answer or said so.
+pub fn note_failed_writer(gateway: &Gateway, writer: SocketAddr) {
+    let now = gateway.now();
+    gateway.failed_writers.borrow_mut().insert(writer, now);
+    gateway.metrics.count("budget.writer_failed");
+    gateway.grant_changed.notify_waiters();
+}
+
 /// Takes asks of another VM, to be written with the next ones.
 pub fn take_asks(gateway: &Gateway, sender: SocketAddr, asks: Vec<GrantAsk>) {
     let mut waiting = gateway.foreign_asks.borrow_mut();
@@ -498,7 +516,6 @@
             shard: BudgetShard::default(),
             revision: StoreRevision(0),
             read: false,
-            writer_failed: None,
             wrote_at: None,
         };
         let asks: Vec<GrantAsk> = gateway
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -114,6 +114,8 @@
     pub free_elsewhere: RefCell<IndexMap<SocketAddr, (Instant, IndexMap<u64, TokenCount>)>>,
     /// Transfers of tokens that were sent and received.
     pub transfers: RefCell<TransferLog>,
+    /// VMs that did not write grants when they were asked, and when.
+    pub failed_writers: RefCell<IndexMap<SocketAddr, Instant>>,
     /// Grants that other VMs ask this one to write, and where to answer.
     pub foreign_asks: RefCell<Vec<(SocketAddr, GrantAsk)>>,
     /// Messages for single VMs.
@@ -173,6 +175,7 @@
             connections: Cell::new(0),
             free_elsewhere: RefCell::default(),
             transfers: RefCell::default(),
+            failed_writers: RefCell::default(),
             foreign_asks: RefCell::default(),
             direct_messages: RefCell::default(),
             direct_due: Notify::new(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::budget_keeper::note_failed_writer;
 use crate::budget_keeper::take_asks;
 use crate::budget_keeper::take_views;
 use crate::budget_record::BudgetView;
@@ -85,6 +86,8 @@
     Gossip(Box<GossipMessage>),
     /// Grants that the sender asks for, to be written by the receiver.
     Asks(Vec<GrantAsk>),
+    /// The sender does not reach the store, so that it can't write grants.
+    CannotWrite,
     /// What the records say of the receiver's grants.
     Views(Vec<BudgetView>),
     /// A budget that the sender is short of, and how many tokens it needs.
@@ -217,6 +220,7 @@
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_message(&gateway, *message),
             Ok(PeerMessage::Asks(asks)) => take_asks(&gateway, sender, asks),
+            Ok(PeerMessage::CannotWrite) => note_failed_writer(&gateway, sender),
             Ok(PeerMessage::Views(views)) => take_views(&gateway, &views),
             Ok(PeerMessage::TransferAsk { workspace, need }) => {
                 hand_over(&gateway, sender, workspace, need);
