--- a/lib/gateway/src/placement.rs
+++ b/lib/gateway/src/placement.rs
@@ -29,6 +29,13 @@
 /// Cost of an upstream that fails every request, in ms.
 const FAILURE_COST_MS: f64 = 4000.0;
 
+/// Up to this many upstreams are all weighed. Of more, only some are: with old
+/// news of their load, all VMs would pick the same one.
+const WEIGHED_ALL: usize = 16;
+
+/// Upstreams that are weighed by chance, beside those that keep much of the prompt.
+const WEIGHED_BY_CHANCE: usize = 6;
+
 /// Cost of sending a plain request to another data centre, in ms.
 const DISTANCE_COST_MS: f64 = 2.0;
 
@@ -66,7 +73,10 @@
     now: Instant,
 ) -> Option<PlacementChoice> {
     let mut best: Option<(f64, PlacementChoice)> = None;
-    for entry in ready.filter(|entry| !ask.tried.contains(&entry.id)) {
+    let candidates: Vec<&UpstreamEntry> = ready
+        .filter(|entry| !ask.tried.contains(&entry.id))
+        .collect();
+    for entry in weighed(table, candidates, ask, now) {
         let load = table.entry(&entry.id, now);
         let (cost, choice) = weigh(load, entry, ask, now);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -76,6 +86,31 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns the upstreams to weigh.
+fn weighed<'a>(
+    table: &mut LoadTable,
+    mut candidates: Vec<&'a UpstreamEntry>,
+    ask: &PlacementAsk<'_>,
+    now: Instant,
+) -> Vec<&'a UpstreamEntry> {
+    if candidates.len() <= WEIGHED_ALL {
+        return candidates;
+    }
+    fastrand::shuffle(&mut candidates);
+    let parts = ask.prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let is_own = |kept: u64| kept > parts.first().map_or(0, |part| part.tokens);
+    let mut left = WEIGHED_BY_CHANCE;
+    candidates.retain(|entry| {
+        if is_own(table.entry(&entry.id, now).cache.kept_tokens(parts)) {
+            return true;
+        }
+        let keep = left > 0;
+        left = left.saturating_sub(1);
+        keep
+    });
+    candidates
+}
+
 /// Returns the cost in ms and what would be chosen.
 fn weigh(
     load: &UpstreamLoad,
--- a/lib/service/src/metrics.rs
+++ b/lib/service/src/metrics.rs
@@ -15,21 +15,35 @@
 use cadence::Histogrammed;
 use cadence::MetricSink;
 use cadence::StatsdClient;
+use hdrhistogram::Histogram;
 
 /// Metrics of a process by name; a tag stands in the name as `name{tag}`.
 ///
-/// Counters and timings add up, gauges are set. Timings give two counters,
-/// `name.count` and `name.sum_us`.
+/// Counters add up, gauges are set. Timings give two counters, `name.count` and
+/// `name.sum_us`, and a histogram of which quantiles are shown.
 #[derive(Clone, Debug)]
 pub struct MetricRegistry {
     client: Arc<StatsdClient>,
-    totals: Arc<Mutex<BTreeMap<String, i64>>>,
+    totals: Arc<Mutex<MetricTotals>>,
 }
 
+/// What the metrics of a process add up to.
+#[derive(Debug, Default)]
+struct MetricTotals {
+    counters: BTreeMap<String, i64>,
+    histograms: BTreeMap<String, Histogram<u64>>,
+}
+
+/// Quantiles of a histogram that are shown, and their names.
+const SHOWN_QUANTILES: [(f64, &str); 4] = [(0.5, "p50"), (0.9, "p90"), (0.99, "p99"), (1.0, "max")];
+
+/// Largest time that a histogram holds, in microseconds.
+const MAX_TIMING_US: u64 = 600_000_000;
+
 /// Sink that adds each metric line up and passes it on.
 #[derive(Debug)]
 struct TotalSink {
-    totals: Arc<Mutex<BTreeMap<String, i64>>>,
+    totals: Arc<Mutex<MetricTotals>>,
     socket: Option<(UdpSocket, SocketAddr)>,
 }
 
@@ -57,18 +71,45 @@
         let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
         match kind {
             "g" => {
-                totals.insert(name, value);
+                totals.counters.insert(name, value);
             }
             "h" => {
-                *totals.entry(format!("{name}.count")).or_default() += 1;
-                *totals.entry(format!("{name}.sum_us")).or_default() += value;
+                let counters = &mut totals.counters;
+                *counters.entry(format!("{name}.count")).or_default() += 1;
+                *counters.entry(format!("{name}.sum_us")).or_default() += value;
+                totals.record(name, value);
             }
-            _ => *totals.entry(name).or_default() += value,
+            _ => *totals.counters.entry(name).or_default() += value,
         }
         Some(())
     }
 }
 
+impl MetricTotals {
+    /// Adds a timing to its histogram; one that is too long counts as the longest.
+    fn record(&mut self, name: String, value: i64) {
+        let value = u64::try_from(value).unwrap_or_default();
+        let histogram = self.histograms.entry(name).or_insert_with(|| {
+            Histogram::new_with_bounds(1, MAX_TIMING_US, 2).expect("the bounds are constant")
+        });
+        histogram.saturating_record(value);
+    }
+
+    fn render(&self) -> String {
+        let counters = self
+            .counters
+            .iter()
+            .map(|(name, value)| format!("{name} {value}\n"));
+        let quantiles = self.histograms.iter().flat_map(|(name, histogram)| {
+            SHOWN_QUANTILES.iter().map(move |(quantile, label)| {
+                let value = histogram.value_at_quantile(*quantile);
+                format!("{name}.{label}_us {value}\n")
+            })
+        });
+        counters.chain(quantiles).collect()
+    }
+}
+
 impl MetricRegistry {
     /// Makes a registry whose names begin with `prefix`.
     ///
@@ -76,7 +117,7 @@
     ///
     /// Fails if no UDP socket can be had for `address`.
     pub fn new(prefix: &str, address: Option<SocketAddr>) -> io::Result<Self> {
-        let totals = Arc::default();
+        let totals: Arc<Mutex<MetricTotals>> = Arc::default();
         let socket = match address {
             Some(address) => {
                 let socket = UdpSocket::bind("0.0.0.0:0")?;
@@ -124,12 +165,10 @@
         let _ = self.client.histogram(name, span.as_micros() as u64);
     }
 
-    /// Writes every metric as a line `name value`, in order of name.
+    /// Writes every metric as a line `name value`: counters and gauges in order of
+    /// name, then the quantiles of the histograms.
     pub fn render(&self) -> String {
         let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
-        totals
-            .iter()
-            .map(|(name, value)| format!("{name} {value}\n"))
-            .collect()
+        totals.render()
     }
 }
