--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -18,7 +18,6 @@
 use snipegate_service::MetricRegistry;
 use snipegate_types::DataCentre;
 use snipegate_types::TimeSource;
-use snipegate_types::TokenCount;
 use snipegate_types::UpstreamId;
 use snipegate_types::VmId;
 use snipegate_types::WorkspaceId;
@@ -38,6 +37,7 @@
 use crate::retry_budget::RetryRule;
 use crate::stage::VmStage;
 use crate::store_contact::StoreContact;
+use crate::transfer::FreeTokens;
 use crate::transfer::TransferLog;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamTable;
@@ -109,9 +109,8 @@
     pub active: Cell<usize>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
-    /// Tokens that are free at other VMs, by hash of the workspace, and when they
-    /// said so.
-    pub free_elsewhere: RefCell<IndexMap<SocketAddr, (Instant, IndexMap<u64, TokenCount>)>>,
+    /// Tokens that are free at other VMs.
+    pub free_elsewhere: RefCell<IndexMap<SocketAddr, FreeTokens>>,
     /// Transfers of tokens that were sent and received.
     pub transfers: RefCell<TransferLog>,
     /// VMs that did not write grants when they were asked, and when.
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -29,6 +29,7 @@
 use crate::load::UpstreamNews;
 use crate::peers::VmRecord;
 use crate::terms::PromptPart;
+use crate::transfer::FreeTokens;
 use crate::transfer::TokenTransfer;
 use crate::transfer::hand_over;
 use crate::transfer::take_transfer;
@@ -240,11 +241,12 @@
         return;
     }
     if !message.free.is_empty() {
-        let free = message.free.into_iter().collect();
+        let free = FreeTokens {
+            at: now,
+            by_workspace: message.free.into_iter().collect(),
+        };
         let holders = &gateway.free_elsewhere;
-        holders
-            .borrow_mut()
-            .insert(message.sender.gossip, (now, free));
+        holders.borrow_mut().insert(message.sender.gossip, free);
     }
     let peer = hash_name(message.sender.vm.as_str());
     let vm = message.sender.vm.clone();
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
@@ -35,6 +36,15 @@
     pub tokens: TokenCount,
 }
 
+/// What another VM said of its free tokens.
+#[derive(Clone, Debug)]
+pub struct FreeTokens {
+    /// When it said so.
+    pub at: Instant,
+    /// The tokens by hash of the workspace.
+    pub by_workspace: IndexMap<u64, TokenCount>,
+}
+
 /// Transfers of this VM.
 #[derive(Debug, Default)]
 pub struct TransferLog {
@@ -94,10 +104,10 @@
     let holders = gateway.free_elsewhere.borrow();
     holders
         .iter()
-        .filter(|(address, (at, _))| {
-            now.saturating_duration_since(*at) < FREE_LIFE && !asked.contains(*address)
+        .filter(|(address, free)| {
+            now.saturating_duration_since(free.at) < FREE_LIFE && !asked.contains(*address)
         })
-        .filter_map(|(address, (_, free))| Some((*free.get(&workspace)?, *address)))
+        .filter_map(|(address, free)| Some((*free.by_workspace.get(&workspace)?, *address)))
         .max()
         .map(|(_, address)| address)
 }
