--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -82,7 +82,7 @@
         "incarnation" => gateway.incarnation);
     start_servers(command, &site, &gateway).await?;
     start_followers(&gateway, &store);
-    serve_until_stopped(&gateway, &*store, &command.settings).await
+    serve_until_stopped(&gateway, &store, &command.settings).await
 }
 
 async fn start_servers(
