gateway: longer leases; VMs without the store do not pass writers over

Cause: after a cut of 8 s all VMs registered anew and wrote budgets by themselves, having passed over all writers.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -56,6 +56,9 @@
 /// How long a VM that did not answer is not asked again.
 const WRITER_PAUSE: Duration = Duration::from_millis(1500);
 
+/// The same, while this VM does not reach the store either.
+const LOST_WRITER_PAUSE: Duration = Duration::from_millis(250);
+
 /// Pause after a conflict or a call that the store did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(60);
 
@@ -126,7 +129,8 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<LookEnd, StoreError> {
-        if !self.all_known(gateway) {
+        let has_writer = self.other_writer(gateway, gateway.now()).is_some();
+        if !has_writer && !self.all_known(gateway) {
             self.read(gateway, store).await?;
         }
         let Some(urgent) = self.gather(gateway).await else {
@@ -204,7 +208,7 @@
         let mut purses = gateway.purses.borrow_mut();
         purses
             .iter_mut()
-            .filter(|(workspace, purse)| shard_of(workspace) == self.number && purse.is_known())
+            .filter(|(workspace, _)| shard_of(workspace) == self.number)
             .filter_map(|(id, purse)| purse.plan_ask(vms, is_scarce(gateway, id, now), now))
             .collect()
     }
@@ -224,10 +228,15 @@
         let weight = |vm: &str| hash_name(&format!("{vm}/{}", self.number));
         let own = weight(gateway.settings.vm.as_str());
         let failed = gateway.failed_writers.borrow();
+        // A VM that does not reach the store can't tell who else does not.
+        let pause = match gateway.contact.get().is_failing() {
+            true => LOST_WRITER_PAUSE,
+            false => WRITER_PAUSE,
+        };
         let is_failed = |address: &SocketAddr| {
             failed
                 .get(address)
-                .is_some_and(|at| now.saturating_duration_since(*at) < WRITER_PAUSE)
+                .is_some_and(|at| now.saturating_duration_since(*at) < pause)
         };
         let peers = gateway.peers.borrow();
         peers
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -19,10 +19,10 @@
 use crate::stage::VmStage;
 
 /// How long a VM's record outlives its last renewal.
-const RECORD_LIFE: Duration = Duration::from_secs(6);
+const RECORD_LIFE: Duration = Duration::from_secs(15);
 
 /// Pause between two renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
 /// How long one watch for other VMs waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
