--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod dialect;
 mod event_stream;
 mod front;
+pub mod gate;
 mod gateway;
 mod gossip;
 mod load;
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -212,6 +212,13 @@
         self.received = self.received.saturating_add(tokens);
     }
 
+    /// Returns what was bought, what all VMs took of it, and what of that is known
+    /// to be used.
+    pub fn totals(&self) -> (TokenCount, TokenCount, TokenCount) {
+        let view = self.view.unwrap_or_default();
+        (self.prepaid, view.taken, view.used)
+    }
+
     /// Returns what no VM holds, as far as known.
     pub fn unassigned(&self) -> TokenCount {
         self.prepaid
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -100,7 +100,9 @@
     let now = gateway.now();
     let lost = gateway.contact.get().is_failing();
     with_purse(gateway, workspace, |purse| {
-        info!(gateway.log, "budget refused"; "request" => &*terms.attempt_id,
+        let (prepaid, taken, used) = purse.totals();
+        info!(gateway.log, "budget refused";
+            "prepaid" => prepaid.0, "taken" => taken.0, "used" => used.0, "request" => &*terms.attempt_id,
             "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
             "free" => purse.free().0, "unassigned" => purse.unassigned().0,
             "revision" => purse.revision(), "store_lost" => lost);
