--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -15,7 +15,6 @@
 mod dialect;
 mod event_stream;
 mod front;
-pub mod gate;
 mod gateway;
 mod gossip;
 mod load;
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -10,7 +10,6 @@
 use snipegate_http1::RequestHead;
 use snipegate_types::ResultCode;
 use snipegate_types::UpstreamId;
-use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
@@ -25,9 +24,6 @@
 use crate::config::ServiceName;
 use crate::dialect::ForwardPlan;
 use crate::event_stream::EventCutter;
-use crate::gate::GateInput;
-use crate::gate::GateVerdict;
-use crate::gate::decide;
 use crate::gateway::Gateway;
 use crate::gateway::hash_name;
 use crate::placement::PlacementAsk;
@@ -52,9 +48,6 @@
 /// upstream could be tried after it.
 const FIRST_TRY_PART: f64 = 0.45;
 
-/// Pause between two looks at a request that is held.
-const HOLD_STEP: Duration = Duration::from_millis(40);
-
 /// Class of the least urgent generation.
 const LAST_URGENCY: u8 = 9;
 
@@ -103,10 +96,6 @@
     may_have_run: bool,
     progress: StreamProgress,
     fallback: Option<(AnswerHead, Bytes)>,
-    /// When the request could first be sent.
-    arrived: Instant,
-    /// Whether it was held.
-    held: bool,
 }
 
 impl<'a> RelayRun<'a> {
@@ -131,8 +120,6 @@
             may_have_run: false,
             progress: StreamProgress::default(),
             fallback: None,
-            arrived: gateway.now(),
-            held: false,
         }
     }
 
@@ -170,17 +157,6 @@
             let Some((entry, choice)) = self.choose() else {
                 return Ok(Some(self.no_upstream_refusal()));
             };
-            match self.pass_gate(&choice) {
-                GateVerdict::Send => {}
-                GateVerdict::Hold => {
-                    sleep(spread(HOLD_STEP)).await;
-                    continue;
-                }
-                GateVerdict::Refuse(after) => {
-                    let code = ResultCode::UpstreamsFull;
-                    return Ok(Some(Refusal::come_back(code, spread(after))));
-                }
-            }
             self.log_choice(&entry, &choice);
             self.current = Some(entry.id.clone());
             let end = self.send_once(caller, &entry, &choice).await?;
@@ -222,32 +198,6 @@
         Some((entry, choice))
     }
 
-    /// Decides whether the request is sent now.
-    fn pass_gate(&mut self, choice: &PlacementChoice) -> GateVerdict {
-        let is_first = self.sends == 0 && self.connect_failures == 0;
-        let target = self.admission.route.target;
-        let (true, Some(target), Some(_)) = (is_first, target, &self.request.terms.prompt) else {
-            return GateVerdict::Send;
-        };
-        let now = self.gateway.now();
-        let input = GateInput {
-            expected: choice.expected,
-            target,
-            waited: now.saturating_duration_since(self.arrived),
-            time_left: self.admission.deadline.saturating_duration_since(now),
-        };
-        let verdict = decide(&input);
-        if verdict == GateVerdict::Hold && !self.held {
-            self.held = true;
-            self.gateway.metrics.count("request.held");
-            info!(self.gateway.log, "request held";
-                "request" => &*self.request.terms.attempt_id,
-                "expected_ms" => choice.expected.as_millis() as u64,
-                "target_ms" => target.as_millis() as u64, "ahead" => choice.ahead);
-        }
-        verdict
-    }
-
     fn log_choice(&self, entry: &UpstreamEntry, choice: &PlacementChoice) {
         info!(self.gateway.log, "upstream chosen";
             "request" => &*self.request.terms.attempt_id,
