--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -13,7 +13,7 @@
 use crate::config::ServiceName;
 
 /// How long an entry that lapsed while the store was away may still be used.
-const LAPSE_GRACE: Duration = Duration::from_millis(1500);
+const LAPSE_GRACE: Duration = Duration::from_millis(1200);
 
 /// How long after the store's return a missing entry counts as lapsed and not
 /// as withdrawn.
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -9,6 +9,7 @@
 use snipegate_platform::StoreRevision;
 use snipegate_platform::WatchBatch;
 use snipegate_types::UpstreamId;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::config_follower::FAILURE_PAUSE;
@@ -21,21 +22,23 @@
 /// Pause after changes, in which more of them gather.
 const GATHER_PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause between two looks at entries that lapsed.
+const LAPSE_LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Follows the upstreams until the process ends.
 pub async fn follow_upstreams<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    spawn_local(drop_lapsed_in_time(Rc::clone(&gateway)));
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
             gateway.note_store(Some(&error));
             sleep(spread(FAILURE_PAUSE)).await;
         }
-        drop_lapsed(&gateway);
     }
 }
 
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let mut after = read_all(gateway, store).await?;
     loop {
-        drop_lapsed(gateway);
         let prefix = gateway.dialect.layout().upstream_prefix;
         let watch = store.watch(prefix, after, WATCH_WAIT);
         let batch = tokio::select! {
@@ -130,8 +133,12 @@
     }
 }
 
-fn drop_lapsed(gateway: &Gateway) {
-    let now = gateway.now();
-    let changes = gateway.upstreams.borrow_mut().drop_lapsed(now);
-    gateway.apply_upstream_changes(changes);
+/// Drops entries that lapsed, whether or not the store has anything to say.
+async fn drop_lapsed_in_time(gateway: Rc<Gateway>) {
+    loop {
+        sleep(LAPSE_LOOK_INTERVAL).await;
+        let now = gateway.now();
+        let changes = gateway.upstreams.borrow_mut().drop_lapsed(now);
+        gateway.apply_upstream_changes(changes);
+    }
 }
