gateway: smaller grants, so that a kill of all VMs leaves most of a budget

A grant now aims at 6 s of demand, shrinks from half of the budget on, and is given back beyond 1.4 times that.

The keeper of budgets and the relay are split: exchange with other VMs, own answers.

--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::relay::spread;
+use crate::own_answer::spread;
 
 /// How long one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -19,9 +19,9 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::budget_keeper::note_failed_writer;
-use crate::budget_keeper::take_asks;
-use crate::budget_keeper::take_views;
+use crate::budget_exchange::note_failed_writer;
+use crate::budget_exchange::take_asks;
+use crate::budget_exchange::take_views;
 use crate::budget_record::BudgetView;
 use crate::budget_record::GrantAsk;
 use crate::gateway::Gateway;
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod attempt;
+mod budget_exchange;
 mod budget_keeper;
 mod budget_record;
 mod caller;
@@ -19,6 +20,7 @@
 mod gossip;
 mod load;
 mod membership;
+mod own_answer;
 mod peers;
 pub mod placement;
 mod plain_server;
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -14,8 +14,8 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::own_answer::spread;
 use crate::peers::VmRecord;
-use crate::relay::spread;
 use crate::stage::VmStage;
 
 /// How long a VM's record outlives its last renewal.
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -16,13 +16,13 @@
 use crate::budget_record::GrantAsk;
 
 /// How long a grant should last at the present demand: an outage of the store.
-const GRANT_SPAN: Duration = Duration::from_secs(10);
+const GRANT_SPAN: Duration = Duration::from_secs(6);
 
 /// Shortest time that a grant should last, when little is left of the budget.
 const MIN_GRANT_SPAN: Duration = Duration::from_millis(500);
 
 /// The span shrinks once less than this part of the budget is unassigned.
-const AMPLE_PART: f64 = 0.35;
+const AMPLE_PART: f64 = 0.5;
 
 /// Part of what is unassigned that all VMs together may take at once.
 const SHARED_PART: f64 = 0.7;
@@ -41,7 +41,7 @@
 const RENEW_PART: f64 = 0.6;
 
 /// A grant is given back when more than this many times its target is free.
-const RETURN_FACTOR: f64 = 2.5;
+const RETURN_FACTOR: f64 = 1.4;
 
 /// Part of what is free that is handed to a VM in need, if it needs less.
 const GIVEN_PART: f64 = 0.4;
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -9,12 +9,12 @@
 use tokio::time::timeout;
 
 use crate::admission::Admission;
-use crate::budget_keeper::adopt_workspaces;
+use crate::budget_exchange::adopt_workspaces;
 use crate::gateway::Gateway;
+use crate::own_answer::spread;
 use crate::purse::BudgetPurse;
 use crate::purse::PurseRefusal;
 use crate::refusal::Refusal;
-use crate::relay::spread;
 use crate::terms::RequestTerms;
 use crate::transfer::ask_for_tokens;
 
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -15,7 +15,7 @@
 use crate::config_follower::FAILURE_PAUSE;
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
-use crate::relay::spread;
+use crate::own_answer::spread;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamEntry;
 
--- a/lib/gateway/tests/test_purse.rs
+++ b/lib/gateway/tests/test_purse.rs
@@ -247,3 +247,38 @@
     let refusal = vm.purse.why_refused(TokenCount(1000));
     assert_eq!(refusal, PurseRefusal::Exhausted);
 }
+
+/// Parts of a budget that are left when all VMs are killed.
+const LEFT_PARTS: [f64; 4] = [0.6, 0.5, 0.3, 0.1];
+
+#[test]
+fn kill_of_all_vms_takes_at_most_a_third_of_what_is_left() {
+    const BOUGHT: u64 = 44_000_000;
+    const VMS_HELD: u64 = 9;
+    const SECOND: Duration = Duration::from_secs(1);
+    for part in LEFT_PARTS {
+        let left = (BOUGHT as f64 * part) as u64;
+        let mut record = BudgetRecord {
+            closed: TokenCount(BOUGHT - left),
+            ..BudgetRecord::default()
+        };
+        let mut now = Instant::now();
+        let mut purses: Vec<BudgetPurse> = (0..VMS_HELD)
+            .map(|vm| BudgetPurse::new(1, vm, vm, TokenCount(BOUGHT), now))
+            .collect();
+        // Each second a 44th of the budget is asked for.
+        for revision in 0..20 {
+            now += SECOND;
+            for (vm, purse) in purses.iter_mut().enumerate() {
+                purse.note_demand(TokenCount(BOUGHT / 44 / VMS_HELD), now);
+                let vm = vm as u64;
+                purse.set_view(record.view(1, revision, vm, vm));
+                if let Some(ask) = purse.plan_ask(VMS_HELD as usize, false, now) {
+                    record.apply(&ask, TokenCount(BOUGHT));
+                }
+            }
+        }
+        let held: u64 = record.holders.iter().map(|holder| holder.granted.0).sum();
+        assert!(held * 3 <= left, "{held} of {left} at {part}");
+    }
+}
