--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -89,13 +89,7 @@
 }
 
 async fn keep_shard<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>, number: u64) {
-    let mut keeper = ShardKeeper {
-        number,
-        shard: BudgetShard::default(),
-        revision: StoreRevision(0),
-        read: false,
-        wrote_at: None,
-    };
+    let mut keeper = ShardKeeper::new(number);
     while !gateway.is_closing.get() {
         match keeper.look(&gateway, &*store).await {
             Ok(LookEnd::Idle) => {
@@ -120,6 +114,17 @@
 }
 
 impl ShardKeeper {
+    /// Makes a keeper that has not read its shard.
+    fn new(number: u64) -> Self {
+        Self {
+            number,
+            shard: BudgetShard::default(),
+            revision: StoreRevision(0),
+            read: false,
+            wrote_at: None,
+        }
+    }
+
     /// Takes one look at what the budgets of the shard need, and sees to it.
     async fn look<S: ConfigStore>(
         &mut self,
@@ -435,13 +440,7 @@
 /// Gives back what is not used, at the end of the process.
 pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
     for number in 0..SHARDS {
-        let mut keeper = ShardKeeper {
-            number,
-            shard: BudgetShard::default(),
-            revision: StoreRevision(0),
-            read: false,
-            wrote_at: None,
-        };
+        let mut keeper = ShardKeeper::new(number);
         let asks: Vec<GrantAsk> = gateway
             .purses
             .borrow_mut()
--- a/lib/gateway/src/pool.rs
+++ b/lib/gateway/src/pool.rs
@@ -48,13 +48,4 @@
     pub fn forget(&mut self, id: &UpstreamId) {
         self.idle.shift_remove(id);
     }
-
-    /// Closes connections that were idle for longer than `max_idle`.
-    pub fn drop_idle(&mut self, max_idle: Duration, now: Instant) {
-        for idle in self.idle.values_mut() {
-            idle.retain(|connection| {
-                now.saturating_duration_since(connection.idle_since) <= max_idle
-            });
-        }
-    }
 }
--- a/lib/gateway/src/terms.rs
+++ b/lib/gateway/src/terms.rs
@@ -53,8 +53,6 @@
     pub attempt_id: Option<Box<str>>,
     /// Whether the upstream states that the request has not run and never will.
     pub not_run: bool,
-    /// Whether the upstream is another one than the request was meant for.
-    pub wrong_upstream: bool,
     /// Whether the upstream signed the answer.
     pub signed: bool,
 }
--- a/lib/http1/src/connection.rs
+++ b/lib/http1/src/connection.rs
@@ -53,8 +53,6 @@
     address: SocketAddr,
     /// When the last exchange ended; the time of connecting before the first.
     pub idle_since: Instant,
-    /// Number of exchanges that ended.
-    pub exchanges: u32,
 }
 
 impl HttpConnection {
@@ -65,7 +63,6 @@
             buffer: BytesMut::new(),
             address,
             idle_since: now,
-            exchanges: 0,
         }
     }
 
@@ -215,7 +212,6 @@
     /// Notes that an exchange ended and the connection is idle.
     pub fn set_idle(&mut self, now: Instant) {
         self.idle_since = now;
-        self.exchanges += 1;
     }
 
     async fn fill(&mut self) -> Result<usize, ExchangeError> {
