gateway: a large fleet asks the store less, and tells itself less

Change: while the store does not answer, one task of a VM goes on asking, with growing pauses; a VM that finds it back tells the others. A lease is renewed, not made anew, after a call that failed. A hint that others know more is followed by a listing only if the watch brings nothing. Changes of upstreams gather longer in a large fleet. Load messages name only upstreams with work or failures, by short codes, and reach another data centre through one VM of it.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 use slog::Logger;
 use slog::info;
@@ -37,6 +36,7 @@
 use crate::retry_budget::RetryRule;
 use crate::stage::VmStage;
 use crate::store_contact::StoreContact;
+use crate::store_gate::StoreGate;
 use crate::token_ask::AskOutcome;
 use crate::token_ask::FreeTokens;
 use crate::token_ask::QueuedAsk;
@@ -88,8 +88,6 @@
     pub upstreams_known: Cell<bool>,
     /// The work at the upstreams.
     pub loads: RefCell<LoadTable>,
-    /// Upstreams whose load changed since it was last told to other VMs.
-    pub changed_loads: RefCell<IndexSet<UpstreamId>>,
     /// Prompts that were placed lately, to be told to other VMs.
     pub placed: RefCell<Vec<PlacedPrompt>>,
     /// Idle connections to upstreams.
@@ -106,6 +104,8 @@
     pub peers: RefCell<PeerTable>,
     /// Contact with the configuration store.
     pub contact: Cell<StoreContact>,
+    /// Whether tasks may ask the store.
+    pub store_gate: StoreGate,
     /// Where this VM is between start and end.
     pub stage: Cell<VmStage>,
     /// When it began to serve.
@@ -142,6 +142,10 @@
     pub shard_due: Notify,
     /// Woken when a budget's record changed.
     pub grant_changed: Notify,
+    /// The newest version of the configuration that another VM knows.
+    pub config_elsewhere: Cell<u64>,
+    /// The newest revision of a change of upstreams that another VM knows.
+    pub upstreams_elsewhere: Cell<u64>,
     /// Woken when another VM knows a newer configuration.
     pub config_hint: Notify,
     /// Woken when another VM knows newer upstreams.
@@ -173,7 +177,6 @@
             upstreams: RefCell::default(),
             upstreams_known: Cell::new(false),
             loads: RefCell::default(),
-            changed_loads: RefCell::default(),
             placed: RefCell::default(),
             pool: RefCell::default(),
             retries: RefCell::new(retries),
@@ -182,6 +185,7 @@
             scarce_elsewhere: RefCell::default(),
             peers: RefCell::default(),
             contact: Cell::new(StoreContact::new()),
+            store_gate: StoreGate::default(),
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
             active: Cell::new(0),
@@ -200,6 +204,8 @@
             grant_due: Notify::new(),
             shard_due: Notify::new(),
             grant_changed: Notify::new(),
+            config_elsewhere: Cell::new(0),
+            upstreams_elsewhere: Cell::new(0),
             config_hint: Notify::new(),
             upstream_hint: Notify::new(),
             closing: Notify::new(),
@@ -257,9 +263,11 @@
         match error {
             None | Some(StoreError::LeaseLapsed | StoreError::ValueTooLarge { .. }) => {
                 if contact.note_answer(now) {
+                    self.gossip_due.notify_one();
                     info!(self.log, "store regained");
                     self.upstreams.borrow_mut().note_store_return(now);
                 }
+                self.store_gate.open();
             }
             Some(error) => {
                 self.metrics
@@ -272,6 +280,13 @@
         self.contact.set(contact);
     }
 
+    /// Notes that a call to the store failed, and waits until it should be made again.
+    pub async fn retry_store(&self, error: &StoreError) {
+        self.note_store(Some(error));
+        let failing = self.contact.get().failing_for(self.now());
+        self.store_gate.wait(failing, self.vm_count()).await;
+    }
+
     /// Acts on changes of what is known of upstreams.
     pub fn apply_upstream_changes(&self, changes: Vec<UpstreamChange>) {
         for change in changes {
@@ -316,12 +331,6 @@
         self.direct_messages.borrow_mut().push((target, message));
         self.direct_due.notify_one();
     }
-
-    /// Notes that the load of an upstream changed.
-    pub fn load_changed(&self, id: &UpstreamId) {
-        self.changed_loads.borrow_mut().insert(id.clone());
-        self.gossip_due.notify_one();
-    }
 }
 
 fn store_reason(error: &StoreError) -> &'static str {
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -14,7 +14,6 @@
 use slog::debug;
 use slog::info;
 use snipegate_types::TokenCount;
-use snipegate_types::UpstreamId;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -32,6 +31,7 @@
 use crate::transfer::TokenTransfer;
 use crate::transfer::note_taken;
 use crate::transfer::take_transfer;
+use crate::upstream::upstream_code;
 
 /// Shortest pause between two messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
@@ -42,8 +42,11 @@
 /// Longest pause between two messages.
 const MAX_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Every message with this number tells the load of all upstreams.
-const FULL_EVERY: u64 = 8;
+/// Every message with this number tells which tokens are free.
+const FREE_EVERY: u64 = 8;
+
+/// Data centres with at least this many VMs get a message once, and pass it on.
+const RELAY_FROM: usize = 6;
 
 /// Largest message, in bytes.
 const MAX_MESSAGE: usize = 16 * 1024;
@@ -54,8 +57,8 @@
 /// A prompt that was sent to an upstream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacedPrompt {
-    /// The upstream.
-    pub upstream: UpstreamId,
+    /// The upstream, by its code.
+    pub upstream: u32,
     /// Id and length of the parts of the prompt.
     pub parts: Vec<(u64, u64)>,
 }
@@ -69,8 +72,10 @@
     pub config: u64,
     /// The revision of the newest change of upstreams that it knows.
     pub upstreams: u64,
-    /// Its load at upstreams.
-    pub loads: Vec<(UpstreamId, UpstreamNews)>,
+    /// Whether it found the store back a moment ago.
+    pub store_regained: bool,
+    /// Its load at upstreams; it has none at those that are not named.
+    pub loads: Vec<(u32, UpstreamNews)>,
     /// Prompts that it placed since its last message.
     pub placed: Vec<PlacedPrompt>,
     /// Hashes of workspaces whose budget is short there.
@@ -84,6 +89,8 @@
 pub enum PeerMessage {
     /// What the sender knows and does.
     Gossip(Box<GossipMessage>),
+    /// The same, to be passed on to the VMs of the receiver's data centre.
+    Relay(Box<GossipMessage>),
     /// Tokens of a budget that the sender needs.
     TokenAsk(TokenAsk),
     /// What came of an ask of the receiver.
@@ -139,13 +146,31 @@
 
 fn send_message(gateway: &Gateway, socket: &UdpSocket, number: u64) {
     let now = gateway.now();
-    let message = PeerMessage::Gossip(Box::new(build_message(gateway, number, now)));
+    let message = Box::new(build_message(gateway, number, now));
     gateway.peers.borrow_mut().forget_gone(now);
-    let targets: Vec<SocketAddr> = gateway.peers.borrow().gossip_targets().collect();
-    send_to(gateway, socket, &message, &targets);
+    let own = &gateway.settings.data_centre;
+    let targets = gateway.peers.borrow().gossip_targets(own, RELAY_FROM, now);
+    let direct = PeerMessage::Gossip(message.clone());
+    send_to(gateway, socket, &direct, &targets.direct);
+    if !targets.relays.is_empty() {
+        send_to(
+            gateway,
+            socket,
+            &PeerMessage::Relay(message),
+            &targets.relays,
+        );
+    }
     gateway.metrics.count("gossip.sent");
 }
 
+/// Passes a message on to the other VMs of this data centre.
+fn pass_on(gateway: &Gateway, socket: &UdpSocket, message: Box<GossipMessage>) {
+    let own = &gateway.settings.data_centre;
+    let targets = gateway.peers.borrow().in_data_centre(own);
+    send_to(gateway, socket, &PeerMessage::Gossip(message), &targets);
+    gateway.metrics.count("gossip.passed_on");
+}
+
 fn send_to(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
     let bytes = match rmp_serde::to_vec(message) {
         Ok(bytes) => bytes,
@@ -163,14 +188,12 @@
 }
 
 fn build_message(gateway: &Gateway, number: u64, now: Instant) -> GossipMessage {
-    let changed = std::mem::take(&mut *gateway.changed_loads.borrow_mut());
-    let full = number.is_multiple_of(FULL_EVERY);
     let loads = gateway
         .loads
         .borrow()
         .own_news(now)
-        .filter(|(id, _)| full || changed.contains(*id))
-        .map(|(id, news)| (id.clone(), news))
+        .filter(|(_, news)| news.is_worth_telling())
+        .map(|(id, news)| (upstream_code(id), news))
         .collect();
     let mut scarce = gateway.scarce.borrow_mut();
     scarce.retain(|_, at| now.saturating_duration_since(*at) < SCARCE_LIFE);
@@ -179,9 +202,10 @@
         sender: gateway.own_record(),
         config: config.as_ref().map_or(0, |config| config.version.0),
         upstreams: gateway.upstreams.borrow().latest().0,
+        store_regained: gateway.contact.get().is_regained(now),
         loads,
         placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
-        free: if full {
+        free: if number.is_multiple_of(FREE_EVERY) {
             free_tokens(gateway)
         } else {
             Vec::new()
@@ -212,6 +236,10 @@
         };
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_message(&gateway, *message),
+            Ok(PeerMessage::Relay(message)) => {
+                pass_on(&gateway, &socket, message.clone());
+                apply_message(&gateway, *message);
+            }
             Ok(PeerMessage::TokenAsk(ask)) => take_ask(&gateway, sender, ask),
             Ok(PeerMessage::TokenAnswer(answer)) => take_answer(&gateway, sender, answer),
             Ok(PeerMessage::Transfer(transfer)) => take_transfer(&gateway, sender, transfer),
@@ -244,11 +272,18 @@
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
+    if message.store_regained && gateway.contact.get().is_failing() {
+        gateway.store_gate.hint();
+    }
     let own_config = gateway.config.borrow().as_ref().map_or(0, |c| c.version.0);
     if message.config > own_config {
+        let newest = gateway.config_elsewhere.get().max(message.config);
+        gateway.config_elsewhere.set(newest);
         gateway.config_hint.notify_one();
     }
     if message.upstreams > gateway.upstreams.borrow().known_through().0 {
+        let newest = gateway.upstreams_elsewhere.get().max(message.upstreams);
+        gateway.upstreams_elsewhere.set(newest);
         gateway.upstream_hint.notify_one();
     }
     if !message.scarce.is_empty() {
@@ -261,25 +296,26 @@
 fn apply_loads(
     gateway: &Gateway,
     peer: u64,
-    news: Vec<(UpstreamId, UpstreamNews)>,
+    news: Vec<(u32, UpstreamNews)>,
     placed: Vec<PlacedPrompt>,
     now: Instant,
 ) {
     let upstreams = gateway.upstreams.borrow();
     let mut loads = gateway.loads.borrow_mut();
-    for (id, news) in news {
-        if upstreams.get(&id).is_some() {
-            loads.note_peer(&id, peer, news, now);
+    loads.forget_peer(peer);
+    for (code, news) in news {
+        if let Some(id) = upstreams.id_of(code) {
+            loads.note_peer(id, peer, news, now);
         }
     }
     for prompt in placed {
-        if upstreams.get(&prompt.upstream).is_some() {
+        if let Some(id) = upstreams.id_of(prompt.upstream) {
             let parts: Vec<PromptPart> = prompt
                 .parts
                 .iter()
                 .map(|&(id, tokens)| PromptPart { id, tokens })
                 .collect();
-            loads.entry(&prompt.upstream, now).cache.note(&parts, now);
+            loads.entry(id, now).cache.note(&parts, now);
         }
     }
 }
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod retry_budget;
 mod stage;
 mod store_contact;
+mod store_gate;
 mod terms;
 mod ticket;
 mod token_ask;
--- a/lib/gateway/src/load.rs
+++ b/lib/gateway/src/load.rs
@@ -18,6 +18,9 @@
 /// Time in which the weight of an outcome falls to 1/e.
 const OUTCOME_LIFE: Duration = Duration::from_secs(4);
 
+/// Failures, weighed by age, that are worth telling by themselves.
+const TOLD_FAILURES: f32 = 0.1;
+
 /// Time to the first byte for each token, before any was seen, in ms.
 const FIRST_PACE_MS: f64 = 0.025;
 
@@ -79,6 +82,14 @@
     pub outcomes: OutcomeTally,
 }
 
+impl UpstreamNews {
+    /// Tells whether it differs from what is assumed of an upstream that a VM does
+    /// not name.
+    pub fn is_worth_telling(&self) -> bool {
+        self.load != WorkLoad::default() || self.outcomes.failed > TOLD_FAILURES
+    }
+}
+
 #[derive(Debug)]
 struct PeerNews {
     news: UpstreamNews,
@@ -231,6 +242,13 @@
         load.service_ms += SAMPLE_WEIGHT * (span.as_secs_f64() * 1e3 - load.service_ms);
     }
 
+    /// Forgets what another VM said of all upstreams.
+    pub fn forget_peer(&mut self, peer: u64) {
+        for load in self.upstreams.values_mut() {
+            load.peers.swap_remove(&peer);
+        }
+    }
+
     /// Takes what another VM says of an upstream.
     pub fn note_peer(&mut self, id: &UpstreamId, peer: u64, news: UpstreamNews, now: Instant) {
         let load = self.entry(id, now);
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -14,7 +14,6 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::own_answer::spread;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
 
@@ -30,9 +29,6 @@
 /// Pause after changes, in which more of them gather.
 const GATHER_PAUSE: Duration = Duration::from_millis(700);
 
-/// Pause after a call that the store did not answer.
-const FAILURE_PAUSE: Duration = Duration::from_millis(300);
-
 /// Keeps the record and follows the others until the process ends.
 pub async fn keep_membership<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     let follower = (Rc::clone(&gateway), Rc::clone(&store));
@@ -40,8 +36,7 @@
     loop {
         if let Err(error) = register_and_renew(&gateway, &*store).await {
             info!(gateway.log, "membership not kept"; "error" => %error);
-            gateway.note_store(Some(&error));
-            sleep(spread(FAILURE_PAUSE)).await;
+            gateway.retry_store(&error).await;
         }
     }
 }
@@ -54,9 +49,14 @@
     write_record(gateway, store, Some(lease)).await?;
     gateway.note_store(None);
     loop {
-        sleep(RENEWAL_INTERVAL).await;
-        store.keep_lease(lease).await?;
-        gateway.note_store(None);
+        if !gateway.contact.get().is_failing() {
+            sleep(RENEWAL_INTERVAL).await;
+        }
+        match store.keep_lease(lease).await {
+            Ok(()) => gateway.note_store(None),
+            Err(StoreError::LeaseLapsed) => return Err(StoreError::LeaseLapsed),
+            Err(error) => gateway.retry_store(&error).await,
+        }
     }
 }
 
@@ -92,8 +92,7 @@
 async fn follow_records<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.note_store(Some(&error));
-            sleep(spread(FAILURE_PAUSE)).await;
+            gateway.retry_store(&error).await;
         }
     }
 }
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -45,6 +45,15 @@
     heard: Option<Instant>,
 }
 
+/// Where a message goes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GossipTargets {
+    /// VMs that it is for.
+    pub direct: Vec<SocketAddr>,
+    /// VMs that pass it on to the others of their data centre.
+    pub relays: Vec<SocketAddr>,
+}
+
 /// The other VMs by id.
 #[derive(Debug, Default)]
 pub struct PeerTable {
@@ -120,9 +129,43 @@
         });
     }
 
-    /// Returns where to send what this VM has to say.
-    pub fn gossip_targets(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.values().map(|peer| peer.record.gossip)
+    /// Returns where to send what this VM, in data centre `own`, has to say.
+    ///
+    /// Another data centre with `relay_from` VMs or more gets it through one VM of
+    /// it, chosen by chance, as long as any of them is heard.
+    pub fn gossip_targets(
+        &self,
+        own: &DataCentre,
+        relay_from: usize,
+        now: Instant,
+    ) -> GossipTargets {
+        let mut by_place: IndexMap<&DataCentre, Vec<&PeerState>> = IndexMap::new();
+        for peer in self.peers.values() {
+            let place = &peer.record.data_centre;
+            by_place.entry(place).or_default().push(peer);
+        }
+        let mut targets = GossipTargets::default();
+        for (place, peers) in by_place {
+            let heard: Vec<&&PeerState> = peers.iter().filter(|p| !p.is_silent(now)).collect();
+            let relay = fastrand::choice(heard).filter(|_| peers.len() >= relay_from);
+            match relay {
+                Some(relay) if place != own => targets.relays.push(relay.record.gossip),
+                _ => targets
+                    .direct
+                    .extend(peers.iter().map(|peer| peer.record.gossip)),
+            }
+        }
+        targets
+    }
+
+    /// Returns where the other VMs of a data centre hear.
+    pub fn in_data_centre(&self, place: &DataCentre) -> Vec<SocketAddr> {
+        self.peers
+            .values()
+            .map(|peer| &peer.record)
+            .filter(|record| record.data_centre == *place)
+            .map(|record| record.gossip)
+            .collect()
     }
 
     /// Returns the VMs that serve and were heard lately.
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -400,7 +400,7 @@
         };
         loads.note_outcome(id, good, now);
         drop(loads);
-        self.gateway.load_changed(id);
+        self.gateway.gossip_due.notify_one();
         let Some(reason) = reason else {
             return;
         };
--- a/lib/gateway/src/store_contact.rs
+++ b/lib/gateway/src/store_contact.rs
@@ -6,11 +6,15 @@
 /// How long a VM without an answer of the store still counts as current.
 const CONTACT_SPAN: Duration = Duration::from_secs(7);
 
+/// How long an outage counts as just ended.
+const REGAINED_SPAN: Duration = Duration::from_secs(1);
+
 /// Contact with the configuration store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreContact {
     answered: Option<Instant>,
     failing_since: Option<Instant>,
+    regained_at: Option<Instant>,
 }
 
 /// How long calls fail before the store counts as lost.
@@ -22,6 +26,7 @@
         Self {
             answered: None,
             failing_since: None,
+            regained_at: None,
         }
     }
 
@@ -30,6 +35,9 @@
         let was_lost = self.is_lost(now);
         self.answered = Some(now);
         self.failing_since = None;
+        if was_lost {
+            self.regained_at = Some(now);
+        }
         was_lost
     }
 
@@ -40,6 +48,18 @@
         first
     }
 
+    /// Returns for how long calls have failed.
+    pub fn failing_for(&self, now: Instant) -> Duration {
+        self.failing_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Tells whether an outage has just ended.
+    pub fn is_regained(&self, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < REGAINED_SPAN;
+        self.regained_at.is_some_and(recent)
+    }
+
     /// Tells whether the newest call failed.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
--- a/lib/gateway/src/ticket.rs
+++ b/lib/gateway/src/ticket.rs
@@ -13,6 +13,7 @@
 use crate::gossip::PlacedPrompt;
 use crate::placement::PlacementChoice;
 use crate::terms::PromptShape;
+use crate::upstream::upstream_code;
 
 /// Counts a request at an upstream until it is dropped.
 pub struct LoadTicket {
@@ -38,11 +39,11 @@
             .begin(&choice.id, choice.unread, parts, now);
         if !parts.is_empty() {
             gateway.placed.borrow_mut().push(PlacedPrompt {
-                upstream: choice.id.clone(),
+                upstream: upstream_code(&choice.id),
                 parts: parts.iter().map(|part| (part.id, part.tokens)).collect(),
             });
         }
-        gateway.load_changed(&choice.id);
+        gateway.gossip_due.notify_one();
         Self {
             gateway: Rc::clone(gateway),
             upstream: choice.id.clone(),
@@ -58,7 +59,7 @@
             let mut loads = self.gateway.loads.borrow_mut();
             loads.prompt_read(&self.upstream, unread);
             drop(loads);
-            self.gateway.load_changed(&self.upstream);
+            self.gateway.gossip_due.notify_one();
         }
     }
 }
@@ -67,7 +68,7 @@
     fn drop(&mut self) {
         self.prompt_read();
         self.gateway.loads.borrow_mut().end(&self.upstream);
-        self.gateway.load_changed(&self.upstream);
+        self.gateway.gossip_due.notify_one();
     }
 }
 
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -11,6 +11,7 @@
 use strum::Display;
 
 use crate::config::ServiceName;
+use crate::gateway::hash_name;
 
 /// How long an entry that lapsed while the store was away may still be used.
 const LAPSE_GRACE: Duration = Duration::from_millis(1200);
@@ -66,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     known: IndexMap<UpstreamId, KnownUpstream>,
+    /// Ids by their codes.
+    ids: IndexMap<u32, UpstreamId>,
     latest: StoreRevision,
     known_through: StoreRevision,
     store_returned: Option<Instant>,
@@ -110,6 +113,7 @@
             return before.map(|_| UpstreamChange::Left(id.clone()));
         };
         let change = describe_change(before.as_ref(), &entry);
+        self.ids.insert(upstream_code(id), id.clone());
         self.known.insert(
             id.clone(),
             KnownUpstream {
@@ -145,6 +149,7 @@
             return None;
         }
         self.known.shift_remove(id);
+        self.ids.shift_remove(&upstream_code(id));
         Some(UpstreamChange::Left(id.clone()))
     }
 
@@ -188,6 +193,7 @@
             .collect();
         for id in &gone {
             self.known.shift_remove(id);
+            self.ids.shift_remove(&upstream_code(id));
         }
         gone.into_iter().map(UpstreamChange::Left).collect()
     }
@@ -200,12 +206,26 @@
             .filter(move |entry| &*entry.service == service && entry.phase == UpstreamPhase::Ready)
     }
 
+    /// Returns the id of a known upstream by its code.
+    pub fn id_of(&self, code: u32) -> Option<&UpstreamId> {
+        self.ids
+            .get(&code)
+            .filter(|id| self.known.contains_key(*id))
+    }
+
     /// Returns an upstream by id.
     pub fn get(&self, id: &UpstreamId) -> Option<&UpstreamEntry> {
         self.known.get(id).map(|known| &known.entry)
     }
 }
 
+/// Returns a short code of an upstream's id, the same on all VMs.
+///
+/// Two upstreams may share one; codes serve only to tell of load.
+pub fn upstream_code(id: &UpstreamId) -> u32 {
+    hash_name(id.as_str()) as u32
+}
+
 fn describe_change(
     before: Option<&UpstreamEntry>,
     entry: &UpstreamEntry,
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -12,16 +12,18 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::config_follower::FAILURE_PAUSE;
+use crate::config_follower::HINT_PATIENCE;
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
-use crate::own_answer::spread;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamEntry;
 
 /// Pause after changes, in which more of them gather.
 const GATHER_PAUSE: Duration = Duration::from_millis(150);
 
+/// What each VM adds to this pause, so that a large fleet asks the store less often.
+const GATHER_PAUSE_PER_VM: Duration = Duration::from_millis(5);
+
 /// Pause between two looks at entries that lapsed.
 const LAPSE_LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -30,8 +32,7 @@
     spawn_local(drop_lapsed_in_time(Rc::clone(&gateway)));
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.note_store(Some(&error));
-            sleep(spread(FAILURE_PAUSE)).await;
+            gateway.retry_store(&error).await;
         }
     }
 }
@@ -43,7 +44,7 @@
         let watch = store.watch(prefix, after, WATCH_WAIT);
         let batch = tokio::select! {
             batch = watch => batch?,
-            () = gateway.upstream_hint.notified() => return Ok(()),
+            () = missed_change(gateway) => return Ok(()),
         };
         gateway.note_store(None);
         let WatchBatch::Changes { revision, changes } = batch else {
@@ -71,7 +72,20 @@
         gateway.upstreams.borrow_mut().note_known_through(after);
         if !applied.is_empty() {
             gateway.apply_upstream_changes(applied);
-            sleep(GATHER_PAUSE).await;
+            let vms = gateway.vm_count() as u32;
+            sleep(GATHER_PAUSE + GATHER_PAUSE_PER_VM * vms).await;
+        }
+    }
+}
+
+/// Returns once another VM has known a newer change for some time.
+async fn missed_change(gateway: &Gateway) {
+    loop {
+        gateway.upstream_hint.notified().await;
+        sleep(HINT_PATIENCE).await;
+        let known = gateway.upstreams.borrow().known_through().0;
+        if gateway.upstreams_elsewhere.get() > known {
+            return;
         }
     }
 }
