site: stand-in answers early, says 421, resets, and falls silent on watches

The stand-in lacked four of the platform's failures. `Echo` and the time of each request are for the soak.

--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::BytesMut;
 use snipegate_http1::AnswerHead;
@@ -16,9 +17,13 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::server::read_request;
+use crate::server::read_body;
+use crate::server::read_head;
 use crate::server::write_answer;
 
+/// Events of a stream of [`RunnerScript::Echo`].
+const ECHO_EVENTS: u64 = 3;
+
 /// What a runner does with each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunnerScript {
@@ -36,8 +41,17 @@
     Fail,
     /// It refuses and says that the request has not run.
     Refuse,
+    /// It is not the runner that was meant, and says so with 421.
+    Misdirected,
     /// It reads the request and closes.
     Close,
+    /// It reads the request and resets the connection.
+    Reset,
+    /// It answers in full before it reads the body, and reads on later.
+    EarlyAnswer,
+    /// It answers with the attempt's id after this pause; streams three such events
+    /// where the path says so.
+    Echo(Duration),
     /// It reads the request and says nothing.
     Silent,
     /// It streams this many events with a pause between them.
@@ -51,8 +65,10 @@
 pub struct SeenRequest {
     /// The head.
     pub head: RequestHead,
-    /// The body.
+    /// The body; empty where it was not read before the answer.
     pub body: Vec<u8>,
+    /// When it came.
+    pub at: Instant,
 }
 
 struct State {
@@ -112,16 +128,32 @@
     }
 }
 
+impl State {
+    fn note(&self, head: &RequestHead, body: Vec<u8>) {
+        let head = head.clone();
+        let at = Instant::now();
+        self.seen.borrow_mut().push(SeenRequest { head, body, at });
+    }
+}
+
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut buffer = BytesMut::new();
-    while let Some((head, body)) = read_request(&stream, &mut buffer).await {
-        let seen = SeenRequest {
-            head: head.clone(),
-            body,
-        };
-        state.seen.borrow_mut().push(seen);
-        if !answer(&state, &stream, &head).await {
+    while let Some(head) = read_head(&stream, &mut buffer).await {
+        let early = state.script.get() == RunnerScript::EarlyAnswer;
+        if early {
+            state.note(&head, Vec::new());
+            if !answer(&state, &stream, &head).await {
+                return;
+            }
+        }
+        let Some(body) = read_body(&stream, &mut buffer, &head).await else {
             return;
+        };
+        if !early {
+            state.note(&head, body);
+            if !answer(&state, &stream, &head).await {
+                return;
+            }
         }
     }
 }
@@ -131,7 +163,7 @@
     let body = b"the answer";
     let head = signed_head(request, 200);
     match state.script.get() {
-        RunnerScript::Whole => write_answer(stream, head, body).await,
+        RunnerScript::Whole | RunnerScript::EarlyAnswer => write_answer(stream, head, body).await,
         RunnerScript::NoLength => {
             let _ = write_raw(stream, &head, body).await;
             false
@@ -159,7 +191,15 @@
             head.headers.push("X-Not-Executed", "1");
             write_answer(stream, head, b"").await
         }
+        RunnerScript::Misdirected => {
+            write_answer(stream, AnswerHead::new(421, "Misdirected"), b"").await
+        }
         RunnerScript::Close => false,
+        RunnerScript::Reset => {
+            let _ = stream.set_zero_linger();
+            false
+        }
+        RunnerScript::Echo(pause) => echo(state, stream, request, pause).await,
         RunnerScript::Silent => {
             std::future::pending::<()>().await;
             false
@@ -173,6 +213,15 @@
     }
 }
 
+async fn echo(state: &State, stream: &TcpStream, request: &RequestHead, pause: Duration) -> bool {
+    if request.target.starts_with("/stream/") || request.target.starts_with("/resume/") {
+        return stream_events(state, stream, request, ECHO_EVENTS, pause, false).await;
+    }
+    sleep(pause).await;
+    let id = request.headers.get("X-Attempt-Id").unwrap_or_default();
+    write_answer(stream, signed_head(request, 200), id.as_bytes()).await
+}
+
 async fn stream_events(
     state: &State,
     stream: &TcpStream,
--- a/testing/site/src/server.rs
+++ b/testing/site/src/server.rs
@@ -16,21 +16,36 @@
     stream: &TcpStream,
     buffer: &mut BytesMut,
 ) -> Option<(RequestHead, Vec<u8>)> {
-    let head = loop {
+    let head = read_head(stream, buffer).await?;
+    let body = read_body(stream, buffer, &head).await?;
+    Some((head, body))
+}
+
+/// Reads the head of a request; `None` at the end of the connection.
+pub async fn read_head(stream: &TcpStream, buffer: &mut BytesMut) -> Option<RequestHead> {
+    loop {
         if let Some((head, length)) = parse_request(buffer).ok()? {
             let _ = buffer.split_to(length);
-            break head;
+            return Some(head);
         }
         if read_some(stream, buffer).await.ok()? == 0 {
             return None;
         }
-    };
-    let mut decoder = BodyDecoder::new(request_framing(&head).ok()?);
+    }
+}
+
+/// Reads the body of a request; `None` if the connection ends before.
+pub async fn read_body(
+    stream: &TcpStream,
+    buffer: &mut BytesMut,
+    head: &RequestHead,
+) -> Option<Vec<u8>> {
+    let mut decoder = BodyDecoder::new(request_framing(head).ok()?);
     let mut body = Vec::new();
     loop {
         match decoder.decode(buffer).ok()? {
             BodyStep::Data(data) => body.extend_from_slice(&data),
-            BodyStep::End => return Some((head, body)),
+            BodyStep::End => return Some(body),
             BodyStep::NeedMore => {
                 if read_some(stream, buffer).await.ok()? == 0 {
                     return None;
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -42,6 +42,8 @@
     DoneLater(Duration),
     /// Watches get 410.
     Compacted,
+    /// Watches are never answered.
+    WatchSilent,
 }
 
 #[derive(Clone)]
@@ -274,8 +276,14 @@
     let mut buffer = BytesMut::new();
     while let Some((head, body)) = read_request(&stream, &mut buffer).await {
         state.calls.set(state.calls.get() + 1);
-        let (status, answer) = match state.fault.get() {
-            StoreFault::None | StoreFault::Compacted => state.handle(&head, &body).await,
+        let fault = state.fault.get();
+        if fault == StoreFault::WatchSilent && head.path() == "/-/kv-watch" {
+            std::future::pending::<()>().await;
+        }
+        let (status, answer) = match fault {
+            StoreFault::None | StoreFault::Compacted | StoreFault::WatchSilent => {
+                state.handle(&head, &body).await
+            }
             StoreFault::Busy => (503, Value::Null),
             StoreFault::RateLimited => (429, Value::Null),
             StoreFault::Silent => {
