--- a/testing/fleet/src/child.rs
+++ b/testing/fleet/src/child.rs
@@ -1,5 +1,6 @@
 //! Processes under test, each ended by its own handle.
 
+use std::fs::File;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -52,6 +53,20 @@
         Self { name, child }
     }
 
+    /// Starts a binary of this workspace whose output goes to a file.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the binary can't be started.
+    pub fn start_logged(name: &str, binary: &str, args: &[String], log: File) -> Self {
+        let child = command(binary, args)
+            .stdout(log)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{binary} not started: {error}"));
+        let name = name.to_owned();
+        Self { name, child }
+    }
+
     /// Starts a stand-in and reads the address that it serves on.
     ///
     /// # Panics
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -69,6 +69,8 @@
     pub body: Vec<u8>,
     /// When it came.
     pub at: Instant,
+    /// Whether the runner began to work on it.
+    pub ran: bool,
 }
 
 struct State {
@@ -131,8 +133,13 @@
 impl State {
     fn note(&self, head: &RequestHead, body: Vec<u8>) {
         let head = head.clone();
-        let at = Instant::now();
-        self.seen.borrow_mut().push(SeenRequest { head, body, at });
+        let script = self.script.get();
+        self.seen.borrow_mut().push(SeenRequest {
+            head,
+            body,
+            at: Instant::now(),
+            ran: !matches!(script, RunnerScript::Refuse | RunnerScript::Misdirected),
+        });
     }
 }
 
--- /dev/null
+++ b/testing/soak/src/check.rs
@@ -0,0 +1,266 @@
+//! What must hold in a run, checked from what callers and upstreams saw.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::callers::CallEnd;
+use crate::callers::CallKind;
+use crate::callers::CallRecord;
+use crate::plan::DRAIN_BOUND;
+
+/// How long after a disturbance bounds of time do not hold.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// How late after it took effect an older configuration may still be used.
+const REVERT_SLACK: Duration = Duration::from_millis(250);
+
+/// What the body of a whole stream is.
+pub const WHOLE_STREAM: &str =
+    "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n";
+
+/// Tokens of the prompt of a generation.
+pub const PROMPT_TOKENS: u64 = 1000;
+
+/// A request that an upstream ran.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// The attempt's id.
+    pub id: String,
+    /// The path.
+    pub path: String,
+    /// The upstream.
+    pub upstream: usize,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// A time in which an upstream was leaving.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainRecord {
+    /// The upstream.
+    pub upstream: usize,
+    /// When the store was told.
+    pub from: Instant,
+    /// When it was back.
+    pub until: Instant,
+}
+
+/// A planned stop of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct StopRecord {
+    /// The VM.
+    pub vm: usize,
+    /// When it was asked to stop.
+    pub from: Instant,
+    /// When it had ended.
+    pub until: Instant,
+}
+
+/// A time in which something was wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// The VM; `None` for all.
+    pub vm: Option<usize>,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+}
+
+/// What happened in a run.
+#[derive(Clone, Debug, Default)]
+pub struct SoakRecord {
+    /// What the workspace had bought.
+    pub prepaid: u64,
+    /// What callers got.
+    pub calls: Vec<CallRecord>,
+    /// What upstreams ran.
+    pub runs: Vec<RunRecord>,
+    /// Upstreams that left.
+    pub drains: Vec<DrainRecord>,
+    /// Processes that were stopped.
+    pub stops: Vec<StopRecord>,
+    /// What was wrong.
+    pub disturbances: Vec<Disturbance>,
+    /// VMs that did not serve, or not the newest configuration, at the calm end.
+    pub not_recovered: Vec<usize>,
+}
+
+/// Something that must not happen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// More ran than was bought, in tokens.
+    Overspent(u64),
+    /// A request that may run once ran more often.
+    RanTwice(String),
+    /// A request was refused as not run, and ran.
+    RefusedAndRan(String),
+    /// A success that is not the caller's own whole answer.
+    WrongAnswer(String),
+    /// An upstream ran a request that no caller made, or made otherwise.
+    NotAsked(String),
+    /// A leaving upstream got a new request.
+    SentToLeaving(String),
+    /// A planned stop cut a request off.
+    CutOff(String),
+    /// A process went back to an older configuration.
+    Reverted(String),
+    /// A VM did not serve, or not the newest configuration, at the calm end.
+    NotRecovered(usize),
+}
+
+/// Returns everything that must not have happened.
+pub fn check_record(record: &SoakRecord) -> Vec<Violation> {
+    let calls: BTreeMap<&str, &CallRecord> = record
+        .calls
+        .iter()
+        .map(|call| (call.id.as_str(), call))
+        .collect();
+    let mut violations = Vec::new();
+    check_budget(record, &mut violations);
+    check_runs(record, &calls, &mut violations);
+    check_answers(record, &mut violations);
+    check_drains(record, &calls, &mut violations);
+    check_stops(record, &mut violations);
+    check_versions(record, &mut violations);
+    let stuck = record.not_recovered.iter().copied();
+    violations.extend(stuck.map(Violation::NotRecovered));
+    violations
+}
+
+/// Every run of a generation costs its prompt at least.
+fn check_budget(record: &SoakRecord, violations: &mut Vec<Violation>) {
+    let path = CallKind::Stream.path();
+    let streams = record.runs.iter().filter(|run| run.path == path).count();
+    let spent = streams as u64 * PROMPT_TOKENS;
+    if spent > record.prepaid {
+        violations.push(Violation::Overspent(spent));
+    }
+}
+
+fn check_runs(
+    record: &SoakRecord,
+    calls: &BTreeMap<&str, &CallRecord>,
+    violations: &mut Vec<Violation>,
+) {
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    for run in &record.runs {
+        *counts.entry(&run.id).or_default() += 1;
+        if calls
+            .get(run.id.as_str())
+            .is_none_or(|call| call.kind.path() != run.path)
+        {
+            violations.push(Violation::NotAsked(run.id.clone()));
+        }
+    }
+    for call in record.calls.iter().filter(|call| call.kind.runs_once()) {
+        let count = counts.get(call.id.as_str()).copied().unwrap_or_default();
+        if count > 1 {
+            violations.push(Violation::RanTwice(call.id.clone()));
+        }
+        let refused = matches!(call.end, CallEnd::Answer { status, .. } if is_refusal(status));
+        if refused && count > 0 {
+            violations.push(Violation::RefusedAndRan(call.id.clone()));
+        }
+    }
+}
+
+/// Statuses that say that a request has not run and never will.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+fn check_answers(record: &SoakRecord, violations: &mut Vec<Violation>) {
+    for call in &record.calls {
+        let CallEnd::Answer {
+            status: 200,
+            attempt,
+            body,
+        } = &call.end
+        else {
+            continue;
+        };
+        let expected = match call.kind {
+            CallKind::Stream => WHOLE_STREAM,
+            _ => &call.id,
+        };
+        if *attempt != call.id || body != expected.as_bytes() {
+            violations.push(Violation::WrongAnswer(call.id.clone()));
+        }
+    }
+}
+
+fn check_drains(
+    record: &SoakRecord,
+    calls: &BTreeMap<&str, &CallRecord>,
+    violations: &mut Vec<Violation>,
+) {
+    for drain in &record.drains {
+        let late = record.runs.iter().filter(|run| {
+            run.upstream == drain.upstream
+                && run.at > drain.from + DRAIN_BOUND
+                && run.at < drain.until
+        });
+        for run in late {
+            let calm = calls.get(run.id.as_str()).is_some_and(|call| {
+                let touched = drain.from.checked_sub(SETTLE).unwrap_or(drain.from);
+                call.sent > drain.from && !is_disturbed(record, call.vm, touched, run.at)
+            });
+            if calm {
+                violations.push(Violation::SentToLeaving(run.id.clone()));
+            }
+        }
+    }
+}
+
+fn check_stops(record: &SoakRecord, violations: &mut Vec<Violation>) {
+    for stop in &record.stops {
+        let cut = record.calls.iter().filter(|call| {
+            call.vm == stop.vm
+                && call.end == CallEnd::Broken
+                && call.sent < stop.until
+                && call.ended > stop.from
+        });
+        for call in cut {
+            let has_run = record.runs.iter().any(|run| run.id == call.id);
+            let since = stop.from.checked_sub(SETTLE).unwrap_or(stop.from);
+            if has_run && !is_disturbed(record, stop.vm, since, call.ended) {
+                violations.push(Violation::CutOff(call.id.clone()));
+            }
+        }
+    }
+}
+
+fn check_versions(record: &SoakRecord, violations: &mut Vec<Violation>) {
+    // When each process was first seen with each version.
+    let mut seen: BTreeMap<(usize, usize, u64), Instant> = BTreeMap::new();
+    for call in &record.calls {
+        if let (CallKind::Probe(version), CallEnd::Answer { status, .. }) = (call.kind, &call.end)
+            && *status == 200
+        {
+            let key = (call.vm, call.process, version);
+            let first = seen.entry(key).or_insert(call.ended);
+            *first = (*first).min(call.ended);
+        }
+    }
+    for call in &record.calls {
+        if let (CallKind::Probe(version), CallEnd::Answer { status, .. }) = (call.kind, &call.end)
+            && *status == 404
+            && seen
+                .get(&(call.vm, call.process, version))
+                .is_some_and(|first| call.sent > *first + REVERT_SLACK)
+        {
+            violations.push(Violation::Reverted(call.id.clone()));
+        }
+    }
+}
+
+/// Tells whether anything was wrong with a VM in a time.
+fn is_disturbed(record: &SoakRecord, vm: usize, from: Instant, until: Instant) -> bool {
+    record.disturbances.iter().any(|disturbance| {
+        disturbance.vm.is_none_or(|disturbed| disturbed == vm)
+            && disturbance.from <= until
+            && disturbance.until + SETTLE >= from
+    })
+}
--- /dev/null
+++ b/testing/soak/tests/test_check.rs
@@ -0,0 +1,190 @@
+//! Each promise broken once in a record: the check sees it, and only it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use snipegate_soak::CallEnd;
+use snipegate_soak::CallKind;
+use snipegate_soak::CallRecord;
+use snipegate_soak::Disturbance;
+use snipegate_soak::DrainRecord;
+use snipegate_soak::FaultPlan;
+use snipegate_soak::RunRecord;
+use snipegate_soak::SoakRecord;
+use snipegate_soak::StopRecord;
+use snipegate_soak::Violation;
+use snipegate_soak::check_record;
+
+const STREAM: &[u8] = b"id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n";
+
+fn second(start: Instant, seconds: f64) -> Instant {
+    start + Duration::from_secs_f64(seconds)
+}
+
+fn answered(status: u16, id: &str, body: &[u8]) -> CallEnd {
+    CallEnd::Answer {
+        status,
+        attempt: id.to_owned(),
+        body: body.to_vec(),
+    }
+}
+
+fn call(id: &str, kind: CallKind, sent: Instant, end: CallEnd) -> CallRecord {
+    CallRecord {
+        id: id.to_owned(),
+        kind,
+        vm: 0,
+        process: 1,
+        sent,
+        ended: second(sent, 0.1),
+        end,
+    }
+}
+
+fn run(id: &str, kind: CallKind, at: Instant) -> RunRecord {
+    RunRecord {
+        id: id.to_owned(),
+        path: kind.path(),
+        upstream: 0,
+        at,
+    }
+}
+
+/// A booking and a generation that went well.
+fn good_record(start: Instant) -> SoakRecord {
+    let sent = second(start, 1.0);
+    let booked = answered(200, "b", b"b");
+    let streamed = answered(200, "s", STREAM);
+    SoakRecord {
+        prepaid: 1000,
+        calls: vec![
+            call("b", CallKind::Booking, sent, booked),
+            call("s", CallKind::Stream, sent, streamed),
+        ],
+        runs: vec![
+            run("b", CallKind::Booking, sent),
+            run("s", CallKind::Stream, sent),
+        ],
+        ..SoakRecord::default()
+    }
+}
+
+#[test]
+fn good_record_has_no_violation() {
+    assert_eq!(check_record(&good_record(Instant::now())), []);
+}
+
+#[test]
+fn overspending_is_seen() {
+    let mut record = good_record(Instant::now());
+    record.prepaid = 999;
+    assert_eq!(check_record(&record), [Violation::Overspent(1000)]);
+}
+
+#[test]
+fn second_run_is_seen() {
+    let mut record = good_record(Instant::now());
+    record.runs.push(record.runs[0].clone());
+    assert_eq!(check_record(&record), [Violation::RanTwice("b".into())]);
+}
+
+#[test]
+fn refusal_of_what_ran_is_seen() {
+    let mut record = good_record(Instant::now());
+    record.calls[0].end = answered(503, "", b"");
+    let expected = Violation::RefusedAndRan("b".into());
+    assert_eq!(check_record(&record), [expected]);
+}
+
+#[test]
+fn answer_that_is_not_whole_or_not_the_callers_is_seen() {
+    let start = Instant::now();
+    for end in [
+        answered(200, "b", b"another"),
+        answered(200, "another", b"b"),
+        answered(200, "b", b""),
+    ] {
+        let mut record = good_record(start);
+        record.calls[0].end = end;
+        assert_eq!(check_record(&record), [Violation::WrongAnswer("b".into())]);
+    }
+    let mut record = good_record(start);
+    record.calls[1].end = answered(200, "s", &STREAM[..STREAM.len() - 1]);
+    assert_eq!(check_record(&record), [Violation::WrongAnswer("s".into())]);
+}
+
+#[test]
+fn request_that_nobody_made_is_seen() {
+    let mut record = good_record(Instant::now());
+    record.runs[0].path = "/read/".into();
+    assert_eq!(check_record(&record), [Violation::NotAsked("b".into())]);
+    record.runs[0] = run("x", CallKind::Booking, Instant::now());
+    assert_eq!(check_record(&record), [Violation::NotAsked("x".into())]);
+}
+
+#[test]
+fn request_to_a_leaving_upstream_is_seen_unless_something_was_wrong() {
+    let start = Instant::now();
+    let mut record = good_record(start);
+    let late = second(start, 5.0);
+    record.calls[0].sent = late;
+    record.runs[0].at = late;
+    record.drains.push(DrainRecord {
+        upstream: 0,
+        from: second(start, 1.5),
+        until: second(start, 6.0),
+    });
+    let expected = Violation::SentToLeaving("b".into());
+    assert_eq!(check_record(&record), [expected]);
+    record.disturbances.push(Disturbance {
+        vm: Some(0),
+        from: second(start, 2.0),
+        until: second(start, 2.1),
+    });
+    assert_eq!(check_record(&record), []);
+}
+
+#[test]
+fn request_cut_off_by_a_planned_stop_is_seen() {
+    let start = Instant::now();
+    let mut record = good_record(start);
+    record.calls[0].end = CallEnd::Broken;
+    record.stops.push(StopRecord {
+        vm: 0,
+        from: second(start, 0.5),
+        until: second(start, 3.5),
+    });
+    assert_eq!(check_record(&record), [Violation::CutOff("b".into())]);
+}
+
+#[test]
+fn older_configuration_is_seen_within_one_process() {
+    let start = Instant::now();
+    let mut record = good_record(start);
+    let kind = CallKind::Probe(7);
+    let first = second(start, 2.0);
+    let has = answered(200, "p1", b"p1");
+    record.calls.push(call("p1", kind, first, has));
+    let late = second(start, 3.0);
+    let lacks = answered(404, "", b"");
+    record.calls.push(call("p2", kind, late, lacks));
+    assert_eq!(check_record(&record), [Violation::Reverted("p2".into())]);
+    record.calls[3].process = 2;
+    assert_eq!(check_record(&record), []);
+}
+
+#[test]
+fn vm_that_does_not_recover_is_seen() {
+    let mut record = good_record(Instant::now());
+    record.not_recovered.push(1);
+    assert_eq!(check_record(&record), [Violation::NotRecovered(1)]);
+}
+
+#[test]
+fn plan_follows_from_its_seed() {
+    let span = Duration::from_secs(20);
+    let plan = FaultPlan::new(5, 4, 3, span);
+    assert_eq!(plan, FaultPlan::new(5, 4, 3, span));
+    assert_ne!(plan, FaultPlan::new(6, 4, 3, span));
+    assert!(plan.faults.iter().all(|fault| fault.until <= span));
+}
