--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller;
 mod config;
 mod config_follower;
+mod demand;
 mod dialect;
 mod event_stream;
 mod front;
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -18,6 +18,7 @@
 use crate::budget_record::BudgetTotals;
 use crate::budget_record::BudgetView;
 use crate::budget_record::GrantAsk;
+use crate::demand::DemandMeter;
 
 /// How long a grant should last at the present demand: an outage of the store.
 const GRANT_SPAN: Duration = Duration::from_secs(6);
@@ -40,12 +41,6 @@
 /// A member hands back what is more than this many times its target.
 const SURPLUS_FACTOR: f64 = 2.0;
 
-/// Time in which the weight of past demand falls to 1/e.
-const DEMAND_LIFE: Duration = Duration::from_secs(8);
-
-/// Shortest time over which demand is averaged.
-const MIN_DEMAND_SPAN: Duration = Duration::from_millis(1500);
-
 /// A grant is renewed when less than this part of its target is free.
 const RENEW_PART: f64 = 0.6;
 
@@ -128,9 +123,7 @@
     wanted: TokenCount,
     /// Demand that the keeper was not told of.
     untold_demand: TokenCount,
-    demand: f64,
-    demand_at: Instant,
-    demand_began: Option<Instant>,
+    demand: DemandMeter,
 }
 
 impl BudgetPurse {
@@ -160,9 +153,7 @@
             received: TokenCount::ZERO,
             wanted: TokenCount::ZERO,
             untold_demand: TokenCount::ZERO,
-            demand: 0.0,
-            demand_at: now,
-            demand_began: None,
+            demand: DemandMeter::new(now),
         }
     }
 
@@ -282,9 +273,7 @@
 
     /// Notes demand of this VM or of others.
     pub fn note_demand(&mut self, cost: TokenCount, now: Instant) {
-        self.demand = self.demand_now(now) + cost.0 as f64;
-        self.demand_began.get_or_insert(now);
-        self.demand_at = now;
+        self.demand.note(cost, now);
     }
 
     /// Reserves the greatest cost of a request.
@@ -437,14 +426,14 @@
             PurseRole::Keeper => STOCK_PART * self.left_part() * left,
             _ => 0.0,
         };
-        (self.demand_rate(now) * self.span(GRANT_SPAN))
+        (self.demand.rate(now) * self.span(GRANT_SPAN))
             .min(share)
             .max(stock)
     }
 
     /// Returns how many tokens a member should have at the present demand.
     fn member_target(&self, now: Instant) -> f64 {
-        self.demand_rate(now) * self.span(MEMBER_SPAN)
+        self.demand.rate(now) * self.span(MEMBER_SPAN)
     }
 
     /// Returns how long a grant should last, in seconds; less where little is left.
@@ -458,23 +447,6 @@
         self.unassigned().0 as f64 / (self.prepaid.0 as f64).max(1.0)
     }
 
-    /// Returns the tokens a second that requests asked for lately.
-    fn demand_rate(&self, now: Instant) -> f64 {
-        let Some(first) = self.demand_began else {
-            return 0.0;
-        };
-        let life = DEMAND_LIFE.as_secs_f64();
-        let watched = now.saturating_duration_since(first).max(MIN_DEMAND_SPAN);
-        let seen = 1.0 - (-watched.as_secs_f64() / life).exp();
-        self.demand_now(now) / (life * seen)
-    }
-
-    /// Returns the tokens asked for, the older ones with less weight.
-    fn demand_now(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.demand_at);
-        self.demand * (-age.as_secs_f64() / DEMAND_LIFE.as_secs_f64()).exp()
-    }
-
     /// Returns the use that this run has to tell the record of.
     fn accounted(&self) -> TokenCount {
         self.used
