gateway: a task waits at most 1 s for another one that asks the store

Ruled out: lost hints (the VMs were stuck before any were sent), full links (gone with the shorter messages).

Change: the listing opens the gate, and no task waits longer than 1 s.

The test of a task that asks and hangs failed before (no return within 2.5 s) and passes now.

--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -95,6 +95,7 @@
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryRule;
 pub use stage::VmStage;
+pub use store_gate::StoreGate;
 pub use terms::AnswerTerms;
 pub use terms::PromptPart;
 pub use terms::PromptShape;
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -111,6 +111,7 @@
         };
         page = store.list(prefix, Some(&last)).await?;
     }
+    gateway.note_store(None);
     gateway.peers.borrow_mut().replace_listed(records);
     loop {
         let batch = store.watch(prefix, after, WATCH_WAIT).await?;
--- a/lib/gateway/src/store_gate.rs
+++ b/lib/gateway/src/store_gate.rs
@@ -22,8 +22,11 @@
 /// Part of the time for which calls have failed that the next pause takes.
 const PAUSE_PART: f64 = 0.5;
 
+/// Longest wait for the task that asks: its call may take as long as a watch.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// While the store does not answer, one task goes on asking it; the others wait
-/// until it answers.
+/// until it answers, but not for long.
 #[derive(Debug, Default)]
 pub struct StoreGate {
     is_asked: Cell<bool>,
@@ -37,7 +40,7 @@
     /// `failing` tells for how long calls have failed, `vms` how many VMs there are.
     pub async fn wait(&self, failing: Duration, vms: usize) {
         if self.is_asked.replace(true) {
-            self.answered.notified().await;
+            let _ = timeout(MAX_WAIT, self.answered.notified()).await;
             return;
         }
         let _asking = AskingGuard(&self.is_asked);
