gateway: an answer of 500 counts against the upstream that gave it

Change: it counts as a failure. Up to a tenth of failures says nothing against an upstream, since some requests fail wherever they run.

--- a/lib/gateway/src/placement.rs
+++ b/lib/gateway/src/placement.rs
@@ -29,6 +29,10 @@
 /// Cost of an upstream that fails every request, in ms.
 const FAILURE_COST_MS: f64 = 4000.0;
 
+/// Share of failures that says nothing against an upstream: some requests fail
+/// wherever they run.
+const USUAL_FAILURES: f64 = 0.1;
+
 /// Up to this many upstreams are all weighed. Of more, only some are: with old
 /// news of their load, all VMs would pick the same one.
 const WEIGHED_ALL: usize = 16;
@@ -111,6 +115,12 @@
     candidates
 }
 
+/// Returns the cost of an upstream that fails this share of its requests, in ms.
+fn failure_cost_ms(share: f64) -> f64 {
+    let excess = (share - USUAL_FAILURES).max(0.0) / (1.0 - USUAL_FAILURES);
+    FAILURE_COST_MS * excess
+}
+
 /// Returns the cost in ms and what would be chosen.
 fn weigh(
     load: &UpstreamLoad,
@@ -119,7 +129,7 @@
     now: Instant,
 ) -> (f64, PlacementChoice) {
     let total = load.total(now);
-    let failing = FAILURE_COST_MS * load.outcomes(now).failed_share();
+    let failing = failure_cost_ms(load.outcomes(now).failed_share());
     let near = entry.data_centre == *ask.data_centre;
     let distance = if near { 0.0 } else { DISTANCE_COST_MS };
     let jitter = fastrand::f64();
--- a/lib/gateway/src/relay/ending.rs
+++ b/lib/gateway/src/relay/ending.rs
@@ -56,9 +56,7 @@
         let mut loads = self.gateway.loads.borrow_mut();
         let (good, reason) = match end {
             SendEnd::Answered => (true, None),
-            SendEnd::Failed(head, _) => {
-                (head.status == 500, Some(format!("status_{}", head.status)))
-            }
+            SendEnd::Failed(head, _) => (false, Some(format!("status_{}", head.status))),
             SendEnd::NotRun => (false, Some("not_run".to_owned())),
             SendEnd::Broken(failure) => (false, Some(failure.to_string())),
         };
