--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -37,6 +37,7 @@
 use crate::edges::EdgeVm;
 use crate::link::LinkFault;
 use crate::link::TestLink;
+use crate::plan::DRAIN_BOUND;
 use crate::plan::FaultPlan;
 use crate::plan::SoakFault;
 
@@ -64,6 +65,9 @@
 /// Calm time after the faults, in which all has to recover.
 const CALM: Duration = Duration::from_secs(6);
 
+/// How long an upstream is watched after the time in which it may get requests.
+const CALM_DRAIN: Duration = Duration::from_millis(1500);
+
 /// Longest wait for processes to begin to serve.
 const START_WAIT: Duration = Duration::from_secs(20);
 
@@ -112,12 +116,7 @@
     run.play(&plan).await?;
     run.recover().await?;
     run.check_recovery(&pool).await;
-    // A planned stop while nothing is wrong.
-    run.begin(SoakFault::Stop(0));
-    while !run.open_stops.borrow().is_empty() {
-        sleep(TICK).await;
-        run.note_stops()?;
-    }
+    run.play_planned_work().await?;
     pool.is_over.set(true);
     for task in tasks {
         task.await.map_err(io::Error::other)?;
@@ -299,6 +298,20 @@
         Ok(())
     }
 
+    /// Plays planned work while nothing is wrong, so that nothing excuses a fault.
+    async fn play_planned_work(&self) -> io::Result<()> {
+        let began = Instant::now();
+        self.begin(SoakFault::Drain(0));
+        sleep(DRAIN_BOUND + CALM_DRAIN).await;
+        self.end(SoakFault::Drain(0), began)?;
+        self.begin(SoakFault::Stop(0));
+        while !self.open_stops.borrow().is_empty() {
+            sleep(TICK).await;
+            self.note_stops()?;
+        }
+        Ok(())
+    }
+
     /// Notes VMs that do not serve the newest configuration.
     async fn check_recovery(&self, pool: &CallerPool) {
         let fronts: Vec<SocketAddr> = self.edges.borrow().iter().map(EdgeVm::front).collect();
