--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -37,7 +37,7 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Datagrams that a VM sends in a second at most.
-const DATAGRAM_RATE: f64 = 800.0;
+const DATAGRAM_RATE: f64 = 300.0;
 
 /// Longest pause between two messages.
 const MAX_INTERVAL: Duration = Duration::from_millis(300);
