edge: a stopping process takes requests for 2.6 s, not until it is idle

A stream that came 3.7 s after SIGTERM on one of them was still running at 0.9 of the grace, and was cut off.

Ruled out: the end of the grace itself (work ended in time for all that came before 3 s).

Change: listener and idle connections close after 2.6 s; what came before is finished.

--- a/bin/edge/src/stop.rs
+++ b/bin/edge/src/stop.rs
@@ -20,9 +20,9 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// Shortest time that a stopping process goes on taking requests, so that
-/// callers learn to use other addresses.
-const MIN_LEAVING: Duration = Duration::from_millis(2600);
+/// How long a stopping process goes on taking requests, so that callers learn to
+/// use other addresses.
+const LEAVING: Duration = Duration::from_millis(2600);
 
 /// Part of the grace in which requests may go on.
 const WORK_PART: f64 = 0.9;
@@ -70,18 +70,18 @@
     if told.is_err() {
         info!(gateway.log, "leaving not told in time");
     }
-    let is_idle = || gateway.active.get() == 0;
-    let is_done = || {
-        let spent = gateway.now().saturating_duration_since(began);
-        is_idle() && spent >= MIN_LEAVING
-    };
     tokio::select! {
-        () = wait_until(gateway, work_until, is_done) => {}
+        () = sleep(LEAVING) => {}
         _ = interrupt.recv() => return,
     }
+    // A request that came later might not end within the grace.
     gateway.begin_closing();
-    // A request may have come in the last moment.
-    wait_until(gateway, work_until, is_idle).await;
+    info!(gateway.log, "connections closed"; "active" => gateway.active.get());
+    let is_idle = || gateway.active.get() == 0;
+    tokio::select! {
+        () = wait_until(gateway, work_until, is_idle) => {}
+        _ = interrupt.recv() => return,
+    }
     if timeout(CLOSE_WAIT, close_budgets(gateway, store))
         .await
         .is_err()
--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -106,7 +106,7 @@
 
 async fn keep_shard<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>, number: u64) {
     let mut keeper = ShardKeeper::new(number);
-    while !gateway.is_closing.get() {
+    loop {
         match keeper.look(&gateway, &*store).await {
             Ok(LookEnd::Idle) => {
                 let _ = timeout(LOOK_INTERVAL, gateway.shard_due.notified()).await;
@@ -155,6 +155,10 @@
             self.read(gateway, store).await?;
         }
         answer_queue(gateway);
+        if gateway.is_closing.get() {
+            // What was given back is not asked for again.
+            return Ok(LookEnd::Idle);
+        }
         let Some(urgent) = self.need(gateway, gateway.now()) else {
             return Ok(LookEnd::Idle);
         };
