--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -21,7 +21,7 @@
 use crate::demand::DemandMeter;
 
 /// How long a grant should last at the present demand: an outage of the store.
-const GRANT_SPAN: Duration = Duration::from_secs(9);
+const GRANT_SPAN: Duration = Duration::from_secs(6);
 
 /// Shortest time that a grant should last, when little is left of the budget.
 const MIN_GRANT_SPAN: Duration = Duration::from_millis(500);
