--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -23,6 +23,7 @@
 use crate::refusal::Refusal;
 use crate::terms::RequestTerms;
 use crate::token_ask::AskOutcome;
+use crate::token_ask::TokenNeed;
 use crate::token_ask::ask_vm;
 use crate::token_ask::richest_holder;
 
@@ -65,7 +66,7 @@
     let wait_until = began + GRANT_WAIT.min(left.mul_f64(GRANT_WAIT_PART));
     adopt_workspaces(gateway);
     purse_of(gateway, workspace, |purse| purse.note_request(cost, began));
-    let mut search = TokenSearch::new(workspace, wait_until);
+    let mut search = TokenSearch::new(workspace, &terms.attempt_id, wait_until);
     loop {
         let changed = gateway.grant_changed.notified();
         let verdict = purse_of(gateway, workspace, |purse| try_reserve(purse, cost));
@@ -99,6 +100,7 @@
 /// A request's search for tokens.
 struct TokenSearch<'a> {
     workspace: &'a WorkspaceId,
+    request: &'a str,
     wait_until: Instant,
     /// VMs that had none.
     asked: Vec<SocketAddr>,
@@ -107,9 +109,10 @@
 }
 
 impl<'a> TokenSearch<'a> {
-    fn new(workspace: &'a WorkspaceId, wait_until: Instant) -> Self {
+    fn new(workspace: &'a WorkspaceId, request: &'a str, wait_until: Instant) -> Self {
         Self {
             workspace,
+            request,
             wait_until,
             asked: Vec::new(),
             may_ask_keeper: true,
@@ -144,10 +147,16 @@
         &mut self,
         gateway: &Gateway,
         source: TokenSource,
-        need: TokenCount,
+        tokens: TokenCount,
         changed: Notified<'_>,
     ) {
         let left = self.wait_until.saturating_duration_since(gateway.now());
+        let need = TokenNeed {
+            request: self.request,
+            workspace: self.workspace,
+            tokens,
+            as_keeper: matches!(source, TokenSource::Keeper(_)),
+        };
         match source {
             TokenSource::Record => {
                 gateway.grant_due.notify_one();
@@ -155,7 +164,7 @@
             }
             TokenSource::Keeper(keeper) => {
                 let wait = KEEPER_WAIT.min(left);
-                let outcome = ask_vm(gateway, keeper, self.workspace, need, true, wait).await;
+                let outcome = ask_vm(gateway, keeper, &need, wait).await;
                 match outcome {
                     Some(AskOutcome::Given) => {}
                     Some(AskOutcome::NoneLeft) => self.asked.push(keeper),
@@ -168,7 +177,7 @@
             TokenSource::Holder(holder) => {
                 self.asked.push(holder);
                 let wait = HOLDER_WAIT.min(left);
-                ask_vm(gateway, holder, self.workspace, need, false, wait).await;
+                ask_vm(gateway, holder, &need, wait).await;
             }
         }
     }
--- a/lib/gateway/src/token_ask.rs
+++ b/lib/gateway/src/token_ask.rs
@@ -100,32 +100,52 @@
     pub by_workspace: Vec<(u64, TokenCount)>,
 }
 
+/// What a request needs of another VM.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenNeed<'a> {
+    /// The attempt's id.
+    pub request: &'a str,
+    /// The workspace.
+    pub workspace: &'a WorkspaceId,
+    /// The tokens that it lacks.
+    pub tokens: TokenCount,
+    /// Whether the VM is asked as the keeper.
+    pub as_keeper: bool,
+}
+
 /// Asks a VM for tokens and waits for its answer; `None` if none came in time.
 pub async fn ask_vm(
     gateway: &Gateway,
     target: SocketAddr,
-    workspace: &WorkspaceId,
-    need: TokenCount,
-    as_keeper: bool,
+    need: &TokenNeed<'_>,
     wait: Duration,
 ) -> Option<AskOutcome> {
     let began = gateway.now();
-    let ask = build_ask(gateway, workspace, need, as_keeper)?;
+    let ask = build_ask(gateway, need.workspace, need.tokens, need.as_keeper)?;
     let (answered, answer) = oneshot::channel();
-    let asks = &gateway.open_asks;
-    asks.borrow_mut().insert(ask.number, answered);
+    let open = &gateway.open_asks;
+    open.borrow_mut().insert(ask.number, answered);
+    let _open = OpenAskGuard(gateway, ask.number);
     gateway.send_direct(target, PeerMessage::TokenAsk(ask));
     let outcome = timeout(wait, answer).await.ok().and_then(Result::ok);
-    asks.borrow_mut().swap_remove(&ask.number);
     let name = outcome.map_or("not_answered", Into::into);
     gateway.metrics.count_reason("budget.ask", name);
     let waited = gateway.now().saturating_duration_since(began);
-    info!(gateway.log, "tokens asked"; "workspace" => %workspace, "of" => %target,
-        "as_keeper" => as_keeper, "need" => need.0, "outcome" => name,
-        "waited_ms" => waited.as_millis());
+    info!(gateway.log, "tokens asked"; "request" => need.request,
+        "workspace" => %need.workspace, "of" => %target, "as_keeper" => need.as_keeper,
+        "need" => need.tokens.0, "outcome" => name, "waited_ms" => waited.as_millis());
     outcome
 }
 
+/// Forgets an ask when its request no longer waits, also if the caller left.
+struct OpenAskGuard<'a>(&'a Gateway, u64);
+
+impl Drop for OpenAskGuard<'_> {
+    fn drop(&mut self) {
+        self.0.open_asks.borrow_mut().swap_remove(&self.1);
+    }
+}
+
 /// Tells the keeper of a budget what was used of it here.
 pub fn report_use(gateway: &Gateway, target: SocketAddr, workspace: &WorkspaceId) {
     if let Some(ask) = build_ask(gateway, workspace, TokenCount::ZERO, true) {
