--- a/testing/soak/src/check.rs
+++ b/testing/soak/src/check.rs
@@ -204,8 +204,7 @@
         });
         for run in late {
             let calm = calls.get(run.id.as_str()).is_some_and(|call| {
-                let touched = drain.from.checked_sub(SETTLE).unwrap_or(drain.from);
-                call.sent > drain.from && !is_disturbed(record, call.vm, touched, run.at)
+                call.sent > drain.from && !is_disturbed(record, call.vm, drain.from, run.at)
             });
             if calm {
                 violations.push(Violation::SentToLeaving(run.id.clone()));
@@ -224,8 +223,7 @@
         });
         for call in cut {
             let has_run = record.runs.iter().any(|run| run.id == call.id);
-            let since = stop.from.checked_sub(SETTLE).unwrap_or(stop.from);
-            if has_run && !is_disturbed(record, stop.vm, since, call.ended) {
+            if has_run && !is_disturbed(record, stop.vm, stop.from, call.ended) {
                 violations.push(Violation::CutOff(call.id.clone()));
             }
         }
@@ -256,7 +254,7 @@
     }
 }
 
-/// Tells whether anything was wrong with a VM in a time.
+/// Tells whether anything was wrong with a VM in a time, or shortly before.
 fn is_disturbed(record: &SoakRecord, vm: usize, from: Instant, until: Instant) -> bool {
     record.disturbances.iter().any(|disturbance| {
         disturbance.vm.is_none_or(|disturbed| disturbed == vm)
