gateway: one hint type, one walk over a shard's purses, no hashing twice

Read again, behaviour as it was. Both followers had a missed_change() of their own, fed by four fields and two checks in gossip: ChangeHint holds them. need() and plan_asks() walked the purses alike, cloning the workspaces' ids: ask_each(). with_purse(), the load messages and the keeper hashed every workspace's id where the purse knows its hash. heard() and reaching_store() share their filter; the version in force is asked for in one way.

--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -109,7 +109,7 @@
     let mut purses = gateway.purses.borrow_mut();
     let (id, purse) = purses
         .iter_mut()
-        .find(|(id, _)| hash_name(id.as_str()) == workspace)?;
+        .find(|(_, purse)| purse.workspace() == workspace)?;
     Some(act(id, purse))
 }
 
@@ -136,10 +136,5 @@
 
 /// Returns the number of the shard that holds a workspace's record.
 pub fn shard_of(workspace: &WorkspaceId) -> u64 {
-    shard_of_hash(hash_name(workspace.as_str()))
-}
-
-/// Returns the number of the shard that holds the record of a hashed workspace.
-pub fn shard_of_hash(workspace: u64) -> u64 {
-    workspace % SHARDS
+    hash_name(workspace.as_str()) % SHARDS
 }
--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -16,6 +16,7 @@
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
 use snipegate_platform::SwapOutcome;
+use snipegate_types::TokenCount;
 use snipegate_types::WorkspaceId;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -32,6 +33,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::hash_name;
 use crate::own_answer::spread;
+use crate::purse::BudgetPurse;
 use crate::purse::PurseRole;
 use crate::token_ask::answer_queue;
 use crate::token_ask::queued_tokens;
@@ -190,14 +192,17 @@
         self.levelled_at = Some(now);
         for workspace in self.workspaces(gateway) {
             let scarce = is_scarce(gateway, &workspace, now);
-            let (surplus, has_news) = {
+            let (hash, surplus, has_news) = {
                 let purses = gateway.purses.borrow();
                 let purse = &purses[&workspace];
-                (purse.surplus(scarce, now), purse.has_news())
+                (
+                    purse.workspace(),
+                    purse.surplus(scarce, now),
+                    purse.has_news(),
+                )
             };
             if !surplus.is_zero() {
-                let workspace = hash_name(workspace.as_str());
-                hand_over(gateway, keeper, workspace, surplus);
+                hand_over(gateway, keeper, hash, surplus);
             }
             if scarce && has_news {
                 report_use(gateway, keeper.address, &workspace);
@@ -226,30 +231,38 @@
 
     /// Tells whether a request waits for a grant; `None` where nothing is needed.
     fn need(&self, gateway: &Gateway, now: Instant) -> Option<bool> {
-        let role = self.role(gateway, now);
-        self.workspaces(gateway)
-            .iter()
-            .filter_map(|id| {
-                let queued = queued_tokens(gateway, id);
-                let scarce = is_scarce(gateway, id, now);
-                let purses = gateway.purses.borrow();
-                purses[id].need(role, queued, scarce, now)
-            })
-            .map(|need| need.urgent)
-            .reduce(|one, other| one || other)
+        self.ask_each(gateway, now, |purse, role, queued, scarce| {
+            purse.need(role, queued, scarce, now)
+        })
+        .into_iter()
+        .map(|need| need.urgent)
+        .reduce(|one, other| one || other)
     }
 
     fn plan_asks(&self, gateway: &Gateway, now: Instant) -> Vec<GrantAsk> {
+        self.ask_each(gateway, now, |purse, role, queued, scarce| {
+            purse.plan_ask(role, queued, scarce, now)
+        })
+    }
+
+    /// Asks each purse of the shard, with this VM's role, the tokens that other VMs
+    /// wait for, and whether they are short.
+    fn ask_each<T>(
+        &self,
+        gateway: &Gateway,
+        now: Instant,
+        ask: impl Fn(&mut BudgetPurse, PurseRole, TokenCount, bool) -> Option<T>,
+    ) -> Vec<T> {
         let role = self.role(gateway, now);
-        self.workspaces(gateway)
-            .iter()
-            .filter_map(|id| {
-                let queued = queued_tokens(gateway, id);
-                let scarce = is_scarce(gateway, id, now);
-                let mut purses = gateway.purses.borrow_mut();
-                purses.get_mut(id)?.plan_ask(role, queued, scarce, now)
-            })
-            .collect()
+        let mut purses = gateway.purses.borrow_mut();
+        let own = purses
+            .iter_mut()
+            .filter(|(id, _)| shard_of(id) == self.number);
+        own.filter_map(|(id, purse)| {
+            let queued = queued_tokens(gateway, purse.workspace());
+            ask(purse, role, queued, is_scarce(gateway, id, now))
+        })
+        .collect()
     }
 
     /// Returns what this VM does for the budgets of the shard.
@@ -390,11 +403,10 @@
         let own = purses
             .iter_mut()
             .filter(|(workspace, _)| shard_of(workspace) == self.number);
-        for (workspace, purse) in own {
-            let hash = hash_name(workspace.as_str());
+        for (_, purse) in own {
             let view = self
                 .shard
-                .view(hash, self.revision.0, vm, gateway.incarnation);
+                .view(purse.workspace(), self.revision.0, vm, gateway.incarnation);
             purse.set_view(view);
         }
         drop(purses);
@@ -431,9 +443,11 @@
     fn hand_over(&self, gateway: &Gateway, other: TransferTarget) {
         for workspace in self.workspaces(gateway) {
             report_use(gateway, other.address, &workspace);
-            let free = gateway.purses.borrow()[&workspace].free();
-            let workspace = hash_name(workspace.as_str());
-            hand_over(gateway, other, workspace, free);
+            let (hash, free) = {
+                let purses = gateway.purses.borrow();
+                (purses[&workspace].workspace(), purses[&workspace].free())
+            };
+            hand_over(gateway, other, hash, free);
         }
     }
 
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -10,16 +10,12 @@
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
 use snipegate_platform::WatchBatch;
-use tokio::time::sleep;
 
 use crate::gateway::Gateway;
 
 /// How long one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
 
-/// How long a watch may take to bring a change that another VM knows.
-pub const HINT_PATIENCE: Duration = Duration::from_millis(400);
-
 /// Follows the configuration until the process ends.
 pub async fn follow_config<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
@@ -46,7 +42,7 @@
         let watch = store.watch(layout.config_prefix, after, WATCH_WAIT);
         let batch = tokio::select! {
             batch = watch => batch?,
-            () = missed_change(gateway) => return Ok(()),
+            () = gateway.config_hint.missed(|| gateway.config_version()) => return Ok(()),
         };
         gateway.note_store(None);
         match batch {
@@ -66,18 +62,6 @@
     }
 }
 
-/// Returns once another VM has known a newer configuration for some time.
-async fn missed_change(gateway: &Gateway) {
-    loop {
-        gateway.config_hint.notified().await;
-        sleep(HINT_PATIENCE).await;
-        let known = gateway.config.borrow().as_ref().map_or(0, |c| c.version.0);
-        if gateway.config_elsewhere.get() > known {
-            return;
-        }
-    }
-}
-
 fn apply_config(gateway: &Gateway, stored: &StoredValue) {
     let config = match gateway.dialect.decode_config(&stored.value) {
         Ok(config) => config,
--- a/lib/gateway/src/front.rs
+++ b/lib/gateway/src/front.rs
@@ -380,13 +380,10 @@
     caller: &mut CallerWriter<'_>,
     refusal: &Refusal,
 ) -> Result<(), CallerGone> {
-    let version = gateway
-        .current_config()
-        .map_or(0, |config| config.version.0);
     let waited: Instant = request.received;
     info!(gateway.log, "request refused"; "request" => &*request.terms.attempt_id,
         "code" => refusal.code.number(), "reason" => %refusal.code, "run" => %refusal.run,
-        "config" => version, "sends" => 0,
+        "config" => gateway.config_version(), "sends" => 0,
         "ms" => gateway.now().saturating_duration_since(waited).as_millis() as u64);
     refuse(gateway, caller, &request.terms, refusal).await
 }
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::change_hint::ChangeHint;
 use crate::config::FleetConfig;
 use crate::dialect::FrontDialect;
 use crate::gossip::PeerMessage;
@@ -142,14 +143,10 @@
     pub shard_due: Notify,
     /// Woken when a budget's record changed.
     pub grant_changed: Notify,
-    /// The newest version of the configuration that another VM knows.
-    pub config_elsewhere: Cell<u64>,
-    /// The newest revision of a change of upstreams that another VM knows.
-    pub upstreams_elsewhere: Cell<u64>,
-    /// Woken when another VM knows a newer configuration.
-    pub config_hint: Notify,
-    /// Woken when another VM knows newer upstreams.
-    pub upstream_hint: Notify,
+    /// The version of the configuration that other VMs know.
+    pub config_hint: ChangeHint,
+    /// The revision of the upstreams that other VMs know.
+    pub upstream_hint: ChangeHint,
     /// Woken when connections without a request should close.
     pub closing: Notify,
     /// Whether connections without a request should close.
@@ -204,10 +201,8 @@
             grant_due: Notify::new(),
             shard_due: Notify::new(),
             grant_changed: Notify::new(),
-            config_elsewhere: Cell::new(0),
-            upstreams_elsewhere: Cell::new(0),
-            config_hint: Notify::new(),
-            upstream_hint: Notify::new(),
+            config_hint: ChangeHint::default(),
+            upstream_hint: ChangeHint::default(),
             closing: Notify::new(),
             is_closing: Cell::new(false),
         }
@@ -223,6 +218,14 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the version of the configuration in force; 0 before there is one.
+    pub fn config_version(&self) -> u64 {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(0, |config| config.version.0)
+    }
+
     /// Returns what this VM says of itself.
     pub fn own_record(&self) -> VmRecord {
         VmRecord {
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -199,10 +199,9 @@
         .collect();
     let mut scarce = gateway.scarce.borrow_mut();
     scarce.retain(|_, at| now.saturating_duration_since(*at) < SCARCE_LIFE);
-    let config = gateway.config.borrow();
     GossipMessage {
         sender: gateway.own_record(),
-        config: config.as_ref().map_or(0, |config| config.version.0),
+        config: gateway.config_version(),
         upstreams: gateway.upstreams.borrow().latest().0,
         reaches_store: !gateway.contact.get().is_failing(),
         store_regained: gateway.contact.get().is_regained(now),
@@ -220,8 +219,8 @@
 fn free_tokens(gateway: &Gateway) -> Vec<(u64, TokenCount)> {
     let purses = gateway.purses.borrow();
     purses
-        .iter()
-        .map(|(id, purse)| (hash_name(id.as_str()), purse.free()))
+        .values()
+        .map(|purse| (purse.workspace(), purse.free()))
         .filter(|(_, free)| !free.is_zero())
         .collect()
 }
@@ -282,17 +281,10 @@
     if message.store_regained && gateway.contact.get().is_failing() {
         gateway.store_gate.hint();
     }
-    let own_config = gateway.config.borrow().as_ref().map_or(0, |c| c.version.0);
-    if message.config > own_config {
-        let newest = gateway.config_elsewhere.get().max(message.config);
-        gateway.config_elsewhere.set(newest);
-        gateway.config_hint.notify_one();
-    }
-    if message.upstreams > gateway.upstreams.borrow().known_through().0 {
-        let newest = gateway.upstreams_elsewhere.get().max(message.upstreams);
-        gateway.upstreams_elsewhere.set(newest);
-        gateway.upstream_hint.notify_one();
-    }
+    let known = gateway.config_version();
+    gateway.config_hint.note(message.config, known);
+    let known = gateway.upstreams.borrow().known_through().0;
+    gateway.upstream_hint.note(message.upstreams, known);
     if !message.scarce.is_empty() {
         let mut scarce = gateway.scarce_elsewhere.borrow_mut();
         scarce.extend(message.scarce.into_iter().map(|workspace| (workspace, now)));
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget_keeper;
 mod budget_record;
 mod caller;
+mod change_hint;
 mod config;
 mod config_follower;
 mod demand;
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -175,21 +175,22 @@
 
     /// Returns the VMs that serve and were heard lately.
     pub fn heard(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
-        self.peers
-            .values()
-            .filter(move |peer| !peer.is_silent(now))
-            .map(|peer| &peer.record)
-            .filter(|record| record.stage == VmStage::Serving)
+        self.heard_serving(now).map(|peer| &peer.record)
     }
 
     /// Returns the VMs that serve, were heard lately and said that they reach the
     /// store.
     pub fn reaching_store(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
-        let reaching = self.peers.values().filter(|peer| peer.reaches_store);
-        reaching
-            .filter(move |peer| !peer.is_silent(now))
+        self.heard_serving(now)
+            .filter(|peer| peer.reaches_store)
             .map(|peer| &peer.record)
-            .filter(|record| record.stage == VmStage::Serving)
+    }
+
+    fn heard_serving(&self, now: Instant) -> impl Iterator<Item = &PeerState> {
+        self.peers
+            .values()
+            .filter(move |peer| !peer.is_silent(now))
+            .filter(|peer| peer.record.stage == VmStage::Serving)
     }
 
     /// Returns how many other VMs there are, whether they are heard or not.
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Returns the workspace, as a hash of its id.
+    pub fn workspace(&self) -> u64 {
+        self.workspace
+    }
+
     /// Sets what the workspace has bought.
     pub fn set_prepaid(&mut self, prepaid: TokenCount) {
         self.prepaid = prepaid;
--- a/lib/gateway/src/token_ask.rs
+++ b/lib/gateway/src/token_ask.rs
@@ -170,7 +170,7 @@
     Some(TokenAsk {
         number,
         asker: gateway.incarnation,
-        workspace: hash_name(workspace.as_str()),
+        workspace: purse.workspace(),
         need,
         wish: purse.wish(gateway.now()),
         demand,
@@ -249,18 +249,17 @@
 /// Tells whether an ask should be answered now, with tokens or without.
 fn is_due(gateway: &Gateway, queued: &QueuedAsk, now: Instant) -> bool {
     let waited = now.saturating_duration_since(queued.at);
-    free_tokens(gateway, queued.ask.workspace) >= queued.ask.need
+    free_of(gateway, queued.ask.workspace) >= queued.ask.need
         || waited >= QUEUE_WAIT
         || gateway.contact.get().is_failing()
         || is_hopeless(gateway, queued)
 }
 
 /// Returns the tokens of a budget that other VMs wait for.
-pub fn queued_tokens(gateway: &Gateway, workspace: &WorkspaceId) -> TokenCount {
-    let hash = hash_name(workspace.as_str());
+pub fn queued_tokens(gateway: &Gateway, workspace: u64) -> TokenCount {
     let queue = gateway.queued_asks.borrow();
     let asks = queue.iter().map(|queued| &queued.ask);
-    asks.filter(|ask| ask.workspace == hash)
+    asks.filter(|ask| ask.workspace == workspace)
         .map(|ask| ask.need)
         .sum()
 }
@@ -310,6 +309,6 @@
 }
 
 /// Returns what is free here of a budget.
-fn free_tokens(gateway: &Gateway, workspace: u64) -> TokenCount {
+fn free_of(gateway: &Gateway, workspace: u64) -> TokenCount {
     with_purse(gateway, workspace, |_, purse| purse.free()).unwrap_or_default()
 }
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -12,7 +12,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::config_follower::HINT_PATIENCE;
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
 use crate::upstream::UpstreamChange;
@@ -42,9 +41,10 @@
     loop {
         let prefix = gateway.dialect.layout().upstream_prefix;
         let watch = store.watch(prefix, after, WATCH_WAIT);
+        let known = || gateway.upstreams.borrow().known_through().0;
         let batch = tokio::select! {
             batch = watch => batch?,
-            () = missed_change(gateway) => return Ok(()),
+            () = gateway.upstream_hint.missed(known) => return Ok(()),
         };
         gateway.note_store(None);
         let WatchBatch::Changes { revision, changes } = batch else {
@@ -79,18 +79,6 @@
     }
 }
 
-/// Returns once another VM has known a newer change for some time.
-async fn missed_change(gateway: &Gateway) {
-    loop {
-        gateway.upstream_hint.notified().await;
-        sleep(HINT_PATIENCE).await;
-        let known = gateway.upstreams.borrow().known_through().0;
-        if gateway.upstreams_elsewhere.get() > known {
-            return;
-        }
-    }
-}
-
 /// Reads all entries, page by page; returns the revision to watch from.
 async fn read_all<S: ConfigStore>(
     gateway: &Gateway,
