--- a/testing/fleet/src/child.rs
+++ b/testing/fleet/src/child.rs
@@ -45,12 +45,7 @@
     ///
     /// Panics if the binary can't be started.
     pub fn start(name: &str, binary: &str, args: &[String]) -> Self {
-        let child = command(binary, args)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap_or_else(|error| panic!("{binary} not started: {error}"));
-        let name = name.to_owned();
-        Self { name, child }
+        Self::spawn(name, binary, args, Stdio::null())
     }
 
     /// Starts a binary of this workspace whose output goes to a file.
@@ -59,8 +54,12 @@
     ///
     /// Panics if the binary can't be started.
     pub fn start_logged(name: &str, binary: &str, args: &[String], log: File) -> Self {
+        Self::spawn(name, binary, args, log.into())
+    }
+
+    fn spawn(name: &str, binary: &str, args: &[String], output: Stdio) -> Self {
         let child = command(binary, args)
-            .stdout(log)
+            .stdout(output)
             .spawn()
             .unwrap_or_else(|error| panic!("{binary} not started: {error}"));
         let name = name.to_owned();
@@ -73,11 +72,12 @@
     ///
     /// Panics if the binary can't be started or prints no address.
     pub fn start_stand_in(name: &str, binary: &str, args: &[String]) -> (Self, SocketAddr) {
-        let mut child = command(binary, args)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap_or_else(|error| panic!("{binary} not started: {error}"));
-        let output = child.stdout.take().expect("standard output is piped");
+        let mut process = Self::spawn(name, binary, args, Stdio::piped());
+        let output = process
+            .child
+            .stdout
+            .take()
+            .expect("standard output is piped");
         let mut line = String::new();
         BufReader::new(output)
             .read_line(&mut line)
@@ -86,8 +86,7 @@
         let Some(Ok(address)) = address else {
             panic!("{binary} printed {line:?}");
         };
-        let name = name.to_owned();
-        (Self { name, child }, address)
+        (process, address)
     }
 
     /// Returns the name given at the start.
--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -8,5 +8,6 @@
 pub use runner::RunnerScript;
 pub use runner::SeenRequest;
 pub use runner::StandinRunner;
+pub use runner::runner_entry;
 pub use store::StandinStore;
 pub use store::StoreFault;
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -12,11 +12,10 @@
 use snipegate_http1::AnswerHead;
 use snipegate_http1::RequestHead;
 use snipegate_http1::write_all;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::server::listen;
 use crate::server::read_body;
 use crate::server::read_head;
 use crate::server::write_answer;
@@ -93,19 +92,12 @@
     ///
     /// Fails if no port is to be had.
     pub async fn start(script: RunnerScript) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let state = Rc::new(State {
             script: Cell::new(script),
             seen: RefCell::default(),
             left: Cell::new(0),
         });
-        let served = Rc::clone(&state);
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(Rc::clone(&served), stream));
-            }
-        });
+        let address = listen(Rc::clone(&state), serve).await?;
         Ok(Self { state, address })
     }
 
@@ -143,6 +135,13 @@
     }
 }
 
+/// Returns the text of a runner's entry in the store.
+pub fn runner_entry(address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"service":"svc","address":"{address}","zone":"z1","version":"v1","slots":64,"state":"{state}","coldLeftMs":0,"seq":4}}"#
+    )
+}
+
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut buffer = BytesMut::new();
     while let Some(head) = read_head(&stream, &mut buffer).await {
--- a/testing/site/src/server.rs
+++ b/testing/site/src/server.rs
@@ -1,5 +1,8 @@
 //! Reads requests and writes answers on one connection.
 
+use std::io;
+use std::net::SocketAddr;
+
 use bytes::BytesMut;
 use snipegate_http1::AnswerHead;
 use snipegate_http1::BodyDecoder;
@@ -9,7 +12,30 @@
 use snipegate_http1::read_some;
 use snipegate_http1::request_framing;
 use snipegate_http1::write_all;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// Listens on loopback and serves each connection on the current local task set.
+///
+/// Returns where it listens.
+///
+/// # Errors
+///
+/// Fails if no port is to be had.
+pub async fn listen<S: Clone + 'static, F: Future<Output = ()> + 'static>(
+    state: S,
+    serve: impl Fn(S, TcpStream) -> F + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(state.clone(), stream));
+        }
+    });
+    Ok(address)
+}
 
 /// Reads one request; `None` at the end of the connection.
 pub async fn read_request(
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -15,13 +15,13 @@
 use serde_json::json;
 use snipegate_http1::AnswerHead;
 use snipegate_http1::RequestHead;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::server::listen;
 use crate::server::read_request;
 use crate::server::write_answer;
 
@@ -77,8 +77,6 @@
     ///
     /// Fails if no port is to be had.
     pub async fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let state = Rc::new(State {
             items: RefCell::default(),
             revision: Cell::new(100),
@@ -87,12 +85,7 @@
             changed: Notify::new(),
             calls: Cell::new(0),
         });
-        let served = Rc::clone(&state);
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(Rc::clone(&served), stream));
-            }
-        });
+        let address = listen(Rc::clone(&state), serve).await?;
         Ok(Self { state, address })
     }
 
--- a/testing/soak/src/callers.rs
+++ b/testing/soak/src/callers.rs
@@ -89,7 +89,7 @@
     pub kind: CallKind,
     /// The VM that was asked.
     pub vm: usize,
-    /// Number of the process there, counted from the first.
+    /// Number of the process there, counted from the first; 0 where it was not noted.
     pub process: usize,
     /// When it was sent.
     pub sent: Instant,
@@ -111,6 +111,42 @@
     pub is_over: Cell<bool>,
 }
 
+/// Whom a call goes to.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTarget {
+    /// The VM.
+    pub vm: usize,
+    /// Number of the process there; 0 where it does not matter.
+    pub process: usize,
+    /// Where it takes the call.
+    pub front: SocketAddr,
+}
+
+impl CallerPool {
+    /// Makes a call and notes what came of it; returns how it ended, and the
+    /// connection if it can be used again.
+    pub async fn call(
+        &self,
+        target: CallTarget,
+        kept: Option<HttpConnection>,
+        kind: CallKind,
+        id: String,
+    ) -> (CallEnd, Option<HttpConnection>) {
+        let sent = Instant::now();
+        let (end, left) = call(target.front, kept, kind, &id).await;
+        self.records.borrow_mut().push(CallRecord {
+            id,
+            kind,
+            vm: target.vm,
+            process: target.process,
+            sent,
+            ended: Instant::now(),
+            end: end.clone(),
+        });
+        (end, left)
+    }
+}
+
 /// Makes requests until the run is over; keeps a connection while it lasts.
 pub async fn run_caller(pool: Rc<CallerPool>, caller: usize) {
     let mut connection: Option<(usize, HttpConnection)> = None;
@@ -131,23 +167,18 @@
                 None => continue,
             },
         };
-        let sent = Instant::now();
-        let (end, left) = call(pool.fronts[vm], kept, kind, &id).await;
-        connection = left.map(|left| (vm, left));
-        pool.records.borrow_mut().push(CallRecord {
-            id,
-            kind,
+        let target = CallTarget {
             vm,
             process: 0,
-            sent,
-            ended: Instant::now(),
-            end,
-        });
+            front: pool.fronts[vm],
+        };
+        let (_, left) = pool.call(target, kept, kind, id).await;
+        connection = left.map(|left| (vm, left));
     }
 }
 
 /// Makes one request; returns the connection if it can be used again.
-pub async fn call(
+async fn call(
     front: SocketAddr,
     kept: Option<HttpConnection>,
     kind: CallKind,
--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -17,6 +17,7 @@
 use snipegate_standin_site::StandinRunner;
 use snipegate_standin_site::StandinStore;
 use snipegate_standin_site::StoreFault;
+use snipegate_standin_site::runner_entry;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -24,10 +25,9 @@
 
 use crate::callers::CallEnd;
 use crate::callers::CallKind;
-use crate::callers::CallRecord;
+use crate::callers::CallTarget;
 use crate::callers::CallerPool;
 use crate::callers::KEY;
-use crate::callers::call;
 use crate::callers::run_caller;
 use crate::check::Disturbance;
 use crate::check::DrainRecord;
@@ -318,38 +318,15 @@
         for (vm, front) in fronts.into_iter().enumerate() {
             let id = format!("last-{vm}");
             let kind = CallKind::Probe(self.version.get());
-            let sent = Instant::now();
-            let (end, _) = call(front, None, kind, &id).await;
+            let process = self.edges.borrow()[vm].started();
+            let target = CallTarget { vm, process, front };
+            let (end, _) = pool.call(target, None, kind, id).await;
             if !matches!(end, CallEnd::Answer { status: 200, .. }) {
                 self.record.borrow_mut().not_recovered.push(vm);
             }
-            let process = self.edges.borrow()[vm].started();
-            self.note_call(pool, id, kind, vm, process, sent, end);
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of a record")]
-    fn note_call(
-        &self,
-        pool: &CallerPool,
-        id: String,
-        kind: CallKind,
-        vm: usize,
-        process: usize,
-        sent: Instant,
-        end: CallEnd,
-    ) {
-        pool.records.borrow_mut().push(CallRecord {
-            id,
-            kind,
-            vm,
-            process,
-            sent,
-            ended: Instant::now(),
-            end,
-        });
-    }
-
     fn finish(&self, pool: &CallerPool) -> SoakRecord {
         let mut record = self.record.take();
         record.calls = pool.records.take();
@@ -373,10 +350,7 @@
     }
 
     fn put_entry(&self, upstream: usize, state: &str) {
-        let address = self.runner_links[upstream].address();
-        let text = format!(
-            r#"{{"service":"svc","address":"{address}","zone":"z1","version":"v1","slots":64,"state":"{state}","coldLeftMs":0,"seq":4}}"#
-        );
+        let text = runner_entry(self.runner_links[upstream].address(), state);
         let key = format!("servers/i-{upstream}");
         self.store.put(&key, text.as_bytes());
     }
@@ -455,8 +429,7 @@
         let process = run.edges.borrow()[vm].started();
         let kind = CallKind::Probe(run.version.get());
         let id = format!("p{vm}-{number}");
-        let sent = Instant::now();
-        let (end, _) = call(front, None, kind, &id).await;
-        run.note_call(&pool, id, kind, vm, process, sent, end);
+        let target = CallTarget { vm, process, front };
+        pool.call(target, None, kind, id).await;
     }
 }
--- a/testing/soak/tests/test_stop.rs
+++ b/testing/soak/tests/test_stop.rs
@@ -11,6 +11,7 @@
 use snipegate_standin_site::RunnerScript;
 use snipegate_standin_site::StandinRunner;
 use snipegate_standin_site::StandinStore;
+use snipegate_standin_site::runner_entry;
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -40,10 +41,7 @@
 async fn play() {
     let store = StandinStore::start().await.expect("a store");
     let runner = StandinRunner::start(LONG_STREAM).await.expect("a runner");
-    let address = runner.address();
-    let entry = format!(
-        r#"{{"service":"svc","address":"{address}","zone":"z1","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":4}}"#
-    );
+    let entry = runner_entry(runner.address(), "ready");
     store.put("servers/i-0", entry.as_bytes());
     store.put("op/config", CONFIG.replace("KEY", KEY).as_bytes());
     let directory = std::env::temp_dir().join(format!("snipegate-stop-{}", std::process::id()));
