gateway: a line for each watch that ends, and the task of each store call

Change: StoreWatch holds a follower's place and is the one place that waits for changes; it writes how long a watch waited, from which revision, and why it ended. Store calls name their task.

Ruled out by it: waiting at the gate; a change read and not applied.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -35,6 +35,7 @@
 use crate::own_answer::spread;
 use crate::purse::BudgetPurse;
 use crate::purse::PurseRole;
+use crate::store_task::StoreTask;
 use crate::token_ask::answer_queue;
 use crate::token_ask::queued_tokens;
 use crate::token_ask::report_use;
@@ -300,7 +301,7 @@
         store: &S,
     ) -> Result<(), StoreError> {
         let result = store.read(&self.key(gateway)).await;
-        gateway.note_store(result.as_ref().err());
+        gateway.note_store(StoreTask::Budgets, result.as_ref().err());
         self.take(gateway, result?)
     }
 
@@ -350,7 +351,7 @@
             revision => ExpectedVersion::At(revision),
         };
         let result = store.swap(&self.key(gateway), expected, bytes, None).await;
-        gateway.note_store(result.as_ref().err());
+        gateway.note_store(StoreTask::Budgets, result.as_ref().err());
         self.wrote_at = Some(gateway.now());
         let outcome = match &result {
             Ok(SwapOutcome::Swapped(_)) => "written",
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -7,11 +7,12 @@
 use slog::warn;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreError;
-use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
-use snipegate_platform::WatchBatch;
 
 use crate::gateway::Gateway;
+use crate::store_task::StoreTask;
+use crate::store_watch::StoreWatch;
+use crate::store_watch::WatchOutcome;
 
 /// How long one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
@@ -20,7 +21,7 @@
 pub async fn follow_config<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(&error).await;
+            gateway.retry_store(StoreTask::Config, &error).await;
         }
     }
 }
@@ -29,7 +30,7 @@
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let layout = gateway.dialect.layout();
     let listing = store.list(layout.config_prefix, None).await?;
-    gateway.note_store(None);
+    gateway.note_store(StoreTask::Config, None);
     let stored = listing
         .entries
         .into_iter()
@@ -37,26 +38,19 @@
     if let Some((_, stored)) = stored {
         apply_config(gateway, &stored);
     }
-    let mut after = listing.revision;
+    let prefix = layout.config_prefix;
+    let mut watch = StoreWatch::new(gateway, store, StoreTask::Config, prefix, listing.revision);
     loop {
-        let watch = store.watch(layout.config_prefix, after, WATCH_WAIT);
-        let batch = tokio::select! {
-            batch = watch => batch?,
-            () = gateway.config_hint.missed(|| gateway.config_version()) => return Ok(()),
+        let peer_ahead = gateway.config_hint.missed(|| gateway.config_version());
+        let WatchOutcome::Changes(changes) = watch.changes(WATCH_WAIT, peer_ahead).await? else {
+            return Ok(());
         };
-        gateway.note_store(None);
-        match batch {
-            WatchBatch::Compacted => return Ok(()),
-            WatchBatch::Changes { revision, changes } => {
-                for change in changes {
-                    if change.key == layout.config_key
-                        && let Some(value) = change.value
-                    {
-                        let revision = change.revision;
-                        apply_config(gateway, &StoredValue { revision, value });
-                    }
-                }
-                after = revision.max(after).max(StoreRevision(1));
+        for change in changes {
+            if change.key == layout.config_key
+                && let Some(value) = change.value
+            {
+                let revision = change.revision;
+                apply_config(gateway, &StoredValue { revision, value });
             }
         }
     }
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::stage::VmStage;
 use crate::store_contact::StoreContact;
 use crate::store_gate::StoreGate;
+use crate::store_task::StoreTask;
 use crate::token_ask::AskOutcome;
 use crate::token_ask::FreeTokens;
 use crate::token_ask::QueuedAsk;
@@ -259,15 +260,16 @@
         self.gossip_due.notify_one();
     }
 
-    /// Notes whether a call to the store was answered.
-    pub fn note_store(&self, error: Option<&StoreError>) {
+    /// Notes whether a call of `task` to the store was answered.
+    pub fn note_store(&self, task: StoreTask, error: Option<&StoreError>) {
         let mut contact = self.contact.get();
         let now = self.now();
         match error {
             None | Some(StoreError::LeaseLapsed | StoreError::ValueTooLarge { .. }) => {
-                if contact.note_answer(now) {
+                if let Some(outage) = contact.note_answer(now) {
                     self.gossip_due.notify_one();
-                    info!(self.log, "store regained");
+                    info!(self.log, "store regained"; "task" => %task,
+                        "lost_ms" => outage.as_millis() as u64);
                     self.upstreams.borrow_mut().note_store_return(now);
                 }
                 self.store_gate.open();
@@ -276,16 +278,16 @@
                 self.metrics
                     .count_reason("store.failed", store_reason(error));
                 if contact.note_failure(now) {
-                    info!(self.log, "store call failed"; "error" => %error);
+                    info!(self.log, "store call failed"; "task" => %task, "error" => %error);
                 }
             }
         }
         self.contact.set(contact);
     }
 
-    /// Notes that a call to the store failed, and waits until it should be made again.
-    pub async fn retry_store(&self, error: &StoreError) {
-        self.note_store(Some(error));
+    /// Notes that a call of `task` to the store failed, and waits until it should be made again.
+    pub async fn retry_store(&self, task: StoreTask, error: &StoreError) {
+        self.note_store(task, Some(error));
         let failing = self.contact.get().failing_for(self.now());
         self.store_gate.wait(failing, self.vm_count()).await;
     }
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -36,6 +36,8 @@
 mod stage;
 mod store_contact;
 mod store_gate;
+mod store_task;
+mod store_watch;
 mod terms;
 mod ticket;
 mod token_ask;
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -1,5 +1,6 @@
 //! Keeps this VM's record in the store and follows those of the others.
 
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,13 +10,15 @@
 use snipegate_platform::LeaseId;
 use snipegate_platform::StoreError;
 use snipegate_platform::SwapOutcome;
-use snipegate_platform::WatchBatch;
 use snipegate_types::VmId;
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
+use crate::store_task::StoreTask;
+use crate::store_watch::StoreWatch;
+use crate::store_watch::WatchOutcome;
 
 /// How long a VM's record outlives its last renewal.
 const RECORD_LIFE: Duration = Duration::from_secs(15);
@@ -36,7 +39,7 @@
     loop {
         if let Err(error) = register_and_renew(&gateway, &*store).await {
             info!(gateway.log, "membership not kept"; "error" => %error);
-            gateway.retry_store(&error).await;
+            gateway.retry_store(StoreTask::VmLease, &error).await;
         }
     }
 }
@@ -47,15 +50,15 @@
 ) -> Result<(), StoreError> {
     let lease = store.create_lease(RECORD_LIFE).await?;
     write_record(gateway, store, Some(lease)).await?;
-    gateway.note_store(None);
+    gateway.note_store(StoreTask::VmLease, None);
     loop {
         if !gateway.contact.get().is_failing() {
             sleep(RENEWAL_INTERVAL).await;
         }
         match store.keep_lease(lease).await {
-            Ok(()) => gateway.note_store(None),
+            Ok(()) => gateway.note_store(StoreTask::VmLease, None),
             Err(StoreError::LeaseLapsed) => return Err(StoreError::LeaseLapsed),
-            Err(error) => gateway.retry_store(&error).await,
+            Err(error) => gateway.retry_store(StoreTask::VmLease, &error).await,
         }
     }
 }
@@ -92,7 +95,7 @@
 async fn follow_records<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(&error).await;
+            gateway.retry_store(StoreTask::VmRecords, &error).await;
         }
     }
 }
@@ -101,7 +104,7 @@
     let prefix = gateway.dialect.layout().vm_prefix;
     let mut records = Vec::new();
     let mut page = store.list(prefix, None).await?;
-    let mut after = page.revision;
+    let listed = page.revision;
     loop {
         records.extend(page.entries.iter().filter_map(|(key, stored)| {
             other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
@@ -111,15 +114,13 @@
         };
         page = store.list(prefix, Some(&last)).await?;
     }
-    gateway.note_store(None);
+    gateway.note_store(StoreTask::VmRecords, None);
     gateway.peers.borrow_mut().replace_listed(records);
+    let mut watch = StoreWatch::new(gateway, store, StoreTask::VmRecords, prefix, listed);
     loop {
-        let batch = store.watch(prefix, after, WATCH_WAIT).await?;
-        gateway.note_store(None);
-        let WatchBatch::Changes { revision, changes } = batch else {
+        let WatchOutcome::Changes(changes) = watch.changes(WATCH_WAIT, pending()).await? else {
             return Ok(());
         };
-        after = revision.max(after);
         let changed = !changes.is_empty();
         for change in changes {
             let Some(vm) = other_vm(gateway, prefix, &change.key) else {
--- a/lib/gateway/src/store_contact.rs
+++ b/lib/gateway/src/store_contact.rs
@@ -30,15 +30,15 @@
         }
     }
 
-    /// Notes an answer; tells whether it ends an outage.
-    pub fn note_answer(&mut self, now: Instant) -> bool {
-        let was_lost = self.is_lost(now);
+    /// Notes an answer; returns how long the store was lost, if this ends an outage.
+    pub fn note_answer(&mut self, now: Instant) -> Option<Duration> {
+        let outage = self.is_lost(now).then(|| self.failing_for(now));
         self.answered = Some(now);
         self.failing_since = None;
-        if was_lost {
+        if outage.is_some() {
             self.regained_at = Some(now);
         }
-        was_lost
+        outage
     }
 
     /// Notes a call without answer; tells whether the store counts as lost from now on.
--- /dev/null
+++ b/lib/gateway/src/store_watch.rs
@@ -0,0 +1,115 @@
+//! Waits for changes in the configuration store.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::StoreChange;
+use snipegate_platform::StoreError;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::WatchBatch;
+use strum::Display;
+use strum::IntoStaticStr;
+
+use crate::gateway::Gateway;
+use crate::store_task::StoreTask;
+
+/// Why a follower has to list again though its watch did not fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum WatchEnd {
+    /// The store no longer knows the changes asked for.
+    Compacted,
+    /// Another VM knows a change that the watch did not bring.
+    PeerAhead,
+}
+
+/// What came of waiting for changes.
+pub enum WatchOutcome {
+    /// The changes since the last wait, in order; may be empty.
+    Changes(Vec<StoreChange>),
+    /// The follower has to list again.
+    ListAgain,
+}
+
+/// A follower's place in the changes under one prefix.
+pub struct StoreWatch<'a, S> {
+    gateway: &'a Gateway,
+    store: &'a S,
+    task: StoreTask,
+    prefix: &'a str,
+    after: StoreRevision,
+}
+
+impl<'a, S: ConfigStore> StoreWatch<'a, S> {
+    /// Begins after a listing that was read at revision `after`.
+    pub fn new(
+        gateway: &'a Gateway,
+        store: &'a S,
+        task: StoreTask,
+        prefix: &'a str,
+        after: StoreRevision,
+    ) -> Self {
+        Self {
+            gateway,
+            store,
+            task,
+            prefix,
+            after,
+        }
+    }
+
+    /// Returns the revision up to which all changes were returned.
+    pub fn after(&self) -> StoreRevision {
+        self.after
+    }
+
+    /// Waits for changes for up to `wait`, or until `peer_ahead` returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer the watch.
+    pub async fn changes(
+        &mut self,
+        wait: Duration,
+        peer_ahead: impl Future<Output = ()>,
+    ) -> Result<WatchOutcome, StoreError> {
+        let began = self.gateway.now();
+        let watch = self.store.watch(self.prefix, self.after, wait);
+        let batch = tokio::select! {
+            batch = watch => batch,
+            () = peer_ahead => return Ok(self.end(WatchEnd::PeerAhead, began)),
+        };
+        let batch = batch.inspect_err(|error| self.log_failure(error, began))?;
+        self.gateway.note_store(self.task, None);
+        match batch {
+            WatchBatch::Compacted => Ok(self.end(WatchEnd::Compacted, began)),
+            WatchBatch::Changes { revision, changes } => {
+                self.after = self.after.max(revision);
+                Ok(WatchOutcome::Changes(changes))
+            }
+        }
+    }
+
+    fn end(&self, end: WatchEnd, began: Instant) -> WatchOutcome {
+        let gateway = self.gateway;
+        let reason: &'static str = end.into();
+        gateway.metrics.count_reason("store.watch_ended", reason);
+        info!(gateway.log, "store watch ended"; "task" => %self.task, "reason" => %end,
+            "waited_ms" => self.waited_ms(began), "after" => self.after.0);
+        WatchOutcome::ListAgain
+    }
+
+    fn log_failure(&self, error: &StoreError, began: Instant) {
+        let gateway = self.gateway;
+        gateway.metrics.count_reason("store.watch_ended", "failed");
+        info!(gateway.log, "store watch failed"; "task" => %self.task, "error" => %error,
+            "waited_ms" => self.waited_ms(began), "after" => self.after.0);
+    }
+
+    fn waited_ms(&self, began: Instant) -> u64 {
+        let now = self.gateway.now();
+        now.saturating_duration_since(began).as_millis() as u64
+    }
+}
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -7,13 +7,15 @@
 use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreError;
 use snipegate_platform::StoreRevision;
-use snipegate_platform::WatchBatch;
 use snipegate_types::UpstreamId;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
+use crate::store_task::StoreTask;
+use crate::store_watch::StoreWatch;
+use crate::store_watch::WatchOutcome;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamEntry;
 
@@ -31,26 +33,21 @@
     spawn_local(drop_lapsed_in_time(Rc::clone(&gateway)));
     loop {
         if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(&error).await;
+            gateway.retry_store(StoreTask::Upstreams, &error).await;
         }
     }
 }
 
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
-    let mut after = read_all(gateway, store).await?;
+    let listed = read_all(gateway, store).await?;
+    let prefix = gateway.dialect.layout().upstream_prefix;
+    let mut watch = StoreWatch::new(gateway, store, StoreTask::Upstreams, prefix, listed);
     loop {
-        let prefix = gateway.dialect.layout().upstream_prefix;
-        let watch = store.watch(prefix, after, WATCH_WAIT);
         let known = || gateway.upstreams.borrow().known_through().0;
-        let batch = tokio::select! {
-            batch = watch => batch?,
-            () = gateway.upstream_hint.missed(known) => return Ok(()),
-        };
-        gateway.note_store(None);
-        let WatchBatch::Changes { revision, changes } = batch else {
+        let peer_ahead = gateway.upstream_hint.missed(known);
+        let WatchOutcome::Changes(changes) = watch.changes(WATCH_WAIT, peer_ahead).await? else {
             return Ok(());
         };
-        after = revision.max(after);
         let now = gateway.now();
         let has_changes = !changes.is_empty();
         let mut applied: Vec<UpstreamChange> = Vec::new();
@@ -70,7 +67,10 @@
                 }
             });
         }
-        gateway.upstreams.borrow_mut().note_known_through(after);
+        gateway
+            .upstreams
+            .borrow_mut()
+            .note_known_through(watch.after());
         gateway.apply_upstream_changes(applied);
         if has_changes {
             let vms = gateway.vm_count() as u32;
@@ -99,7 +99,7 @@
         }
         after = listing.more_after;
         if after.is_none() {
-            gateway.note_store(None);
+            gateway.note_store(StoreTask::Upstreams, None);
             let now = gateway.now();
             let changes = gateway
                 .upstreams
