gateway: two VMs watch the store briefly, so that a forgotten watch shows in 2 s

Cause: a watch that reaches a silent store is never answered, and only its own time of 12 + 1 s ended it. A change that all VMs hear of at once makes them all open the next watch at once, so no VM is left to tell the others.

Change: of the VMs that hear each other, two watch for 1 s and give up after 2 s; the others are told, as before. A VM that becomes one of the two gives up a watch that it opened before. The same for the upstreams' entries.

Why it works: a watch lost in an outage was opened before the outage's end, so one that is given up after 2 s is made again at most 2 s after it, and the change is told within the third second.

--- a/lib/gateway/src/store_task.rs
+++ b/lib/gateway/src/store_task.rs
@@ -18,3 +18,13 @@
     /// Reads and writes the records of budgets.
     Budgets,
 }
+
+impl StoreTask {
+    /// Tells whether VMs tell each other how far they are in what the task follows.
+    pub fn is_told_to_peers(self) -> bool {
+        match self {
+            StoreTask::Config | StoreTask::Upstreams => true,
+            StoreTask::VmRecords | StoreTask::VmLease | StoreTask::Budgets => false,
+        }
+    }
+}
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -11,9 +11,22 @@
 use snipegate_platform::WatchBatch;
 use strum::Display;
 use strum::IntoStaticStr;
+use tokio::time::sleep;
 
 use crate::gateway::Gateway;
 use crate::store_task::StoreTask;
+use crate::watch_duty::watches_briefly;
+
+/// How long a brief watch waits for changes.
+const BRIEF_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest time that a VM that watches briefly waits for the answer to a watch. With
+/// the time until others have heard of a change, it stays within the 3 s after an
+/// outage in which a VM may be behind.
+const BRIEF_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause between two looks whether a watch is overdue.
+const PATIENCE_LOOK: Duration = Duration::from_millis(250);
 
 /// Why a follower has to list again though its watch did not fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
@@ -69,16 +82,21 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer the watch.
+    /// Fails if the store does not answer the watch in time.
     pub async fn changes(
         &mut self,
         wait: Duration,
         peer_ahead: impl Future<Output = ()>,
     ) -> Result<WatchOutcome, StoreError> {
         let began = self.gateway.now();
+        let wait = match self.is_brief() {
+            true => BRIEF_WAIT.min(wait),
+            false => wait,
+        };
         let watch = self.store.watch(self.prefix, self.after, wait);
         let batch = tokio::select! {
             batch = watch => batch,
+            () = self.overdue(began) => Err(StoreError::ReplyLost),
             () = peer_ahead => return Ok(self.end(WatchEnd::PeerAhead, began)),
         };
         let batch = batch.inspect_err(|error| self.log_failure(error, began))?;
@@ -92,6 +110,32 @@
         }
     }
 
+    /// Returns when a VM that watches briefly should have had an answer.
+    async fn overdue(&self, began: Instant) {
+        loop {
+            sleep(PATIENCE_LOOK).await;
+            let waited = self.gateway.now().saturating_duration_since(began);
+            if waited > BRIEF_PATIENCE && self.is_brief() {
+                return;
+            }
+        }
+    }
+
+    /// Tells whether this VM is one of those that watch briefly for the task.
+    fn is_brief(&self) -> bool {
+        if !self.task.is_told_to_peers() {
+            return false;
+        }
+        let gateway = self.gateway;
+        let peers = gateway.peers.borrow();
+        let others = peers.reaching_store(gateway.now());
+        watches_briefly(
+            &gateway.settings.vm,
+            others.map(|record| &record.vm),
+            self.task,
+        )
+    }
+
     fn end(&self, end: WatchEnd, began: Instant) -> WatchOutcome {
         let gateway = self.gateway;
         let reason: &'static str = end.into();
