gateway: an outage's end makes each watch again

The follower of VM records waits 20 + 1 s for a watch and is told nothing by other VMs, so a VM that was added could be missing in address answers for 21 s.

Change: when the store answers again after an outage, each watch that is open is made again from the revision that it had.

Test: vm_added_after_an_outage_that_swallowed_the_watch_is_known failed before (not known 5 s after the store's return) and passes.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -108,6 +108,8 @@
     pub contact: Cell<StoreContact>,
     /// Whether tasks may ask the store.
     pub store_gate: StoreGate,
+    /// Woken when the store answers again after an outage.
+    pub store_regained: Notify,
     /// Where this VM is between start and end.
     pub stage: Cell<VmStage>,
     /// When it began to serve.
@@ -184,6 +186,7 @@
             peers: RefCell::default(),
             contact: Cell::new(StoreContact::new()),
             store_gate: StoreGate::default(),
+            store_regained: Notify::new(),
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
             active: Cell::new(0),
@@ -268,6 +271,7 @@
             None | Some(StoreError::LeaseLapsed | StoreError::ValueTooLarge { .. }) => {
                 if let Some(outage) = contact.note_answer(now) {
                     self.gossip_due.notify_one();
+                    self.store_regained.notify_waiters();
                     info!(self.log, "store regained"; "task" => %task,
                         "lost_ms" => outage.as_millis() as u64);
                     self.upstreams.borrow_mut().note_store_return(now);
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -28,7 +28,7 @@
 /// Pause between two looks whether a VM has come to watch briefly.
 const PATIENCE_LOOK: Duration = Duration::from_millis(250);
 
-/// Why a follower has to list again though its watch did not fail.
+/// Why a watch ends that neither failed nor brought changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum WatchEnd {
@@ -36,6 +36,8 @@
     Compacted,
     /// Another VM knows a change that the watch did not bring.
     PeerAhead,
+    /// An outage ended, in which the store may have forgotten the watch.
+    StoreRegained,
 }
 
 /// What came of waiting for changes.
@@ -97,12 +99,22 @@
         let batch = tokio::select! {
             batch = watch => batch,
             () = self.overdue() => Err(StoreError::ReplyLost),
-            () = peer_ahead => return Ok(self.end(WatchEnd::PeerAhead, began)),
+            () = peer_ahead => {
+                self.log_end(WatchEnd::PeerAhead, began);
+                return Ok(WatchOutcome::ListAgain);
+            }
+            () = self.gateway.store_regained.notified() => {
+                self.log_end(WatchEnd::StoreRegained, began);
+                return Ok(WatchOutcome::Changes(Vec::new()));
+            }
         };
         let batch = batch.inspect_err(|error| self.log_failure(error, began))?;
         self.gateway.note_store(self.task, None);
         match batch {
-            WatchBatch::Compacted => Ok(self.end(WatchEnd::Compacted, began)),
+            WatchBatch::Compacted => {
+                self.log_end(WatchEnd::Compacted, began);
+                Ok(WatchOutcome::ListAgain)
+            }
             WatchBatch::Changes { revision, changes } => {
                 self.after = self.after.max(revision);
                 Ok(WatchOutcome::Changes(changes))
@@ -133,13 +145,12 @@
         )
     }
 
-    fn end(&self, end: WatchEnd, began: Instant) -> WatchOutcome {
+    fn log_end(&self, end: WatchEnd, began: Instant) {
         let gateway = self.gateway;
         let reason: &'static str = end.into();
         gateway.metrics.count_reason("store.watch_ended", reason);
         info!(gateway.log, "store watch ended"; "task" => %self.task, "reason" => %end,
             "waited_ms" => self.waited_ms(began), "after" => self.after.0);
-        WatchOutcome::ListAgain
     }
 
     fn log_failure(&self, error: &StoreError, began: Instant) {
