--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -20,10 +20,10 @@
 /// How long a brief watch waits for changes.
 const BRIEF_WAIT: Duration = Duration::from_secs(1);
 
-/// Longest time that a VM that watches briefly waits for the answer to a watch. With
-/// the time until others have heard of a change, it stays within the 3 s after an
-/// outage in which a VM may be behind.
-const BRIEF_PATIENCE: Duration = Duration::from_millis(1750);
+/// Age at which a VM that has come to watch briefly gives up a watch that it made
+/// before. With the time until others have heard of a change, it stays within the 3 s
+/// after an outage in which a VM may be behind.
+const BRIEF_PATIENCE: Duration = Duration::from_secs(2);
 
 /// Pause between two looks whether a VM has come to watch briefly.
 const PATIENCE_LOOK: Duration = Duration::from_millis(250);
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Returns when this VM, if it watches briefly, should have had an answer.
+    /// Returns when a VM that watches briefly should long have had an answer.
     async fn overdue(&self) {
         sleep(BRIEF_PATIENCE).await;
         while !self.is_brief() {
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -61,6 +61,8 @@
     fault: Cell<StoreFault>,
     changed: Notify,
     calls: Cell<u64>,
+    /// Counts how often open connections were silenced.
+    silenced: Cell<u64>,
 }
 
 /// The store; clones share one state.
@@ -84,6 +86,7 @@
             fault: Cell::new(StoreFault::None),
             changed: Notify::new(),
             calls: Cell::new(0),
+            silenced: Cell::new(0),
         });
         let address = listen(Rc::clone(&state), serve).await?;
         Ok(Self { state, address })
@@ -100,6 +103,11 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Silences all open connections for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.state.silenced.set(self.state.silenced.get() + 1);
+    }
+
     /// Writes a key as the operator or a runner does.
     pub fn put(&self, key: &str, value: &[u8]) {
         self.state.put(key, Some(value.to_vec()), 0);
@@ -267,6 +275,7 @@
 
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut buffer = BytesMut::new();
+    let silenced = state.silenced.get();
     while let Some((head, body)) = read_request(&stream, &mut buffer).await {
         state.calls.set(state.calls.get() + 1);
         let fault = state.fault.get();
@@ -296,6 +305,9 @@
                 return;
             }
         };
+        if state.silenced.get() != silenced {
+            std::future::pending::<()>().await;
+        }
         let mut head = AnswerHead::new(status, "Answer");
         head.headers.push("Content-Type", "application/json");
         if !write_answer(&stream, head, answer.to_string().as_bytes()).await {
