gateway: a store call that began before the newest answer says nothing when it fails

What callers saw: requests refused for their budget in the second after an outage, and in a phase of lost replies.

Cause: the outcome that came last counted, not the call that began last. A call sent in an outage is given up 1 s later and marked the store as failing again though it answered; with a third of the replies lost the mark came and went all the time. A VM with the mark is passed over as the keeper of budgets, so keepers changed, each took a grant of its own, and kills took these with them.

Change: a failure counts only if no answer came since its call began. Each call goes through Gateway::ask_store, which times it, so that no caller notes outcomes itself.

Test: call_lost_in_an_outage_does_not_count_after_a_newer_answer failed before.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -300,9 +300,11 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<(), StoreError> {
-        let result = store.read(&self.key(gateway)).await;
-        gateway.note_store(StoreTask::Budgets, result.as_ref().err());
-        self.take(gateway, result?)
+        let key = self.key(gateway);
+        let stored = gateway
+            .ask_store(StoreTask::Budgets, store.read(&key))
+            .await?;
+        self.take(gateway, stored)
     }
 
     /// Writes asks of this VM.
@@ -350,8 +352,9 @@
             StoreRevision(0) => ExpectedVersion::Absent,
             revision => ExpectedVersion::At(revision),
         };
-        let result = store.swap(&self.key(gateway), expected, bytes, None).await;
-        gateway.note_store(StoreTask::Budgets, result.as_ref().err());
+        let key = self.key(gateway);
+        let call = store.swap(&key, expected, bytes, None);
+        let result = gateway.ask_store(StoreTask::Budgets, call).await;
         self.wrote_at = Some(gateway.now());
         let outcome = match &result {
             Ok(SwapOutcome::Swapped(_)) => "written",
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -20,8 +20,8 @@
 /// Follows the configuration until the process ends.
 pub async fn follow_config<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
-        if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(StoreTask::Config, &error).await;
+        if read_and_watch(&gateway, &*store).await.is_err() {
+            gateway.wait_for_store().await;
         }
     }
 }
@@ -29,8 +29,8 @@
 /// Reads the configuration, then watches it until the watch breaks.
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let layout = gateway.dialect.layout();
-    let listing = store.list(layout.config_prefix, None).await?;
-    gateway.note_store(StoreTask::Config, None);
+    let call = store.list(layout.config_prefix, None);
+    let listing = gateway.ask_store(StoreTask::Config, call).await?;
     let stored = listing
         .entries
         .into_iter()
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -263,8 +263,23 @@
         self.gossip_due.notify_one();
     }
 
-    /// Notes whether a call of `task` to the store was answered.
-    pub fn note_store(&self, task: StoreTask, error: Option<&StoreError>) {
+    /// Makes a call of `task` to the store, and notes whether it was answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the call does.
+    pub async fn ask_store<T>(
+        &self,
+        task: StoreTask,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let began = self.now();
+        let result = call.await;
+        self.note_store(task, began, result.as_ref().err());
+        result
+    }
+
+    fn note_store(&self, task: StoreTask, began: Instant, error: Option<&StoreError>) {
         let mut contact = self.contact.get();
         let now = self.now();
         match error {
@@ -281,17 +296,18 @@
             Some(error) => {
                 self.metrics
                     .count_reason("store.failed", store_reason(error));
-                if contact.note_failure(now) {
-                    info!(self.log, "store call failed"; "task" => %task, "error" => %error);
+                if contact.note_failure(began, now) {
+                    let waited = now.saturating_duration_since(began);
+                    info!(self.log, "store call failed"; "task" => %task, "error" => %error,
+                        "waited_ms" => waited.as_millis() as u64);
                 }
             }
         }
         self.contact.set(contact);
     }
 
-    /// Notes that a call of `task` to the store failed, and waits until it should be made again.
-    pub async fn retry_store(&self, task: StoreTask, error: &StoreError) {
-        self.note_store(task, Some(error));
+    /// Waits until a call that failed should be made again.
+    pub async fn wait_for_store(&self) {
         let failing = self.contact.get().failing_for(self.now());
         self.store_gate.wait(failing, self.vm_count()).await;
     }
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -99,6 +99,7 @@
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryRule;
 pub use stage::VmStage;
+pub use store_contact::StoreContact;
 pub use store_gate::StoreGate;
 pub use store_task::StoreTask;
 pub use terms::AnswerTerms;
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -39,7 +39,7 @@
     loop {
         if let Err(error) = register_and_renew(&gateway, &*store).await {
             info!(gateway.log, "membership not kept"; "error" => %error);
-            gateway.retry_store(StoreTask::VmLease, &error).await;
+            gateway.wait_for_store().await;
         }
     }
 }
@@ -48,17 +48,18 @@
     gateway: &Gateway,
     store: &S,
 ) -> Result<(), StoreError> {
-    let lease = store.create_lease(RECORD_LIFE).await?;
+    let call = store.create_lease(RECORD_LIFE);
+    let lease = gateway.ask_store(StoreTask::VmLease, call).await?;
     write_record(gateway, store, Some(lease)).await?;
-    gateway.note_store(StoreTask::VmLease, None);
     loop {
         if !gateway.contact.get().is_failing() {
             sleep(RENEWAL_INTERVAL).await;
         }
-        match store.keep_lease(lease).await {
-            Ok(()) => gateway.note_store(StoreTask::VmLease, None),
+        let call = store.keep_lease(lease);
+        match gateway.ask_store(StoreTask::VmLease, call).await {
+            Ok(()) => {}
             Err(StoreError::LeaseLapsed) => return Err(StoreError::LeaseLapsed),
-            Err(error) => gateway.retry_store(StoreTask::VmLease, &error).await,
+            Err(_) => gateway.wait_for_store().await,
         }
     }
 }
@@ -77,7 +78,8 @@
     let bytes = rmp_serde::to_vec(&record).map_err(|_| StoreError::BadReply)?;
     let mut expected = ExpectedVersion::Absent;
     loop {
-        match store.swap(&key, expected, bytes.clone(), lease).await? {
+        let call = store.swap(&key, expected, bytes.clone(), lease);
+        match gateway.ask_store(StoreTask::VmLease, call).await? {
             SwapOutcome::Swapped(_) => return Ok(()),
             SwapOutcome::Conflict(None) => expected = ExpectedVersion::Absent,
             SwapOutcome::Conflict(Some(stored)) => expected = ExpectedVersion::At(stored.revision),
@@ -94,8 +96,8 @@
 
 async fn follow_records<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
-        if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(StoreTask::VmRecords, &error).await;
+        if read_and_watch(&gateway, &*store).await.is_err() {
+            gateway.wait_for_store().await;
         }
     }
 }
@@ -103,7 +105,8 @@
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let prefix = gateway.dialect.layout().vm_prefix;
     let mut records = Vec::new();
-    let mut page = store.list(prefix, None).await?;
+    let call = store.list(prefix, None);
+    let mut page = gateway.ask_store(StoreTask::VmRecords, call).await?;
     let listed = page.revision;
     loop {
         records.extend(page.entries.iter().filter_map(|(key, stored)| {
@@ -112,9 +115,9 @@
         let Some(last) = page.more_after else {
             break;
         };
-        page = store.list(prefix, Some(&last)).await?;
+        let call = store.list(prefix, Some(&last));
+        page = gateway.ask_store(StoreTask::VmRecords, call).await?;
     }
-    gateway.note_store(StoreTask::VmRecords, None);
     gateway.peers.borrow_mut().replace_listed(records);
     let mut watch = StoreWatch::new(gateway, store, StoreTask::VmRecords, prefix, listed);
     loop {
--- a/lib/gateway/src/store_contact.rs
+++ b/lib/gateway/src/store_contact.rs
@@ -41,8 +41,14 @@
         outage
     }
 
-    /// Notes a call without answer; tells whether the store counts as lost from now on.
-    pub fn note_failure(&mut self, now: Instant) -> bool {
+    /// Notes a call without answer that began at `began`; tells whether it is the
+    /// first one that failed.
+    ///
+    /// An answer that came since the call began is the newer sign and stands.
+    pub fn note_failure(&mut self, began: Instant, now: Instant) -> bool {
+        if self.answered.is_some_and(|at| at > began) {
+            return false;
+        }
         let first = self.failing_since.is_none();
         self.failing_since.get_or_insert(now);
         first
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -95,10 +95,15 @@
             true => BRIEF_WAIT.min(wait),
             false => wait,
         };
-        let watch = self.store.watch(self.prefix, self.after, wait);
+        let answer = async {
+            let watch = self.store.watch(self.prefix, self.after, wait);
+            tokio::select! {
+                batch = watch => batch,
+                () = self.overdue() => Err(StoreError::ReplyLost),
+            }
+        };
         let batch = tokio::select! {
-            batch = watch => batch,
-            () = self.overdue() => Err(StoreError::ReplyLost),
+            batch = self.gateway.ask_store(self.task, answer) => batch,
             () = peer_ahead => {
                 self.log_end(WatchEnd::PeerAhead, began);
                 return Ok(WatchOutcome::ListAgain);
@@ -109,7 +114,6 @@
             }
         };
         let batch = batch.inspect_err(|error| self.log_failure(error, began))?;
-        self.gateway.note_store(self.task, None);
         match batch {
             WatchBatch::Compacted => {
                 self.log_end(WatchEnd::Compacted, began);
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -32,8 +32,8 @@
 pub async fn follow_upstreams<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     spawn_local(drop_lapsed_in_time(Rc::clone(&gateway)));
     loop {
-        if let Err(error) = read_and_watch(&gateway, &*store).await {
-            gateway.retry_store(StoreTask::Upstreams, &error).await;
+        if read_and_watch(&gateway, &*store).await.is_err() {
+            gateway.wait_for_store().await;
         }
     }
 }
@@ -89,7 +89,8 @@
     let mut first_revision = None;
     let mut after: Option<String> = None;
     loop {
-        let listing = store.list(prefix, after.as_deref()).await?;
+        let call = store.list(prefix, after.as_deref());
+        let listing = gateway.ask_store(StoreTask::Upstreams, call).await?;
         let revision = *first_revision.get_or_insert(listing.revision);
         for (key, stored) in listing.entries {
             if let Some(id) = upstream_id(gateway, prefix, &key) {
@@ -99,7 +100,6 @@
         }
         after = listing.more_after;
         if after.is_none() {
-            gateway.note_store(StoreTask::Upstreams, None);
             let now = gateway.now();
             let changes = gateway
                 .upstreams
