--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod reserve;
 mod retry_budget;
 mod stage;
+mod store_access;
 mod store_contact;
 mod store_gate;
 mod store_task;
--- /dev/null
+++ b/lib/gateway/src/store_access.rs
@@ -0,0 +1,71 @@
+//! How the tasks of a VM call the configuration store.
+
+use std::time::Instant;
+
+use slog::info;
+use snipegate_platform::StoreError;
+
+use crate::gateway::Gateway;
+use crate::store_task::StoreTask;
+
+impl Gateway {
+    /// Makes a call of `task` to the store, and notes whether it was answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the call does.
+    pub async fn ask_store<T>(
+        &self,
+        task: StoreTask,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let began = self.now();
+        let result = call.await;
+        self.note_store(task, began, result.as_ref().err());
+        result
+    }
+
+    fn note_store(&self, task: StoreTask, began: Instant, error: Option<&StoreError>) {
+        let mut contact = self.contact.get();
+        let now = self.now();
+        match error {
+            None | Some(StoreError::LeaseLapsed | StoreError::ValueTooLarge { .. }) => {
+                if let Some(outage) = contact.note_answer(now) {
+                    self.gossip_due.notify_one();
+                    self.store_regained.notify_waiters();
+                    info!(self.log, "store regained"; "task" => %task,
+                        "lost_ms" => outage.as_millis() as u64);
+                    self.upstreams.borrow_mut().note_store_return(now);
+                }
+                self.store_gate.open();
+            }
+            Some(error) => {
+                self.metrics
+                    .count_reason("store.failed", store_reason(error));
+                if contact.note_failure(began, now) {
+                    let waited = now.saturating_duration_since(began);
+                    info!(self.log, "store call failed"; "task" => %task, "error" => %error,
+                        "waited_ms" => waited.as_millis() as u64);
+                }
+            }
+        }
+        self.contact.set(contact);
+    }
+
+    /// Waits until a call that failed should be made again.
+    pub async fn wait_for_store(&self) {
+        let failing = self.contact.get().failing_for(self.now());
+        self.store_gate.wait(failing, self.vm_count()).await;
+    }
+}
+
+fn store_reason(error: &StoreError) -> &'static str {
+    match error {
+        StoreError::Unreachable => "unreachable",
+        StoreError::ReplyLost => "reply_lost",
+        StoreError::RateLimited { .. } => "rate_limited",
+        StoreError::ValueTooLarge { .. } => "value_too_large",
+        StoreError::LeaseLapsed => "lease_lapsed",
+        StoreError::BadReply => "bad_reply",
+    }
+}
--- a/testing/soak/src/check.rs
+++ b/testing/soak/src/check.rs
@@ -12,6 +12,9 @@
 /// How long after a disturbance bounds of time do not hold.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// How long after it was written a configuration may not be in force.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(2);
+
 /// How late after it took effect an older configuration may still be used.
 const REVERT_SLACK: Duration = Duration::from_millis(250);
 
@@ -46,6 +49,15 @@
     pub until: Instant,
 }
 
+/// A configuration that the operator wrote.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigRecord {
+    /// Its version.
+    pub version: u64,
+    /// When the store had it.
+    pub written: Instant,
+}
+
 /// A planned stop of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct StopRecord {
@@ -77,6 +89,8 @@
     pub calls: Vec<CallRecord>,
     /// What upstreams ran.
     pub runs: Vec<RunRecord>,
+    /// Configurations that were written.
+    pub configs: Vec<ConfigRecord>,
     /// Upstreams that left.
     pub drains: Vec<DrainRecord>,
     /// Processes that were stopped.
@@ -104,6 +118,8 @@
     SentToLeaving(String),
     /// A planned stop cut a request off.
     CutOff(String),
+    /// A configuration was not in force in time.
+    NotInForce(String),
     /// A process went back to an older configuration.
     Reverted(String),
     /// A VM did not serve, or not the newest configuration, at the calm end.
@@ -124,6 +140,7 @@
     check_drains(record, &calls, &mut violations);
     check_stops(record, &mut violations);
     check_versions(record, &mut violations);
+    check_in_force(record, &mut violations);
     let stuck = record.not_recovered.iter().copied();
     violations.extend(stuck.map(Violation::NotRecovered));
     violations
@@ -254,6 +271,28 @@
     }
 }
 
+/// Each configuration serves its own route.
+fn check_in_force(record: &SoakRecord, violations: &mut Vec<Violation>) {
+    let written: BTreeMap<u64, Instant> = record
+        .configs
+        .iter()
+        .map(|config| (config.version, config.written))
+        .collect();
+    for call in &record.calls {
+        let (CallKind::Probe(version), CallEnd::Answer { status: 404, .. }) =
+            (call.kind, &call.end)
+        else {
+            continue;
+        };
+        let is_due = written
+            .get(&version)
+            .is_some_and(|written| call.sent > *written + IN_FORCE_BOUND);
+        if is_due && !is_disturbed(record, call.vm, call.sent, call.ended) {
+            violations.push(Violation::NotInForce(call.id.clone()));
+        }
+    }
+}
+
 /// Tells whether anything was wrong with a VM in a time, or shortly before.
 fn is_disturbed(record: &SoakRecord, vm: usize, from: Instant, until: Instant) -> bool {
     record.disturbances.iter().any(|disturbance| {
--- a/testing/soak/src/lib.rs
+++ b/testing/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub use callers::CallKind;
 pub use callers::CallRecord;
 pub use callers::KEY;
+pub use check::ConfigRecord;
 pub use check::Disturbance;
 pub use check::DrainRecord;
 pub use check::RunRecord;
--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -29,6 +29,7 @@
 use crate::callers::CallerPool;
 use crate::callers::KEY;
 use crate::callers::run_caller;
+use crate::check::ConfigRecord;
 use crate::check::Disturbance;
 use crate::check::DrainRecord;
 use crate::check::RunRecord;
@@ -218,7 +219,13 @@
             }
             SoakFault::StoreLink(vm, fault) => self.store_links[vm].set_fault(fault),
             SoakFault::StoreReset(vm) => self.store_links[vm].reset(),
-            SoakFault::Store(fault) => self.store.set_fault(fault),
+            SoakFault::Store(fault) => {
+                if matches!(fault, StoreFault::Silent | StoreFault::WatchSilent) {
+                    // With a change as the last answer, the next watches are lost.
+                    self.next_config();
+                }
+                self.store.set_fault(fault);
+            }
             SoakFault::CallerReset(vm) => self.caller_links[vm].reset(),
             SoakFault::CallerLink(vm, fault) => self.caller_links[vm].set_fault(fault),
             SoakFault::UpstreamLink(upstream, fault) => {
@@ -381,6 +388,9 @@
             "tenants":[{{"name":"acme","apiKeys":["{KEY}"],"priority":1,"prepaid":{PREPAID}}}]}}"#
         );
         self.store.put("op/config", text.as_bytes());
+        let written = Instant::now();
+        let mut record = self.record.borrow_mut();
+        record.configs.push(ConfigRecord { version, written });
     }
 }
 
--- a/testing/soak/tests/test_check.rs
+++ b/testing/soak/tests/test_check.rs
@@ -6,6 +6,7 @@
 use snipegate_soak::CallEnd;
 use snipegate_soak::CallKind;
 use snipegate_soak::CallRecord;
+use snipegate_soak::ConfigRecord;
 use snipegate_soak::Disturbance;
 use snipegate_soak::DrainRecord;
 use snipegate_soak::FaultPlan;
@@ -173,6 +174,29 @@
     assert_eq!(check_record(&record), []);
 }
 
+#[test]
+fn configuration_that_is_not_in_force_in_time_is_seen_unless_something_was_wrong() {
+    let start = Instant::now();
+    let mut record = good_record(start);
+    let written = second(start, 1.0);
+    let version = 7;
+    record.configs.push(ConfigRecord { version, written });
+    let lacks = || answered(404, "", b"");
+    let kind = CallKind::Probe(version);
+    let in_time = second(start, 2.9);
+    record.calls.push(call("p1", kind, in_time, lacks()));
+    assert_eq!(check_record(&record), []);
+    let late = second(start, 3.1);
+    record.calls.push(call("p2", kind, late, lacks()));
+    assert_eq!(check_record(&record), [Violation::NotInForce("p2".into())]);
+    record.disturbances.push(Disturbance {
+        vm: None,
+        from: second(start, 1.2),
+        until: second(start, 1.5),
+    });
+    assert_eq!(check_record(&record), []);
+}
+
 #[test]
 fn vm_that_does_not_recover_is_seen() {
     let mut record = good_record(Instant::now());
--- a/testing/soak/tests/test_soak.rs
+++ b/testing/soak/tests/test_soak.rs
@@ -18,7 +18,10 @@
 const SEEDS: [u64; 2] = [1, 2];
 
 /// Seeds that failed once, each with its cause.
-const REGRESSIONS: [u64; 0] = [];
+const REGRESSIONS: [u64; 2] = [
+    10, // All VMs lost their watches in a silent outage that began with a change.
+    12, // The same, with an outage in which only watches went silent.
+];
 
 /// VMs of a run where no number is named.
 const VMS: usize = 4;
