--- a/testing/soak/tests/test_soak.rs
+++ b/testing/soak/tests/test_soak.rs
@@ -19,8 +19,8 @@
 
 /// Seeds that failed once, each with its cause.
 const REGRESSIONS: [u64; 2] = [
-    10, // All VMs lost their watches in a silent outage that began with a change.
-    12, // The same, with an outage in which only watches went silent.
+    10, // All VMs lost their watches to a store that answered all but watches.
+    12, // The same.
 ];
 
 /// VMs of a run where no number is named.
