gateway: a VM that comes to watch briefly makes its watch again

Cause: giving up the longer watch was taken for a lost reply, and a VM whose store was well could mark it as failing.

Change: it is an end of the watch like the others, without effect on what is known of the store; the watch is made again as a brief one from the same revision.

Test: change_is_in_force_though_the_vms_that_watch_briefly_end_in_the_outage; it fails (not in force after 5 s) with the look for overdue watches switched off.

--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -36,6 +36,8 @@
     Compacted,
     /// Another VM knows a change that the watch did not bring.
     PeerAhead,
+    /// This VM has come to watch briefly.
+    Overdue,
     /// An outage ended, in which the store may have forgotten the watch.
     StoreRegained,
 }
@@ -95,38 +97,29 @@
             true => BRIEF_WAIT.min(wait),
             false => wait,
         };
-        let answer = async {
-            let watch = self.store.watch(self.prefix, self.after, wait);
-            tokio::select! {
-                batch = watch => batch,
-                () = self.overdue() => Err(StoreError::ReplyLost),
+        let watch = self.store.watch(self.prefix, self.after, wait);
+        let end = tokio::select! {
+            batch = self.gateway.ask_store(self.task, watch) => {
+                match batch.inspect_err(|error| self.log_failure(error, began))? {
+                    WatchBatch::Changes { revision, changes } => {
+                        self.after = self.after.max(revision);
+                        return Ok(WatchOutcome::Changes(changes));
+                    }
+                    WatchBatch::Compacted => WatchEnd::Compacted,
+                }
             }
+            () = peer_ahead => WatchEnd::PeerAhead,
+            () = self.overdue() => WatchEnd::Overdue,
+            () = self.gateway.store_regained.notified() => WatchEnd::StoreRegained,
         };
-        let batch = tokio::select! {
-            batch = self.gateway.ask_store(self.task, answer) => batch,
-            () = peer_ahead => {
-                self.log_end(WatchEnd::PeerAhead, began);
-                return Ok(WatchOutcome::ListAgain);
-            }
-            () = self.gateway.store_regained.notified() => {
-                self.log_end(WatchEnd::StoreRegained, began);
-                return Ok(WatchOutcome::Changes(Vec::new()));
-            }
-        };
-        let batch = batch.inspect_err(|error| self.log_failure(error, began))?;
-        match batch {
-            WatchBatch::Compacted => {
-                self.log_end(WatchEnd::Compacted, began);
-                Ok(WatchOutcome::ListAgain)
-            }
-            WatchBatch::Changes { revision, changes } => {
-                self.after = self.after.max(revision);
-                Ok(WatchOutcome::Changes(changes))
-            }
-        }
+        self.log_end(end, began);
+        Ok(match end {
+            WatchEnd::Compacted | WatchEnd::PeerAhead => WatchOutcome::ListAgain,
+            WatchEnd::Overdue | WatchEnd::StoreRegained => WatchOutcome::Changes(Vec::new()),
+        })
     }
 
-    /// Returns when a VM that watches briefly should long have had an answer.
+    /// Returns when a VM that has come to watch briefly should give up a longer watch.
     async fn overdue(&self) {
         sleep(BRIEF_PATIENCE).await;
         while !self.is_brief() {
