gateway: one weight for duties that VMs share by hashing

Cause: found when the change was read again. Who keeps a shard of budgets and who watches the store briefly are both chosen by the hash of VM and duty, written twice.

Change: duty_weight() is the one place; the formula is as it was, so keepers and brief watchers are the same VMs.

--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -10,6 +10,7 @@
 use snipegate_types::WorkspaceId;
 
 use crate::gateway::Gateway;
+use crate::gateway::duty_weight;
 use crate::gateway::hash_name;
 use crate::gossip::SCARCE_LIFE;
 use crate::peers::VmRecord;
@@ -59,7 +60,7 @@
 /// store, as long as there are any. VMs that did not answer lately are passed over,
 /// and a VM that leaves keeps nothing if another can.
 pub fn other_keeper(gateway: &Gateway, shard: u64, now: Instant) -> Option<TransferTarget> {
-    let weight = |vm: &VmId| hash_name(&format!("{vm}/{shard}"));
+    let weight = |vm: &VmId| duty_weight(vm, shard);
     let is_cut_off = gateway.contact.get().is_failing();
     let failed = gateway.failed_keepers.borrow();
     // A VM that does not reach the store can't tell who else does not.
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::fmt;
 use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -313,3 +314,9 @@
     hasher.write(name.as_bytes());
     hasher.finish()
 }
+
+/// Returns a VM's weight for a duty, the same on all VMs: those of the greatest weight
+/// have it.
+pub fn duty_weight(vm: &VmId, duty: impl fmt::Display) -> u64 {
+    hash_name(&format!("{vm}/{duty}"))
+}
--- a/lib/gateway/src/watch_duty.rs
+++ b/lib/gateway/src/watch_duty.rs
@@ -8,7 +8,7 @@
 
 use snipegate_types::VmId;
 
-use crate::gateway::hash_name;
+use crate::gateway::duty_weight;
 use crate::store_task::StoreTask;
 
 /// VMs that watch briefly for each task; with two, one may end unnoticed.
@@ -22,8 +22,7 @@
     others: impl Iterator<Item = &'a VmId>,
     task: StoreTask,
 ) -> bool {
-    let weight = |vm: &VmId| hash_name(&format!("{vm}/{task}"));
-    let own = weight(own);
-    let heavier = others.filter(|vm| weight(vm) > own);
+    let own = duty_weight(own, task);
+    let heavier = others.filter(|vm| duty_weight(vm, task) > own);
     heavier.take(BRIEF_WATCHERS).count() < BRIEF_WATCHERS
 }
