platform: tests of outages wait for the watch that they want swallowed

Cause: the test took any call of the VM for the watch that the outage swallows. Beside load the VM's first watch was not yet open when the upstream was set to draining (2 calls before the change, 3 to 5 within the silence), so the first watch was swallowed and no one had told of the change. Ruled out by the same lines: a change that was told and not taken.

Change: the stand-in says which watches are open and which it never answers; the tests wait for an open watch before the change, and for the next watch of the same prefix to be lost.

--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -25,6 +25,9 @@
 use crate::server::read_request;
 use crate::server::write_answer;
 
+/// Path of a call that waits for changes.
+const WATCH_PATH: &str = "/-/kv-watch";
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreFault {
@@ -60,7 +63,10 @@
     leases: Cell<u64>,
     fault: Cell<StoreFault>,
     changed: Notify,
-    calls: Cell<u64>,
+    /// Prefixes of the watches that wait for a change.
+    open_watches: RefCell<Vec<Box<str>>>,
+    /// Prefixes of the watches that will never be answered.
+    lost_watches: RefCell<Vec<Box<str>>>,
     /// Counts how often open connections were silenced.
     silenced: Cell<u64>,
 }
@@ -85,7 +91,8 @@
             leases: Cell::new(0),
             fault: Cell::new(StoreFault::None),
             changed: Notify::new(),
-            calls: Cell::new(0),
+            open_watches: RefCell::default(),
+            lost_watches: RefCell::default(),
             silenced: Cell::new(0),
         });
         let address = listen(Rc::clone(&state), serve).await?;
@@ -124,12 +131,26 @@
         items.get(key).and_then(|item| item.value.clone())
     }
 
-    /// Returns how many calls came.
-    pub fn calls(&self) -> u64 {
-        self.state.calls.get()
+    /// Returns how many watches of a prefix wait for a change.
+    pub fn open_watches(&self, prefix: &str) -> usize {
+        count_prefix(&self.state.open_watches, prefix)
+    }
+
+    /// Returns how many watches of a prefix came that are never answered.
+    pub fn lost_watches(&self, prefix: &str) -> usize {
+        count_prefix(&self.state.lost_watches, prefix)
     }
 }
 
+/// Counts the watches of one prefix in a list.
+fn count_prefix(watches: &RefCell<Vec<Box<str>>>, prefix: &str) -> usize {
+    let watches = watches.borrow();
+    watches
+        .iter()
+        .filter(|watched| &***watched == prefix)
+        .count()
+}
+
 impl State {
     fn put(&self, key: &str, value: Option<Vec<u8>>, lease: u64) -> u64 {
         let revision = self.revision.get() + 1;
@@ -248,6 +269,19 @@
         (200, json!({"revision": self.revision.get()}))
     }
 
+    fn close_watch(&self, prefix: &str) {
+        let mut watches = self.open_watches.borrow_mut();
+        let place = watches.iter().position(|watched| &**watched == prefix);
+        watches.swap_remove(place.expect("an open watch"));
+    }
+
+    fn lose_watch(&self, head: &RequestHead) {
+        if head.path() == WATCH_PATH {
+            let prefix = head.query("pathPrefix").unwrap_or_default();
+            self.lost_watches.borrow_mut().push(prefix.into());
+        }
+    }
+
     async fn handle(&self, head: &RequestHead, body: &[u8]) -> (u16, Value) {
         let query = |name: &str| head.query(name).unwrap_or_default();
         let number = |name: &str| query(name).parse().unwrap_or_default();
@@ -255,9 +289,13 @@
         match head.path() {
             "/-/kv-key" => self.read(query("key")),
             "/-/kv-range" => self.range(query("pathPrefix")),
-            "/-/kv-watch" => {
+            WATCH_PATH => {
                 let wait = Duration::from_millis(number("waitMs"));
-                self.watch(query("pathPrefix"), number("after"), wait).await
+                let prefix = query("pathPrefix");
+                self.open_watches.borrow_mut().push(prefix.into());
+                let answer = self.watch(prefix, number("after"), wait).await;
+                self.close_watch(prefix);
+                answer
             }
             "/-/kv-txn" => self.transact(&call),
             "/-/kv-lease" => {
@@ -277,9 +315,9 @@
     let mut buffer = BytesMut::new();
     let silenced = state.silenced.get();
     while let Some((head, body)) = read_request(&stream, &mut buffer).await {
-        state.calls.set(state.calls.get() + 1);
         let fault = state.fault.get();
-        if fault == StoreFault::WatchSilent && head.path() == "/-/kv-watch" {
+        if fault == StoreFault::WatchSilent && head.path() == WATCH_PATH {
+            state.lose_watch(&head);
             std::future::pending::<()>().await;
         }
         let (status, answer) = match fault {
@@ -289,6 +327,7 @@
             StoreFault::Busy => (503, Value::Null),
             StoreFault::RateLimited => (429, Value::Null),
             StoreFault::Silent => {
+                state.lose_watch(&head);
                 std::future::pending::<()>().await;
                 return;
             }
