gateway: callers are told that a budget is used up where all VMs hold too little

Cause: a VM knows of a budget what the record says, and what a killed VM had taken, or a running one holds in pieces too small to use, counts there as held by others.

Change: VMs tell each other, with the gossip and only of budgets that were short in the last 3 s, the most that they can have left: what is free, what is on its way, and of what is reserved the part that is likely to come back. Each counts with the most that it told in 1 to 2 s. Where the keeper has none and the sum with what no one holds is below the cost, the refusal is budget_exhausted; a budget tallied line tells both. A VM that was not heard, or is killed and still listed, leaves it at coming back.

Ruled out: counting grants of ended runs as used in the record. What such a run had handed to others is still of use, and the callers would be denied for good.

--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use snipegate_types::TokenCount;
 use snipegate_types::VmId;
 use snipegate_types::WorkspaceId;
@@ -21,6 +22,9 @@
 /// Number of keys that the records of all budgets are spread over.
 pub const SHARDS: u64 = 4;
 
+/// How long a VM goes on telling what it has left of a budget that was short.
+const TELL_LIFE: Duration = Duration::from_secs(3);
+
 /// How long a VM that did not answer is not taken for a keeper.
 const KEEPER_PAUSE: Duration = Duration::from_millis(1500);
 
@@ -126,6 +130,59 @@
         .collect()
 }
 
+/// Returns the budgets that are short here, by hash of the workspace.
+pub fn scarce_budgets(gateway: &Gateway, now: Instant) -> Vec<u64> {
+    let scarce = gateway.scarce.borrow();
+    let is_scarce = |at: &Instant| now.saturating_duration_since(*at) < SCARCE_LIFE;
+    let scarce = scarce.iter().filter(|(_, at)| is_scarce(at));
+    scarce.map(|(id, _)| hash_name(id.as_str())).collect()
+}
+
+/// Returns the most that this VM can have of budgets that were short lately, here or
+/// elsewhere, by hash of the workspace, and notes it in the tally.
+pub fn tell_left(gateway: &Gateway, now: Instant) -> Vec<(u64, TokenCount)> {
+    let is_recent = |at: &Instant| now.saturating_duration_since(*at) < TELL_LIFE;
+    let mut here = gateway.scarce.borrow_mut();
+    here.retain(|_, at| is_recent(at));
+    let mut elsewhere = gateway.scarce_elsewhere.borrow_mut();
+    elsewhere.retain(|_, at| is_recent(at));
+    let here = here.keys().map(|id| hash_name(id.as_str()));
+    let budgets: IndexSet<u64> = here.chain(elsewhere.keys().copied()).collect();
+    let mut tally = gateway.token_tally.borrow_mut();
+    tally.forget_old(now);
+    let mut told = Vec::new();
+    for workspace in budgets {
+        if let Some(left) = own_left(gateway, workspace) {
+            tally.note(workspace, gateway.settings.gossip, left, now);
+            told.push((workspace, left));
+        }
+    }
+    told
+}
+
+/// Returns the most that this VM can have of a budget; what is on its way to another
+/// VM counts until it is known to have arrived.
+fn own_left(gateway: &Gateway, workspace: u64) -> Option<TokenCount> {
+    let on_the_way = gateway.transfers.borrow().on_the_way(workspace);
+    let left = with_purse(gateway, workspace, |_, purse| purse.left())?;
+    Some(left.saturating_add(on_the_way))
+}
+
+/// Returns the most that all VMs and the record can have left of a budget, if all VMs
+/// told it lately. What killed VMs held is gone.
+pub fn most_left(gateway: &Gateway, workspace: &WorkspaceId) -> Option<TokenCount> {
+    let now = gateway.now();
+    let hash = hash_name(workspace.as_str());
+    let left = own_left(gateway, hash)?;
+    let mut tally = gateway.token_tally.borrow_mut();
+    tally.note(hash, gateway.settings.gossip, left, now);
+    let peers = gateway.peers.borrow();
+    let vms = peers.gossip_addresses().chain([gateway.settings.gossip]);
+    let held = tally.most_left(hash, vms, now)?;
+    let unassigned = with_purse(gateway, hash, |_, purse| purse.unassigned())?;
+    Some(held.saturating_add(unassigned))
+}
+
 /// Tells whether another VM is short of a workspace's budget.
 pub fn is_scarce(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> bool {
     gateway
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::token_ask::AskOutcome;
 use crate::token_ask::FreeTokens;
 use crate::token_ask::QueuedAsk;
+use crate::token_tally::TokenTally;
 use crate::transfer::SeenNumbers;
 use crate::transfer::TransferLog;
 use crate::upstream::UpstreamChange;
@@ -119,6 +120,8 @@
     pub connections: Cell<usize>,
     /// Tokens that are free at other VMs.
     pub free_elsewhere: RefCell<IndexMap<SocketAddr, FreeTokens>>,
+    /// What VMs have left of budgets that are short.
+    pub token_tally: RefCell<TokenTally>,
     /// Transfers of tokens that were sent and received.
     pub transfers: RefCell<TransferLog>,
     /// VMs that did not act as keepers of a budget when they were asked, and when.
@@ -191,6 +194,7 @@
             active: Cell::new(0),
             connections: Cell::new(0),
             free_elsewhere: RefCell::default(),
+            token_tally: RefCell::default(),
             transfers: RefCell::default(),
             failed_keepers: RefCell::default(),
             asks_sent: Cell::new(0),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -18,6 +18,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::budget_exchange::scarce_budgets;
+use crate::budget_exchange::tell_left;
 use crate::gateway::Gateway;
 use crate::gateway::hash_name;
 use crate::load::UpstreamNews;
@@ -84,6 +86,8 @@
     pub scarce: Vec<u64>,
     /// Tokens that are free there, by hash of the workspace.
     pub free: Vec<(u64, TokenCount)>,
+    /// The most that the sender can have of budgets that were short lately.
+    pub left: Vec<(u64, TokenCount)>,
 }
 
 /// What goes from one VM to another in one datagram.
@@ -197,8 +201,6 @@
         .filter(|(_, news)| news.is_worth_telling())
         .map(|(id, news)| (upstream_code(id), news))
         .collect();
-    let mut scarce = gateway.scarce.borrow_mut();
-    scarce.retain(|_, at| now.saturating_duration_since(*at) < SCARCE_LIFE);
     GossipMessage {
         sender: gateway.own_record(),
         config: gateway.config_version(),
@@ -212,7 +214,8 @@
         } else {
             Vec::new()
         },
-        scarce: scarce.keys().map(|id| hash_name(id.as_str())).collect(),
+        scarce: scarce_budgets(gateway, now),
+        left: tell_left(gateway, now),
     }
 }
 
@@ -259,6 +262,11 @@
     if message.sender.vm == gateway.settings.vm {
         return;
     }
+    let mut tally = gateway.token_tally.borrow_mut();
+    for (workspace, left) in message.left {
+        tally.note(workspace, message.sender.gossip, left, now);
+    }
+    drop(tally);
     if !message.free.is_empty() {
         let free = FreeTokens {
             at: now,
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -193,6 +193,11 @@
             .filter(|peer| peer.record.stage == VmStage::Serving)
     }
 
+    /// Returns where the other VMs hear, whether they are heard or not.
+    pub fn gossip_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.values().map(|peer| peer.record.gossip)
+    }
+
     /// Returns how many other VMs there are, whether they are heard or not.
     pub fn known(&self) -> usize {
         self.peers.len()
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -53,6 +53,9 @@
 /// Smallest part of a grant that is worth giving back.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
+/// Requests that run may leave this many times the part that ended ones left.
+const UNUSED_MARGIN: f64 = 2.0;
+
 /// Asks whose answers have not come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct OpenAsk {
@@ -107,6 +110,8 @@
     sequence: u64,
     /// Tokens of requests that ended.
     used: TokenCount,
+    /// What those requests had reserved.
+    ended_reserved: TokenCount,
     /// What of them other VMs account for.
     reported: TokenCount,
     /// Tokens used by other VMs that this one accounts for.
@@ -148,6 +153,7 @@
             open: None,
             sequence: 0,
             used: TokenCount::ZERO,
+            ended_reserved: TokenCount::ZERO,
             reported: TokenCount::ZERO,
             used_elsewhere: TokenCount::ZERO,
             told_used: TokenCount::ZERO,
@@ -228,6 +234,25 @@
             .saturating_sub(self.spent())
     }
 
+    /// Returns what this run can have for requests to come: what is free, what may be
+    /// on its way back to the record, and what requests that run are likely to leave.
+    pub fn left(&self) -> TokenCount {
+        let recorded = self.view.unwrap_or_default().own_granted;
+        recorded
+            .max(self.granted())
+            .saturating_add(self.received)
+            .saturating_sub(self.spent())
+            .saturating_add(self.likely_unused())
+    }
+
+    /// Returns what requests that run are likely to leave of what they reserved.
+    fn likely_unused(&self) -> TokenCount {
+        let ended = self.ended_reserved.0 as f64;
+        let unused = self.ended_reserved.saturating_sub(self.used).0 as f64;
+        let part = (UNUSED_MARGIN * unused / ended.max(1.0)).min(1.0);
+        TokenCount((self.reserved.0 as f64 * part) as u64)
+    }
+
     /// Returns what is missing for a request.
     pub fn missing(&self, cost: TokenCount) -> TokenCount {
         cost.saturating_sub(self.free())
@@ -324,6 +349,7 @@
     pub fn settle(&mut self, reserved: TokenCount, cost: TokenCount) {
         self.reserved = self.reserved.saturating_sub(reserved);
         self.used = self.used.saturating_add(cost);
+        self.ended_reserved = self.ended_reserved.saturating_add(reserved);
     }
 
     /// Returns what this run should hold, if the grant should grow or shrink.
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::Admission;
 use crate::budget_exchange::adopt_workspaces;
+use crate::budget_exchange::most_left;
 use crate::budget_exchange::note_failed_keeper;
 use crate::budget_exchange::other_keeper;
 use crate::budget_exchange::shard_of;
@@ -80,6 +81,7 @@
             _ => search.pick_source(gateway, refusal),
         };
         let Some(source) = source else {
+            let refusal = search.judge(gateway, refusal, cost);
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         };
         let need = purse_of(gateway, workspace, |purse| purse.missing(cost)).unwrap_or(cost);
@@ -142,6 +144,24 @@
         richest_holder(gateway, self.workspace, &self.asked, now).map(TokenSource::Holder)
     }
 
+    /// Says why the search found nothing: what other VMs hold may be too little.
+    fn judge(&self, gateway: &Gateway, refusal: PurseRefusal, cost: TokenCount) -> PurseRefusal {
+        let keeper = other_keeper(gateway, shard_of(self.workspace), gateway.now());
+        let knows_record = keeper.is_none_or(|keeper| self.asked.contains(&keeper.address));
+        if refusal != PurseRefusal::HeldElsewhere || !knows_record {
+            return refusal;
+        }
+        let Some(left) = most_left(gateway, self.workspace) else {
+            return refusal;
+        };
+        info!(gateway.log, "budget tallied"; "request" => self.request,
+            "workspace" => %self.workspace, "left" => left.0, "cost" => cost.0);
+        match left < cost {
+            true => PurseRefusal::Exhausted,
+            false => refusal,
+        }
+    }
+
     /// Asks a source and waits for what comes of it.
     async fn ask(
         &mut self,
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -103,6 +103,14 @@
         self.sent
     }
 
+    /// Returns the tokens of a budget whose arrival is not known.
+    pub fn on_the_way(&self, workspace: u64) -> TokenCount {
+        let open = self.open.iter().map(|open| &open.transfer);
+        open.filter(|transfer| transfer.workspace == workspace)
+            .map(|transfer| transfer.tokens)
+            .sum()
+    }
+
     /// Tells whether all transfers have arrived or were given up.
     pub fn is_settled(&self) -> bool {
         self.open.is_empty()
