gateway: VMs of a large fleet fetch the records of others less often

Cause: each change of a VM's record costs the store a call of every VM.

Ruled out: fetching at all only by hearing, for a VM that was added and is not heard has to be known.

Change: the pause in which changes gather grows by 30 ms a VM to at most 4 s; others are heard by gossip before that. One type for it and for the upstreams' pause, which is bounded too, by 1.5 s (2 s at 370 VMs before).

--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::gather_pause::GatherPause;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
 use crate::store_task::StoreTask;
@@ -29,8 +30,12 @@
 /// How long one watch for other VMs waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// Pause after changes, in which more of them gather.
-const GATHER_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after changes. VMs hear of each other by gossip before.
+const GATHER_PAUSE: GatherPause = GatherPause {
+    base: Duration::from_millis(700),
+    per_vm: Duration::from_millis(30),
+    most: Duration::from_secs(4),
+};
 
 /// Keeps the record and follows the others until the process ends.
 pub async fn keep_membership<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
@@ -140,7 +145,7 @@
             }
         }
         if changed {
-            sleep(GATHER_PAUSE).await;
+            sleep(GATHER_PAUSE.of(gateway.vm_count())).await;
         }
     }
 }
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -13,17 +13,19 @@
 
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
+use crate::gather_pause::GatherPause;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
 use crate::upstream::UpstreamChange;
 use crate::upstream::UpstreamEntry;
 
-/// Pause after changes, in which more of them gather.
-const GATHER_PAUSE: Duration = Duration::from_millis(150);
-
-/// What each VM adds to this pause, so that a large fleet asks the store less often.
-const GATHER_PAUSE_PER_VM: Duration = Duration::from_millis(5);
+/// Pause after changes; a leaving upstream must be known everywhere within 3 s.
+const GATHER_PAUSE: GatherPause = GatherPause {
+    base: Duration::from_millis(150),
+    per_vm: Duration::from_millis(5),
+    most: Duration::from_millis(1500),
+};
 
 /// Pause between two looks at entries that lapsed.
 const LAPSE_LOOK_INTERVAL: Duration = Duration::from_millis(200);
@@ -73,8 +75,7 @@
             .note_known_through(watch.after());
         gateway.apply_upstream_changes(applied);
         if has_changes {
-            let vms = gateway.vm_count() as u32;
-            sleep(GATHER_PAUSE + GATHER_PAUSE_PER_VM * vms).await;
+            sleep(GATHER_PAUSE.of(gateway.vm_count())).await;
         }
     }
 }
