gateway: the test of the pause plays the one that VMs use

The test had its own copy of the figures, so a change of the pause for VMs' records would not have shown in it. The constant is public now and the test takes it; its assertions and all behaviour are as they were.

--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -88,6 +88,7 @@
 pub use load::OutcomeTally;
 pub use load::UpstreamNews;
 pub use load::WorkLoad;
+pub use membership::RECORD_GATHER_PAUSE;
 pub use membership::keep_membership;
 pub use membership::leave_membership;
 pub use peers::PeerTable;
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -30,8 +30,8 @@
 /// How long one watch for other VMs waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// Pause after changes. VMs hear of each other by gossip before.
-const GATHER_PAUSE: GatherPause = GatherPause {
+/// Pause after changes of VMs' records. VMs hear of each other by gossip before.
+pub const RECORD_GATHER_PAUSE: GatherPause = GatherPause {
     base: Duration::from_millis(700),
     per_vm: Duration::from_millis(30),
     most: Duration::from_secs(4),
@@ -145,7 +145,7 @@
             }
         }
         if changed {
-            sleep(GATHER_PAUSE.of(gateway.vm_count())).await;
+            sleep(RECORD_GATHER_PAUSE.of(gateway.vm_count())).await;
         }
     }
 }
--- a/lib/gateway/tests/test_gather_pause.rs
+++ b/lib/gateway/tests/test_gather_pause.rs
@@ -2,13 +2,7 @@
 
 use std::time::Duration;
 
-use snipegate_gateway::GatherPause;
-
-const PAUSE: GatherPause = GatherPause {
-    base: Duration::from_millis(700),
-    per_vm: Duration::from_millis(30),
-    most: Duration::from_secs(4),
-};
+use snipegate_gateway::RECORD_GATHER_PAUSE;
 
 /// Counts the calls of a fleet that fetches each change, with one change each 200 ms
 /// for 12 s, as when the leases of killed VMs lapse.
@@ -19,7 +13,7 @@
     for change in changes {
         if change >= ready_at {
             calls += vms;
-            ready_at = change + PAUSE.of(vms);
+            ready_at = change + RECORD_GATHER_PAUSE.of(vms);
         }
     }
     calls
@@ -33,8 +27,8 @@
 
 #[test]
 fn pause_does_not_grow_beyond_its_bound() {
-    assert_eq!(PAUSE.of(0), Duration::from_millis(700));
-    assert_eq!(PAUSE.of(10), Duration::from_secs(1));
-    assert_eq!(PAUSE.of(370), Duration::from_secs(4));
-    assert_eq!(PAUSE.of(usize::MAX), Duration::from_secs(4));
+    assert_eq!(RECORD_GATHER_PAUSE.of(0), Duration::from_millis(700));
+    assert_eq!(RECORD_GATHER_PAUSE.of(10), Duration::from_secs(1));
+    assert_eq!(RECORD_GATHER_PAUSE.of(370), Duration::from_secs(4));
+    assert_eq!(RECORD_GATHER_PAUSE.of(usize::MAX), Duration::from_secs(4));
 }
