gateway: after an outage of the store one VM takes a grant of a budget, not all

Each VM held four shards half a second after the return: a VM that had not answered as the keeper during the outage, or had no store, was passed over for 1.5 s more, and a VM that had just found the store back took the grant of a keeper.

Ruled out: gossip that comes late. The VMs heard each other throughout.

Change: what VMs could not do in an outage is forgotten when it ends, and a VM that found the store back less than a second ago holds what its own requests need, as one that has just started does.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -59,7 +59,8 @@
 const CALM_GATHER: Duration = Duration::from_millis(400);
 
 /// How long a process serves before it takes itself for the keeper of a budget:
-/// until then it may not have heard of a better one.
+/// until then it may not have heard of a better one. It is the same after an outage
+/// of the store, in which it could not tell who else reaches it.
 const NEW_KEEPER_SPAN: Duration = Duration::from_millis(1500);
 
 /// Shortest pause between two looks at what a member should hand back.
@@ -272,7 +273,8 @@
             return PurseRole::Member;
         }
         let is_new = |since: Instant| now.saturating_duration_since(since) < NEW_KEEPER_SPAN;
-        match gateway.serving_since.get().is_none_or(is_new) {
+        let has_started = gateway.serving_since.get().is_none_or(is_new);
+        match has_started || gateway.contact.get().is_regained(now) {
             true => PurseRole::NewKeeper,
             false => PurseRole::Keeper,
         }
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -44,7 +44,8 @@
 pub enum PurseRole {
     /// It holds a grant for all VMs.
     Keeper,
-    /// It may be the keeper, but has not run for long enough to know.
+    /// It may be the keeper, but has not heard the others for long enough to know, and
+    /// holds no more than its own requests need.
     NewKeeper,
     /// It gets tokens of the keeper, and asks the record only for other VMs.
     Member,
--- a/lib/gateway/src/purse/grant_size.rs
+++ b/lib/gateway/src/purse/grant_size.rs
@@ -104,19 +104,17 @@
 
     /// Returns how many tokens should be free at the present demand.
     fn target(&self, role: PurseRole, now: Instant) -> f64 {
-        if role == PurseRole::Member {
-            return 0.0;
-        }
         let left = self.unassigned().0 as f64;
         let own = self.free().0 as f64;
         let share = own + SHARED_PART * left;
-        let stock = match role {
-            PurseRole::Keeper => STOCK_PART * self.left_part() * left,
-            _ => 0.0,
-        };
-        (self.demand.rate(now) * self.span(GRANT_SPAN))
-            .min(share)
-            .max(stock)
+        match role {
+            PurseRole::Member => 0.0,
+            PurseRole::NewKeeper => self.member_target(now).min(share),
+            PurseRole::Keeper => {
+                let demand = self.demand.rate(now) * self.span(GRANT_SPAN);
+                demand.min(share).max(STOCK_PART * self.left_part() * left)
+            }
+        }
     }
 
     /// Returns how many tokens a member should have at the present demand.
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -36,6 +36,8 @@
                     info!(self.log, "store regained"; "task" => %task,
                         "lost_ms" => outage.as_millis() as u64);
                     self.upstreams.borrow_mut().note_store_return(now);
+                    // What they could not do in the outage says nothing of now.
+                    self.failed_keepers.borrow_mut().clear();
                 }
                 self.store_gate.open();
             }
--- a/lib/gateway/tests/test_purse.rs
+++ b/lib/gateway/tests/test_purse.rs
@@ -407,3 +407,23 @@
     assert!(!seen.is_first(1, 2));
     assert!(!seen.is_first(1, 4));
 }
+
+#[test]
+fn new_keeper_holds_no_more_than_its_own_requests_need() {
+    const BOUGHT: u64 = 44_000_000;
+    const OWN: TokenCount = TokenCount(100_000);
+    let mut now = Instant::now();
+    let mut purse = BudgetPurse::new(1, 1, 1, TokenCount(BOUGHT), now);
+    purse.set_view(BudgetRecord::default().view(1, 1, 1, 1));
+    // Of a million tokens that are asked for in a second, a tenth comes to this VM.
+    for _ in 0..5 {
+        now += Duration::from_secs(1);
+        purse.note_request(OWN, now);
+        purse.note_demand(TokenCount(9 * OWN.0), now);
+    }
+    let role = PurseRole::NewKeeper;
+    let ask = purse
+        .plan_ask(role, TokenCount::ZERO, false, now)
+        .expect("an ask");
+    assert!(ask.granted.0 <= 2 * OWN.0, "{}", ask.granted);
+}
