--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -34,6 +34,7 @@
 use snipegate_types::SystemClock;
 use snipegate_types::TimeSource;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 
@@ -69,6 +70,8 @@
     let site = read_settings(&command.settings)?;
     let clock: Arc<dyn TimeSource> = Arc::new(SystemClock);
     let metrics = MetricRegistry::new("snipegate", None)?;
+    // While it is bound, no other process of this VM runs.
+    let gossip = UdpSocket::bind(site.gossip).await?;
     let gateway = Rc::new(Gateway::new(
         gateway_settings(&site),
         Rc::new(SiteDialect),
@@ -82,6 +85,7 @@
         "incarnation" => gateway.incarnation);
     start_servers(command, &site, &gateway).await?;
     start_followers(&gateway, &store);
+    spawn_local(exchange_gossip(Rc::clone(&gateway), gossip));
     serve_until_stopped(&gateway, &store, &command.settings).await
 }
 
@@ -113,13 +117,6 @@
     spawn_local(follow_upstreams(Rc::clone(gateway), Rc::clone(store)));
     spawn_local(keep_membership(Rc::clone(gateway), Rc::clone(store)));
     spawn_local(keep_budgets(Rc::clone(gateway), Rc::clone(store)));
-    let gossiping = Rc::clone(gateway);
-    spawn_local(async move {
-        let log = gossiping.log.clone();
-        if let Err(failure) = exchange_gossip(gossiping).await {
-            error!(log, "gossip failed"; "error" => %failure);
-        }
-    });
 }
 
 fn gateway_settings(site: &SiteSettings) -> GatewaySettings {
--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -46,7 +46,10 @@
         let hash = hash_name(workspace.as_str());
         purses
             .entry(workspace.clone())
-            .or_insert_with(|| BudgetPurse::new(hash, vm, gateway.incarnation, prepaid, now))
+            .or_insert_with(|| {
+                BudgetPurse::new(hash, vm, gateway.incarnation, prepaid, now)
+                    .with_beginning(gateway.began)
+            })
             .set_prepaid(prepaid);
     }
 }
--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -34,6 +34,7 @@
 use crate::gateway::hash_name;
 use crate::own_answer::spread;
 use crate::purse::BudgetPurse;
+use crate::purse::PlanTime;
 use crate::purse::PurseRole;
 use crate::store_task::StoreTask;
 use crate::token_ask::answer_queue;
@@ -92,6 +93,7 @@
 /// Keeps the grants of all workspaces until the process ends.
 pub async fn keep_budgets<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     spawn_local(resend_transfers(Rc::clone(&gateway)));
+    spawn_local(close_earlier_runs(Rc::clone(&gateway), Rc::clone(&store)));
     for number in 0..SHARDS {
         let gateway = Rc::clone(&gateway);
         spawn_local(keep_shard(gateway, Rc::clone(&store), number));
@@ -174,9 +176,9 @@
             sleep(FAILURE_PAUSE).await;
             return Ok(LookEnd::Idle);
         }
-        let now = gateway.now();
-        self.wrote_at = Some(now);
-        let asks = self.plan_asks(gateway, now);
+        let time = plan_time(gateway);
+        self.wrote_at = Some(time.now);
+        let asks = self.plan_asks(gateway, time);
         if !asks.is_empty() {
             self.write(gateway, store, &asks).await?;
         }
@@ -241,9 +243,12 @@
         .reduce(|one, other| one || other)
     }
 
-    fn plan_asks(&self, gateway: &Gateway, now: Instant) -> Vec<GrantAsk> {
-        self.ask_each(gateway, now, |purse, role, queued, scarce| {
-            purse.plan_ask(role, queued, scarce, now)
+    /// Plans what to ask for each budget; a write for some sets the pace of all.
+    fn plan_asks(&self, gateway: &Gateway, time: PlanTime) -> Vec<GrantAsk> {
+        self.ask_each(gateway, time.now, |purse, role, queued, scarce| {
+            purse
+                .plan_ask(role, queued, scarce, time)
+                .or_else(|| purse.plan_pace(time))
         })
     }
 
@@ -405,6 +410,7 @@
     /// Shows the purses of this VM what the records say.
     fn show_views(&self, gateway: &Gateway) {
         let vm = hash_name(gateway.settings.vm.as_str());
+        let now = gateway.now();
         let mut purses = gateway.purses.borrow_mut();
         let own = purses
             .iter_mut()
@@ -413,7 +419,7 @@
             let view = self
                 .shard
                 .view(purse.workspace(), self.revision.0, vm, gateway.incarnation);
-            purse.set_view(view);
+            purse.set_view(view, now);
         }
         drop(purses);
         gateway.grant_changed.notify_waiters();
@@ -425,15 +431,55 @@
     }
 }
 
-/// Hands what is not used to other VMs at the end of the process, or gives it back
-/// to the store where no other VM is heard.
+/// Returns the time to plan asks by; the clock of the boot is read first.
+fn plan_time(gateway: &Gateway) -> PlanTime {
+    let boot = gateway.boot_moment();
+    let now = gateway.now();
+    PlanTime { now, boot }
+}
+
+/// Counts what earlier runs of this VM may have spent as used, so that the rest of their
+/// grants can be granted again.
+async fn close_earlier_runs<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>) {
+    while let Err(error) = try_close_earlier_runs(&gateway, &*store).await {
+        info!(gateway.log, "grants of earlier runs not closed"; "error" => %error);
+        sleep(spread(FAILURE_PAUSE)).await;
+        if gateway.contact.get().is_failing() {
+            gateway.wait_for_store().await;
+        }
+    }
+}
+
+async fn try_close_earlier_runs<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+) -> Result<(), StoreError> {
+    let prefix = gateway.dialect.layout().budget_prefix;
+    let call = store.list(prefix, None);
+    let listing = gateway.ask_store(StoreTask::Budgets, call).await?;
+    for (key, stored) in listing.entries {
+        let number = key.strip_prefix(prefix).and_then(|text| text.parse().ok());
+        let Some(number) = number else {
+            info!(gateway.log, "budget key not known"; "key" => key);
+            continue;
+        };
+        let mut keeper = ShardKeeper::new(number);
+        keeper.take(gateway, Some(stored))?;
+        keeper.close_earlier_runs(gateway, store).await?;
+    }
+    Ok(())
+}
+
+/// Hands what is not used to other VMs at the end of the process, and gives the rest back
+/// to the store.
 pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
     for number in 0..SHARDS {
         let mut keeper = ShardKeeper::new(number);
-        match other_keeper(gateway, number, gateway.now()) {
-            Some(other) => keeper.hand_over(gateway, other),
-            None => keeper.give_back(gateway, store).await,
+        if let Some(other) = other_keeper(gateway, number, gateway.now()) {
+            keeper.hand_over(gateway, other);
         }
+        // What the pace does not let go of yet, or all where no other VM is heard.
+        keeper.give_back(gateway, store).await;
     }
     let all_arrived = async {
         while !gateway.transfers.borrow().is_settled() {
@@ -446,12 +492,36 @@
 }
 
 impl ShardKeeper {
+    async fn close_earlier_runs<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+    ) -> Result<(), StoreError> {
+        let vm = hash_name(gateway.settings.vm.as_str());
+        let mut shard = self.shard.clone();
+        let mut changed = false;
+        for (workspace, record) in &mut shard.records {
+            let taken = record.taken();
+            if record.close_earlier_runs(vm, gateway.incarnation, gateway.began) {
+                changed = true;
+                let returned = taken.saturating_sub(record.taken());
+                info!(gateway.log, "grants of an earlier run closed"; "workspace" => workspace,
+                    "returned" => returned.0, "revision" => self.revision.0);
+            }
+        }
+        match changed {
+            true => self.swap(gateway, store, shard).await,
+            false => Ok(()),
+        }
+    }
+
     fn hand_over(&self, gateway: &Gateway, other: TransferTarget) {
         for workspace in self.workspaces(gateway) {
             report_use(gateway, other.address, &workspace);
             let (hash, free) = {
                 let purses = gateway.purses.borrow();
-                (purses[&workspace].workspace(), purses[&workspace].free())
+                let purse = &purses[&workspace];
+                (purse.workspace(), purse.free(gateway.now()))
             };
             hand_over(gateway, other, hash, free);
         }
@@ -462,13 +532,16 @@
             .purses
             .borrow_mut()
             .iter_mut()
-            .filter(|(id, purse)| shard_of(id) == self.number && !purse.granted().is_zero())
-            .map(|(_, purse)| purse.plan_return())
+            .filter(|(id, purse)| shard_of(id) == self.number && purse.has_spare_grant())
+            .map(|(_, purse)| purse.plan_return(plan_time(gateway)))
             .collect();
         if asks.is_empty() {
             return;
         }
         for _ in 0..MAX_CLOSE_TRIES {
+            if gateway.contact.get().is_failing() {
+                break;
+            }
             match self.write(gateway, store, &asks).await {
                 Ok(()) => break,
                 Err(error) => info!(gateway.log, "budgets not given back";
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -5,8 +5,12 @@
 use rmp_serde::encode;
 use serde::Deserialize;
 use serde::Serialize;
+use snipegate_types::BootMoment;
 use snipegate_types::TokenCount;
 
+use crate::spending_pace::DatedPace;
+use crate::spending_pace::SpendingPace;
+
 /// Least use that is worth a write by itself.
 const MIN_TOLD: TokenCount = TokenCount(2000);
 
@@ -23,12 +27,36 @@
     pub granted: TokenCount,
     /// Tokens that it accounted for as used when it last asked.
     pub used: TokenCount,
+    /// How fast it may spend the grant; `None` if it may spend all at once.
+    #[serde(default)]
+    pub pace: Option<DatedPace>,
+}
+
+impl BudgetHolder {
+    /// Returns the most of the grant that the run can have spent, where a later run of
+    /// its machine began at `end`.
+    pub fn most_spent(&self, end: Option<BootMoment>) -> TokenCount {
+        let by_pace = self
+            .pace
+            .zip(end)
+            .and_then(|(pace, end)| pace.most_spent(end));
+        by_pace.map_or(self.granted, |spent| spent.min(self.granted))
+    }
+
+    /// Returns what of the grant may be spent at once.
+    fn ceiling(&self) -> TokenCount {
+        match self.pace {
+            Some(dated) => dated.pace.ceiling.min(self.granted),
+            None => self.granted,
+        }
+    }
 }
 
 /// All that was ever taken from a budget.
 ///
-/// Grants of runs that ended without giving back count as used, so no clock and
-/// no lease decides how much is left.
+/// What runs that ended without giving back may have spent of their grants counts as
+/// used: by their pace, where a later run of their machine knows when they had ended,
+/// and else all. No lease, and no clock that can be set, decides how much is left.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRecord {
     /// Tokens of runs that ended.
@@ -52,6 +80,10 @@
     pub granted: TokenCount,
     /// Tokens that are used and that it accounts for.
     pub used: TokenCount,
+    /// How fast it will spend the grant; `None` if it may spend all at once.
+    pub pace: Option<DatedPace>,
+    /// When the run began, after all earlier ones of its machine had ended.
+    pub began: Option<BootMoment>,
 }
 
 /// What a record says of all VMs together.
@@ -78,6 +110,8 @@
     pub own_used: TokenCount,
     /// Number of the run's last ask that was applied.
     pub own_sequence: u64,
+    /// How fast the run may spend what it holds.
+    pub own_pace: Option<SpendingPace>,
 }
 
 impl BudgetRecord {
@@ -109,6 +143,7 @@
             own_granted: own.map_or(TokenCount::ZERO, |own| own.granted),
             own_used: own.map_or(TokenCount::ZERO, |own| own.used),
             own_sequence: own.map_or(0, |own| own.sequence),
+            own_pace: own.and_then(|own| own.pace).map(|dated| dated.pace),
         }
     }
 
@@ -124,12 +159,14 @@
         let is_vain = |own: BudgetHolder| {
             let spare = prepaid.saturating_sub(self.taken());
             let told = ask.used.saturating_sub(own.used);
-            spare.is_zero() && ask.granted >= own.granted && told < MIN_TOLD
+            let ceiling = ask.pace.map_or(own.granted, |dated| dated.pace.ceiling);
+            let is_faster = ceiling.min(own.granted) > own.ceiling();
+            spare.is_zero() && ask.granted >= own.granted && told < MIN_TOLD && !is_faster
         };
         if own.is_some_and(is_vain) {
             return false;
         }
-        self.close_earlier_runs(ask);
+        self.close_earlier_runs(ask.vm, ask.incarnation, ask.began);
         let before = own.map_or(TokenCount::ZERO, |own| own.granted);
         let spare = prepaid.saturating_sub(self.taken());
         let granted = ask.granted.min(before.saturating_add(spare));
@@ -140,22 +177,26 @@
             sequence: ask.sequence,
             granted,
             used: ask.used,
+            pace: ask.pace,
         });
         true
     }
 
-    /// Counts the grants of earlier runs of the asker's VM as used.
-    fn close_earlier_runs(&mut self, ask: &GrantAsk) {
-        let is_earlier =
-            |other: &BudgetHolder| other.vm == ask.vm && other.incarnation != ask.incarnation;
-        let earlier: TokenCount = self
-            .holders
-            .iter()
-            .filter(|other| is_earlier(other))
-            .map(|other| other.granted)
-            .sum();
-        self.closed = self.closed.saturating_add(earlier);
+    /// Counts what earlier runs of a VM may have spent as used; tells whether there were
+    /// any. `began` is when the run `incarnation` began.
+    pub fn close_earlier_runs(
+        &mut self,
+        vm: u64,
+        incarnation: u64,
+        began: Option<BootMoment>,
+    ) -> bool {
+        let is_earlier = |other: &BudgetHolder| other.vm == vm && other.incarnation != incarnation;
+        let earlier = self.holders.iter().filter(|other| is_earlier(other));
+        let spent: TokenCount = earlier.map(|other| other.most_spent(began)).sum();
+        self.closed = self.closed.saturating_add(spent);
+        let before = self.holders.len();
         self.holders.retain(|other| !is_earlier(other));
+        self.holders.len() < before
     }
 
     fn holder(&self, vm: u64, incarnation: u64) -> Option<&BudgetHolder> {
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use slog::Logger;
 use slog::info;
 use snipegate_service::MetricRegistry;
+use snipegate_types::BootMoment;
 use snipegate_types::DataCentre;
 use snipegate_types::TimeSource;
 use snipegate_types::UpstreamId;
@@ -74,6 +75,9 @@
     pub settings: GatewaySettings,
     /// The run of this process.
     pub incarnation: u64,
+    /// When it began, on the clock of the machine's boot: after all earlier runs of the
+    /// VM had ended. `None` where that is not known.
+    pub began: Option<BootMoment>,
     /// The wire formats.
     pub dialect: Rc<dyn FrontDialect>,
     /// The clock.
@@ -160,6 +164,8 @@
 
 impl Gateway {
     /// Makes the state of a process that knows nothing yet.
+    ///
+    /// No earlier process of the VM may still run: its gossip address has to be bound.
     pub fn new(
         settings: GatewaySettings,
         dialect: Rc<dyn FrontDialect>,
@@ -168,9 +174,11 @@
         metrics: MetricRegistry,
     ) -> Self {
         let retries = RetryBudget::new(settings.retry);
+        let began = boot_moment(&*clock, &settings);
         Self {
             settings,
             incarnation: fastrand::u64(1..),
+            began,
             dialect,
             clock,
             log,
@@ -220,6 +228,11 @@
         self.clock.now()
     }
 
+    /// Returns the moment on the clock of the machine's boot, for this VM's address.
+    pub fn boot_moment(&self) -> Option<BootMoment> {
+        boot_moment(&*self.clock, &self.settings)
+    }
+
     /// Returns the configuration in force.
     pub fn current_config(&self) -> Option<Rc<FleetConfig>> {
         self.config.borrow().clone()
@@ -312,6 +325,12 @@
     }
 }
 
+fn boot_moment(clock: &dyn TimeSource, settings: &GatewaySettings) -> Option<BootMoment> {
+    let moment = clock.boot_moment()?;
+    let boot = moment.boot.at_address(settings.gossip);
+    Some(BootMoment { boot, ..moment })
+}
+
 /// Hashes a name, the same on all VMs.
 pub fn hash_name(name: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -3,7 +3,6 @@
 //!
 //! Nothing here is needed for safety; a lost datagram makes a choice worse.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -107,13 +106,9 @@
     TransferTaken(u64),
 }
 
-/// Sends and receives messages until the process ends.
-///
-/// # Errors
-///
-/// Fails if the socket can't be bound.
-pub async fn exchange_gossip(gateway: Rc<Gateway>) -> io::Result<()> {
-    let socket = Rc::new(UdpSocket::bind(gateway.settings.gossip).await?);
+/// Sends and receives messages over the VM's gossip socket until the process ends.
+pub async fn exchange_gossip(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
     let receiver = Rc::clone(&socket);
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
     let mut number = 0;
@@ -210,7 +205,7 @@
         loads,
         placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
         free: if number.is_multiple_of(FREE_EVERY) {
-            free_tokens(gateway)
+            free_tokens(gateway, now)
         } else {
             Vec::new()
         },
@@ -219,11 +214,11 @@
     }
 }
 
-fn free_tokens(gateway: &Gateway) -> Vec<(u64, TokenCount)> {
+fn free_tokens(gateway: &Gateway, now: Instant) -> Vec<(u64, TokenCount)> {
     let purses = gateway.purses.borrow();
     purses
         .values()
-        .map(|purse| (purse.workspace(), purse.free()))
+        .map(|purse| (purse.workspace(), purse.free(now)))
         .filter(|(_, free)| !free.is_zero())
         .collect()
 }
--- a/lib/gateway/src/purse.rs
+++ b/lib/gateway/src/purse.rs
@@ -6,20 +6,28 @@
 //! ask is known to be applied, the lower of the possible grants counts, and an
 //! ask that comes late changes nothing once a newer one was applied.
 //!
+//! Each ask names a pace too, which bounds what a killed run can have spent; the run
+//! keeps to the paces of all asks that may be in force.
+//!
 //! One VM, the keeper of a budget, holds a grant for all; the others get tokens
 //! of it as their requests come, and hand back what they do not need. The giver
 //! takes tokens out first.
 
+mod allowance;
 mod grant_size;
 
 use std::time::Instant;
 
+use snipegate_types::BootMoment;
 use snipegate_types::TokenCount;
 
+use self::allowance::Allowance;
 use crate::budget_record::BudgetTotals;
 use crate::budget_record::BudgetView;
 use crate::budget_record::GrantAsk;
 use crate::demand::DemandMeter;
+use crate::spending_pace::DatedPace;
+use crate::spending_pace::SpendingPace;
 
 /// Part of what is free that a VM gets at most beyond what it needs.
 const WISH_PART: f64 = 0.05;
@@ -36,7 +44,16 @@
     /// Number of the newest.
     sequence: u64,
     /// The least that any of them leaves.
-    granted: TokenCount,
+    allowance: Allowance,
+}
+
+/// When an ask is planned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanTime {
+    /// The time by which the purse goes.
+    pub now: Instant,
+    /// The same moment or an earlier one on the clock of the machine's boot.
+    pub boot: Option<BootMoment>,
 }
 
 /// What a VM does for a budget.
@@ -69,7 +86,11 @@
     vm: u64,
     incarnation: u64,
     prepaid: TokenCount,
+    /// When this run began.
+    began: Option<BootMoment>,
     view: Option<BudgetView>,
+    /// When the newest ask of this run that was applied was seen to be.
+    applied_at: Instant,
     /// The newest that is known of all VMs.
     totals: Option<BudgetTotals>,
     open: Option<OpenAsk>,
@@ -114,7 +135,9 @@
             vm,
             incarnation,
             prepaid,
+            began: None,
             view: None,
+            applied_at: now,
             totals: None,
             open: None,
             sequence: 0,
@@ -133,6 +156,12 @@
         }
     }
 
+    /// Sets when this run began, after all earlier ones of its machine had ended.
+    pub fn with_beginning(mut self, began: Option<BootMoment>) -> Self {
+        self.began = began;
+        self
+    }
+
     /// Returns the workspace, as a hash of its id.
     pub fn workspace(&self) -> u64 {
         self.workspace
@@ -144,12 +173,15 @@
     }
 
     /// Takes what the record says, unless something newer is known.
-    pub fn set_view(&mut self, view: BudgetView) {
+    pub fn set_view(&mut self, view: BudgetView, now: Instant) {
         self.set_totals(view.totals);
-        let known = self.view.map_or(0, |known| known.totals.revision);
-        if known > view.totals.revision {
+        let known = self.view.unwrap_or_default();
+        if known.totals.revision > view.totals.revision {
             return;
         }
+        if known.own_sequence != view.own_sequence {
+            self.applied_at = now;
+        }
         let settled = |open: &OpenAsk| view.own_sequence >= open.sequence;
         if self.open.as_ref().is_some_and(settled) {
             self.open = None;
@@ -186,16 +218,40 @@
 
     /// Returns what is granted for certain.
     pub fn granted(&self) -> TokenCount {
-        let recorded = self.view.unwrap_or_default().own_granted;
+        self.allowance().granted
+    }
+
+    /// Returns what the record says that this run holds.
+    fn recorded(&self) -> TokenCount {
+        self.view.unwrap_or_default().own_granted
+    }
+
+    /// Returns what the asks that may be in force all leave.
+    fn allowance(&self) -> Allowance {
+        let view = self.view.unwrap_or_default();
+        let recorded = Allowance {
+            granted: view.own_granted,
+            pace: view.own_pace,
+            since: self.applied_at,
+        };
         match self.open {
-            Some(open) => recorded.min(open.granted),
+            Some(open) => recorded.least(open.allowance),
             None => recorded,
         }
     }
 
     /// Returns what can be reserved now.
-    pub fn free(&self) -> TokenCount {
-        self.granted()
+    pub fn free(&self, now: Instant) -> TokenCount {
+        self.unspent(self.allowance().by(now))
+    }
+
+    /// Returns what is not spent, whether the pace allows it now or later.
+    pub fn held(&self) -> TokenCount {
+        self.unspent(self.granted())
+    }
+
+    fn unspent(&self, allowed: TokenCount) -> TokenCount {
+        allowed
             .saturating_add(self.received)
             .saturating_sub(self.spent())
     }
@@ -203,8 +259,7 @@
     /// Returns what this run can have for requests to come: what is free, what may be
     /// on its way back to the record, and what requests that run are likely to leave.
     pub fn left(&self) -> TokenCount {
-        let recorded = self.view.unwrap_or_default().own_granted;
-        recorded
+        self.recorded()
             .max(self.granted())
             .saturating_add(self.received)
             .saturating_sub(self.spent())
@@ -220,16 +275,16 @@
     }
 
     /// Returns what is missing for a request.
-    pub fn missing(&self, cost: TokenCount) -> TokenCount {
-        cost.saturating_sub(self.free())
+    pub fn missing(&self, cost: TokenCount, now: Instant) -> TokenCount {
+        cost.saturating_sub(self.free(now))
     }
 
     /// Takes tokens out to hand them to another VM that needs `need`, and a part of
     /// what it wishes beyond that.
     ///
     /// They are lost, not doubled, if they do not arrive.
-    pub fn give(&mut self, need: TokenCount, wish: TokenCount) -> TokenCount {
-        let free = self.free();
+    pub fn give(&mut self, need: TokenCount, wish: TokenCount, now: Instant) -> TokenCount {
+        let free = self.free(now);
         let spare = TokenCount((free.saturating_sub(need).0 as f64 * WISH_PART) as u64);
         let given = need.saturating_add(wish.min(spare)).min(free);
         self.given = self.given.saturating_add(given);
@@ -282,8 +337,8 @@
     /// # Errors
     ///
     /// Says what is missing.
-    pub fn reserve(&mut self, cost: TokenCount) -> Result<(), PurseRefusal> {
-        if cost <= self.free() {
+    pub fn reserve(&mut self, cost: TokenCount, now: Instant) -> Result<(), PurseRefusal> {
+        if cost <= self.free(now) {
             self.reserved = self.reserved.saturating_add(cost);
             return Ok(());
         }
@@ -294,7 +349,7 @@
     /// Says why a request can't be granted, going by the record as it is known.
     ///
     /// What is used only grows, so exhaustion shows in an old record as well.
-    pub fn why_refused(&self, cost: TokenCount) -> PurseRefusal {
+    pub fn why_refused(&self, cost: TokenCount, now: Instant) -> PurseRefusal {
         let Some(totals) = self.totals else {
             return PurseRefusal::NeedsGrant;
         };
@@ -304,8 +359,9 @@
         if used.saturating_add(cost) > self.prepaid {
             return PurseRefusal::Exhausted;
         }
-        let missing = self.missing(cost);
-        match missing <= self.unassigned() {
+        let missing = self.missing(cost, now);
+        let held_back = self.held().saturating_sub(self.free(now));
+        match missing <= self.unassigned().saturating_add(held_back) {
             true => PurseRefusal::NeedsGrant,
             false => PurseRefusal::HeldElsewhere,
         }
@@ -324,10 +380,25 @@
         role: PurseRole,
         queued: TokenCount,
         scarce: bool,
-        now: Instant,
+        time: PlanTime,
     ) -> Option<GrantAsk> {
-        let need = self.need(role, queued, scarce, now)?;
-        Some(self.ask(need.granted))
+        let need = self.need(role, queued, scarce, time.now)?;
+        let pace = self.pace(queued, time.now);
+        Some(self.ask(need.granted, pace, time))
+    }
+
+    /// Returns the ask for a new pace, where the grant stays as it is.
+    pub fn plan_pace(&mut self, time: PlanTime) -> Option<GrantAsk> {
+        if self.granted().is_zero() {
+            return None;
+        }
+        let pace = self.pace(TokenCount::ZERO, time.now);
+        Some(self.ask(self.granted(), pace, time))
+    }
+
+    /// Tells whether part of the grant can be given back.
+    pub fn has_spare_grant(&self) -> bool {
+        self.granted() > self.least_grant()
     }
 
     /// Tells whether much use is not reported yet.
@@ -336,19 +407,28 @@
     }
 
     /// Returns the ask that gives back all that is not in use.
-    pub fn plan_return(&mut self) -> GrantAsk {
-        self.ask(self.least_grant())
+    pub fn plan_return(&mut self, time: PlanTime) -> GrantAsk {
+        let pace = self.pace(TokenCount::ZERO, time.now);
+        self.ask(self.least_grant(), pace, time)
     }
 
     /// Makes an ask; from now on no more than it leaves can be used.
-    fn ask(&mut self, granted: TokenCount) -> GrantAsk {
+    fn ask(&mut self, granted: TokenCount, pace: SpendingPace, time: PlanTime) -> GrantAsk {
         self.sequence += 1;
         self.told_used = self.accounted();
         self.wanted = TokenCount::ZERO;
-        let least = self.open.map_or(granted, |open| open.granted.min(granted));
+        let pace = time.boot.map(|set_at| DatedPace { pace, set_at });
+        let allowance = Allowance {
+            granted,
+            pace: pace.map(|dated| dated.pace),
+            since: time.now,
+        };
         self.open = Some(OpenAsk {
             sequence: self.sequence,
-            granted: least,
+            allowance: match self.open {
+                Some(open) => open.allowance.least(allowance),
+                None => allowance,
+            },
         });
         GrantAsk {
             workspace: self.workspace,
@@ -357,6 +437,8 @@
             sequence: self.sequence,
             granted,
             used: self.told_used,
+            pace,
+            began: self.began,
         }
     }
 
@@ -380,7 +462,7 @@
     }
 
     /// Returns the least that has to be granted for what is spent.
-    fn least_grant(&self) -> TokenCount {
+    pub fn least_grant(&self) -> TokenCount {
         self.spent().saturating_sub(self.received)
     }
 }
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -70,7 +70,8 @@
     let mut search = TokenSearch::new(workspace, &terms.attempt_id, wait_until);
     loop {
         let changed = gateway.grant_changed.notified();
-        let verdict = purse_of(gateway, workspace, |purse| try_reserve(purse, cost));
+        let now = gateway.now();
+        let verdict = purse_of(gateway, workspace, |purse| try_reserve(purse, cost, now));
         let refusal = match verdict {
             None => return Err(Refusal::come_back(ResultCode::BudgetUnknown, OUTAGE_RETURN)),
             Some(Ok(())) => return Ok(()),
@@ -84,7 +85,7 @@
             let refusal = search.judge(gateway, refusal, cost);
             return Err(describe_refusal(gateway, workspace, refusal, terms, cost));
         };
-        let need = purse_of(gateway, workspace, |purse| purse.missing(cost)).unwrap_or(cost);
+        let need = purse_of(gateway, workspace, |purse| purse.missing(cost, now)).unwrap_or(cost);
         search.ask(gateway, source, need, changed).await;
     }
 }
@@ -204,8 +205,14 @@
 }
 
 /// Reserves, or says why not.
-fn try_reserve(purse: &mut BudgetPurse, cost: TokenCount) -> Result<(), PurseRefusal> {
-    purse.reserve(cost).map_err(|_| purse.why_refused(cost))
+fn try_reserve(
+    purse: &mut BudgetPurse,
+    cost: TokenCount,
+    now: Instant,
+) -> Result<(), PurseRefusal> {
+    purse
+        .reserve(cost, now)
+        .map_err(|_| purse.why_refused(cost, now))
 }
 
 fn purse_of<T>(
@@ -230,7 +237,7 @@
         info!(gateway.log, "budget refused"; "prepaid" => purse.prepaid().0,
             "taken" => totals.taken.0, "used" => totals.used.0, "request" => &*terms.attempt_id,
             "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
-            "free" => purse.free().0, "unassigned" => purse.unassigned().0,
+            "free" => purse.free(now).0, "held" => purse.held().0, "unassigned" => purse.unassigned().0,
             "revision" => purse.revision(), "store_lost" => lost);
     });
     if !lost && refusal != PurseRefusal::NeedsGrant {
--- a/lib/gateway/src/token_ask.rs
+++ b/lib/gateway/src/token_ask.rs
@@ -266,8 +266,9 @@
 
 /// Tells whether the record has too little left for an ask.
 fn is_hopeless(gateway: &Gateway, queued: &QueuedAsk) -> bool {
+    let now = gateway.now();
     with_purse(gateway, queued.ask.workspace, |_, purse| {
-        purse.why_refused(queued.ask.need) != PurseRefusal::NeedsGrant
+        purse.why_refused(queued.ask.need, now) != PurseRefusal::NeedsGrant
     })
     .unwrap_or(true)
 }
@@ -310,5 +311,6 @@
 
 /// Returns what is free here of a budget.
 fn free_of(gateway: &Gateway, workspace: u64) -> TokenCount {
-    with_purse(gateway, workspace, |_, purse| purse.free()).unwrap_or_default()
+    let now = gateway.now();
+    with_purse(gateway, workspace, |_, purse| purse.free(now)).unwrap_or_default()
 }
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -136,7 +136,8 @@
     need: TokenCount,
     wish: TokenCount,
 ) -> Option<TokenTransfer> {
-    let tokens = with_purse(gateway, workspace, |_, purse| purse.give(need, wish))?;
+    let now = gateway.now();
+    let tokens = with_purse(gateway, workspace, |_, purse| purse.give(need, wish, now))?;
     if tokens.is_zero() {
         return None;
     }
@@ -148,7 +149,6 @@
         workspace,
         tokens,
     };
-    let now = gateway.now();
     log.open.push(OpenTransfer {
         target: target.address,
         transfer,
@@ -196,7 +196,7 @@
     with_purse(gateway, transfer.workspace, |id, purse| {
         info!(gateway.log, "{event}"; "workspace" => %id, "peer" => %peer,
             "number" => transfer.number, "tokens" => transfer.tokens.0,
-            "free" => purse.free().0);
+            "free" => purse.free(gateway.now()).0);
     });
 }
 
--- a/lib/gateway/tests/test_purse.rs
+++ b/lib/gateway/tests/test_purse.rs
@@ -11,15 +11,42 @@
 use snipegate_gateway::BudgetPurse;
 use snipegate_gateway::BudgetRecord;
 use snipegate_gateway::GrantAsk;
+use snipegate_gateway::PlanTime;
 use snipegate_gateway::PurseRefusal;
 use snipegate_gateway::PurseRole;
 use snipegate_gateway::SeenNumbers;
 use snipegate_gateway::TokenTransfer;
+use snipegate_types::BootId;
+use snipegate_types::BootMoment;
 use snipegate_types::TokenCount;
 
-const PREPAID: u64 = 12_000;
 const VMS: usize = 3;
 
+/// The sizes of a play.
+#[derive(Clone, Copy)]
+struct PlayScale {
+    /// Tokens that were bought.
+    prepaid: u64,
+    /// Tokens of the largest request.
+    largest: u64,
+    /// Steps.
+    turns: u32,
+}
+
+/// Few large requests use a budget up: grants are short.
+const SHORT_BUDGET: PlayScale = PlayScale {
+    prepaid: 12_000,
+    largest: 6_000,
+    turns: 300,
+};
+
+/// Many small requests come out of one grant: the pace bounds what is spent.
+const LONG_BUDGET: PlayScale = PlayScale {
+    prepaid: 3_000,
+    largest: 120,
+    turns: 900,
+};
+
 /// A write that may still take effect.
 struct LateWrite {
     expected: u64,
@@ -27,8 +54,8 @@
 }
 
 /// The record in the store, with what lost its way to it.
-#[derive(Default)]
 struct TestStore {
+    scale: PlayScale,
     record: BudgetRecord,
     revision: u64,
     late_writes: Vec<LateWrite>,
@@ -41,6 +68,18 @@
 }
 
 impl TestStore {
+    fn new(scale: PlayScale) -> Self {
+        Self {
+            scale,
+            record: BudgetRecord::default(),
+            revision: 0,
+            late_writes: Vec::new(),
+            late_asks: Vec::new(),
+            late_transfers: Vec::new(),
+            had_kill: false,
+        }
+    }
+
     fn swap(&mut self, expected: u64, record: BudgetRecord) -> bool {
         if expected != self.revision {
             return false;
@@ -50,12 +89,24 @@
         true
     }
 
+    /// Closes the earlier runs of a VM that has begun again.
+    fn close_earlier_runs(&mut self, vm: &TestVm, fate: u8) {
+        let mut record = self.record.clone();
+        if record.close_earlier_runs(vm.vm, vm.incarnation, vm.began) {
+            self.write_record(record, fate);
+        }
+    }
+
     /// Applies an ask as the VM that writes does.
     fn write(&mut self, ask: &GrantAsk, fate: u8) {
         let mut record = self.record.clone();
-        if !record.apply(ask, TokenCount(PREPAID)) {
+        if !record.apply(ask, TokenCount(self.scale.prepaid)) {
             return;
         }
+        self.write_record(record, fate);
+    }
+
+    fn write_record(&mut self, record: BudgetRecord, fate: u8) {
         let expected = self.revision;
         match fate {
             0 => self.late_writes.push(LateWrite { expected, record }),
@@ -64,24 +115,78 @@
     }
 }
 
+/// How long the play has lasted.
+#[derive(Clone, Copy)]
+struct TestTime {
+    start: Instant,
+    elapsed: Duration,
+}
+
+impl TestTime {
+    fn begin() -> Self {
+        Self {
+            start: Instant::now(),
+            elapsed: Duration::ZERO,
+        }
+    }
+
+    fn now(self) -> Instant {
+        self.start + self.elapsed
+    }
+
+    /// Returns the moment on the clock of a machine's boot.
+    fn moment(self, boot: BootId) -> Option<BootMoment> {
+        Some(BootMoment::new(boot, self.elapsed))
+    }
+
+    fn plan(self, boot: BootId) -> PlanTime {
+        PlanTime {
+            now: self.now(),
+            boot: self.moment(boot),
+        }
+    }
+}
+
+/// Returns the time to plan by of a machine whose boot's clock is not known.
+fn plan_at(now: Instant) -> PlanTime {
+    PlanTime { now, boot: None }
+}
+
 struct TestVm {
     purse: BudgetPurse,
+    /// The boot of its machine, and when the run began.
+    boot: BootId,
+    began: Option<BootMoment>,
     vm: u64,
     incarnation: u64,
     running: Vec<u64>,
     transfers_sent: u64,
     transfers_seen: SeenNumbers,
+    had_grant: bool,
+    /// Whether its grant counted as used while it ran.
+    was_closed: bool,
 }
 
 impl TestVm {
-    fn new(vm: u64, incarnation: u64, now: Instant) -> Self {
+    fn new(vm: u64, incarnation: u64, boot: BootId, time: TestTime) -> Self {
+        Self::of_budget(SHORT_BUDGET.prepaid, vm, incarnation, boot, time)
+    }
+
+    fn of_budget(prepaid: u64, vm: u64, incarnation: u64, boot: BootId, time: TestTime) -> Self {
+        let began = time.moment(boot);
+        let prepaid = TokenCount(prepaid);
+        let purse = BudgetPurse::new(1, vm, incarnation, prepaid, time.now());
         Self {
-            purse: BudgetPurse::new(1, vm, incarnation, TokenCount(PREPAID), now),
+            purse: purse.with_beginning(began),
+            boot,
+            began,
             vm,
             incarnation,
             running: Vec::new(),
             transfers_sent: 0,
             transfers_seen: SeenNumbers::default(),
+            had_grant: false,
+            was_closed: false,
         }
     }
 
@@ -97,11 +202,11 @@
         }
     }
 
-    fn see(&mut self, store: &TestStore) {
+    fn see(&mut self, store: &TestStore, now: Instant) {
         let view = store
             .record
             .view(1, store.revision, self.vm, self.incarnation);
-        self.purse.set_view(view);
+        self.purse.set_view(view, now);
     }
 }
 
@@ -123,16 +228,20 @@
     store: &mut TestStore,
     vms: &mut [TestVm],
     spent: &mut u64,
-    now: Instant,
+    time: TestTime,
 ) -> Result<()> {
+    let now = time.now();
+    let PlayScale {
+        prepaid, largest, ..
+    } = store.scale;
     let at = u.int_in_range(0..=vms.len() - 1)?;
     let other = u.int_in_range(0..=VMS - 1)?;
     let vm = &mut vms[at];
-    match u.int_in_range(0..=15)? {
+    match u.int_in_range(0..=16)? {
         0 | 1 => {
-            let cost = u.int_in_range(1..=6_000)?;
+            let cost = u.int_in_range(1..=largest)?;
             vm.purse.note_demand(TokenCount(cost), now);
-            if vm.purse.reserve(TokenCount(cost)).is_ok() {
+            if vm.purse.reserve(TokenCount(cost), now).is_ok() {
                 vm.running.push(cost);
             }
         }
@@ -145,15 +254,21 @@
         }
         3 | 4 => {
             let role = *u.choose(&[PurseRole::Keeper, PurseRole::NewKeeper, PurseRole::Member])?;
-            let queued = TokenCount(u.int_in_range(0..=3_000)?);
+            let queued = TokenCount(u.int_in_range(0..=largest / 2)?);
             let scarce = u.arbitrary()?;
-            if let Some(ask) = vm.purse.plan_ask(role, queued, scarce, now) {
+            if let Some(ask) = vm.purse.plan_ask(role, queued, scarce, time.plan(vm.boot)) {
                 send(store, ask, u.int_in_range(0..=4)?);
             }
         }
         5 => {
-            let ask = vm.purse.plan_return();
-            send(store, ask, u.int_in_range(0..=4)?);
+            let time = time.plan(vm.boot);
+            let ask = match u.arbitrary()? {
+                true => Some(vm.purse.plan_return(time)),
+                false => vm.purse.plan_pace(time),
+            };
+            if let Some(ask) = ask {
+                send(store, ask, u.int_in_range(0..=4)?);
+            }
         }
         6 => {
             if !store.late_writes.is_empty() {
@@ -166,11 +281,11 @@
                 store.write(&ask, u.int_in_range(0..=1)?);
             }
         }
-        8 | 9 => vm.see(store),
+        8 | 9 => vm.see(store, now),
         10 | 11 => {
-            let need = TokenCount(u.int_in_range(1..=4_000)?);
-            let wish = TokenCount(u.int_in_range(0..=4_000)?);
-            let tokens = vm.purse.give(need, wish);
+            let need = TokenCount(u.int_in_range(1..=largest)?);
+            let wish = TokenCount(u.int_in_range(0..=largest)?);
+            let tokens = vm.purse.give(need, wish, now);
             vm.transfers_sent += 1;
             let (giver, number) = (vm.incarnation, vm.transfers_sent);
             if other != at {
@@ -197,11 +312,19 @@
                 vms[other].purse.note_report(report);
             }
         }
+        15 => store.close_earlier_runs(vm, u.int_in_range(0..=1)?),
         _ => {
             // A kill: what ran may have run to its end.
             *spent += vm.running.iter().sum::<u64>();
             store.had_kill = true;
-            *vm = TestVm::new(at as u64, u.arbitrary()?, now);
+            let boot = match u.ratio(1, 4)? {
+                true => BootId::of(&[
+                    "after a loss of power",
+                    &time.elapsed.as_nanos().to_string(),
+                ]),
+                false => vm.boot,
+            };
+            *vm = TestVm::of_budget(prepaid, at as u64, u.arbitrary()?, boot, time);
         }
     }
     Ok(())
@@ -210,27 +333,62 @@
 /// Bytes of randomness of one run.
 const RUN_BYTES: u64 = 8192;
 
+/// The same of a run of a long budget.
+const LONG_RUN_BYTES: u64 = 24_576;
+
 /// Runs that are tried.
 const RUNS: u64 = 1500;
 
-fn play(u: &mut Unstructured<'_>) -> Result<()> {
-    let start = Instant::now();
-    let mut store = TestStore::default();
+/// Checks that a run has spent no more of its grant than would count if it ended now.
+///
+/// An ask of an earlier run that comes late counts the whole grant as used; what the run
+/// holds after that begins anew.
+fn check_bound(store: &TestStore, vm: &mut TestVm, time: TestTime) {
+    let is_own =
+        |holder: &&BudgetHolder| (holder.vm, holder.incarnation) == (vm.vm, vm.incarnation);
+    let Some(holder) = store.record.holders.iter().find(is_own) else {
+        vm.was_closed |= vm.had_grant;
+        return;
+    };
+    vm.had_grant = true;
+    if !vm.was_closed {
+        let most = holder.most_spent(time.moment(vm.boot));
+        let spent = vm.purse.least_grant();
+        assert!(spent <= most, "{spent} of {most}");
+    }
+}
+
+fn play(scale: PlayScale, u: &mut Unstructured<'_>) -> Result<()> {
+    let mut time = TestTime::begin();
+    let mut store = TestStore::new(scale);
     let mut vms: Vec<TestVm> = (0..VMS as u64)
-        .map(|vm| TestVm::new(vm, vm, start))
+        .map(|vm| {
+            let boot = BootId::of(&[&vm.to_string()]);
+            TestVm::of_budget(scale.prepaid, vm, vm, boot, time)
+        })
         .collect();
     let mut spent = 0;
-    for turn in 0..300 {
-        let now = start + Duration::from_millis(40 * turn);
-        step(u, &mut store, &mut vms, &mut spent, now)?;
+    for turn in 0..scale.turns {
+        time.elapsed = Duration::from_millis(40) * turn;
+        step(u, &mut store, &mut vms, &mut spent, time)?;
         let running: u64 = vms.iter().flat_map(|vm| &vm.running).sum();
-        assert!(spent + running <= PREPAID, "spent {spent} + {running}");
-        assert!(store.record.taken().0 <= PREPAID);
+        assert!(
+            spent + running <= scale.prepaid,
+            "spent {spent} + {running}"
+        );
+        assert!(store.record.taken().0 <= scale.prepaid);
+        for vm in &mut vms {
+            check_bound(&store, vm, time);
+        }
         for vm in vms.iter().filter(|_| !store.had_kill) {
             // "Used up" is final, so it has to be true.
-            let fits = PREPAID.saturating_sub(spent).saturating_sub(running);
-            let refusal = vm.purse.why_refused(TokenCount(fits));
-            assert!(refusal != PurseRefusal::Exhausted, "{fits} of {PREPAID}");
+            let fits = scale.prepaid.saturating_sub(spent).saturating_sub(running);
+            let refusal = vm.purse.why_refused(TokenCount(fits), time.now());
+            assert!(
+                refusal != PurseRefusal::Exhausted,
+                "{fits} of {}",
+                scale.prepaid
+            );
         }
     }
     Ok(())
@@ -239,47 +397,66 @@
 #[test]
 fn spending_never_exceeds_what_was_bought() {
     for number in 0..RUNS {
-        arbtest(play).seed(RUN_BYTES | number << 32);
+        arbtest(|u| play(SHORT_BUDGET, u)).seed(RUN_BYTES | number << 32);
+    }
+}
+
+#[test]
+fn spending_by_pace_never_exceeds_what_was_bought() {
+    for number in 0..RUNS {
+        arbtest(|u| play(LONG_BUDGET, u)).seed(LONG_RUN_BYTES | number << 32);
     }
 }
 
 #[test]
 fn returned_grant_is_not_used_while_its_ask_is_open() {
-    let now = Instant::now();
-    let mut store = TestStore::default();
-    let mut vm = TestVm::new(1, 1, now);
-    vm.see(&store);
+    let time = TestTime::begin();
+    let now = time.now();
+    let mut store = TestStore::new(SHORT_BUDGET);
+    let mut vm = TestVm::new(1, 1, BootId::of(&["1"]), time);
+    vm.see(&store, now);
     vm.purse.note_demand(TokenCount(4000), now);
     assert_eq!(
-        vm.purse.reserve(TokenCount(4000)),
+        vm.purse.reserve(TokenCount(4000), now),
         Err(PurseRefusal::NeedsGrant)
     );
     let ask = vm
         .purse
-        .plan_ask(PurseRole::Keeper, TokenCount::ZERO, false, now)
+        .plan_ask(
+            PurseRole::Keeper,
+            TokenCount::ZERO,
+            false,
+            time.plan(vm.boot),
+        )
         .expect("an ask");
     store.write(&ask, 1);
-    assert_eq!(vm.purse.free(), TokenCount::ZERO);
-    vm.see(&store);
-    assert!(vm.purse.free() >= TokenCount(4000));
-    let _lost = vm.purse.plan_return();
-    assert_eq!(vm.purse.free(), TokenCount::ZERO);
-    vm.see(&store);
-    assert_eq!(vm.purse.free(), TokenCount::ZERO);
+    assert_eq!(vm.purse.free(now), TokenCount::ZERO);
+    vm.see(&store, now);
+    assert!(vm.purse.free(now) >= TokenCount(4000));
+    let _lost = vm.purse.plan_return(time.plan(vm.boot));
+    assert_eq!(vm.purse.free(now), TokenCount::ZERO);
+    vm.see(&store, now);
+    assert_eq!(vm.purse.free(now), TokenCount::ZERO);
 }
 
 #[test]
 fn ask_that_comes_late_or_twice_changes_nothing() {
-    let now = Instant::now();
-    let mut store = TestStore::default();
-    let mut vm = TestVm::new(1, 1, now);
-    vm.see(&store);
+    let time = TestTime::begin();
+    let now = time.now();
+    let mut store = TestStore::new(SHORT_BUDGET);
+    let mut vm = TestVm::new(1, 1, BootId::of(&["1"]), time);
+    vm.see(&store, now);
     vm.purse.note_demand(TokenCount(4000), now);
     let first = vm
         .purse
-        .plan_ask(PurseRole::Keeper, TokenCount::ZERO, false, now)
+        .plan_ask(
+            PurseRole::Keeper,
+            TokenCount::ZERO,
+            false,
+            time.plan(vm.boot),
+        )
         .expect("an ask");
-    let last = vm.purse.plan_return();
+    let last = vm.purse.plan_return(time.plan(vm.boot));
     store.write(&last, 1);
     store.write(&first, 1);
     store.write(&last, 1);
@@ -289,23 +466,25 @@
 
 #[test]
 fn exhaustion_is_told_from_tokens_that_others_hold() {
-    let now = Instant::now();
-    let mut store = TestStore::default();
-    let mut vm = TestVm::new(1, 1, now);
+    let time = TestTime::begin();
+    let now = time.now();
+    let mut store = TestStore::new(SHORT_BUDGET);
+    let mut vm = TestVm::new(1, 1, BootId::of(&["1"]), time);
     store.record.holders.push(BudgetHolder {
         vm: 2,
         incarnation: 9,
         sequence: 1,
         granted: TokenCount(11_500),
         used: TokenCount(2_000),
+        pace: None,
     });
-    vm.see(&store);
-    let refusal = vm.purse.why_refused(TokenCount(1000));
+    vm.see(&store, now);
+    let refusal = vm.purse.why_refused(TokenCount(1000), now);
     assert_eq!(refusal, PurseRefusal::HeldElsewhere);
     store.record.holders[0].used = TokenCount(11_400);
     store.revision += 1;
-    vm.see(&store);
-    let refusal = vm.purse.why_refused(TokenCount(1000));
+    vm.see(&store, now);
+    let refusal = vm.purse.why_refused(TokenCount(1000), now);
     assert_eq!(refusal, PurseRefusal::Exhausted);
 }
 
@@ -333,9 +512,9 @@
             for (vm, purse) in purses.iter_mut().enumerate() {
                 purse.note_demand(TokenCount(BOUGHT / 44 / keepers), now);
                 let vm = vm as u64;
-                purse.set_view(record.view(1, revision, vm, vm));
+                purse.set_view(record.view(1, revision, vm, vm), now);
                 let role = PurseRole::Keeper;
-                if let Some(ask) = purse.plan_ask(role, TokenCount::ZERO, false, now) {
+                if let Some(ask) = purse.plan_ask(role, TokenCount::ZERO, false, plan_at(now)) {
                     record.apply(&ask, TokenCount(BOUGHT));
                 }
             }
@@ -350,49 +529,126 @@
 
 #[test]
 fn few_requests_of_many_vms_are_served_from_one_grant() {
+    let (asks, _) = serve_from_one_grant(|_| None);
+    assert_few_writes(asks);
+}
+
+#[test]
+fn pace_of_a_grant_costs_few_writes() {
+    let boot = BootId::of(&["keeper"]);
+    let (_, writes) = serve_from_one_grant(|elapsed| Some(BootMoment::new(boot, elapsed)));
+    assert_few_writes(writes);
+}
+
+/// Requests of one workspace, 67 ms apart.
+const GROWN_REQUESTS: usize = 1200;
+
+/// Checks a number of writes against the 2.5 a second of a shard that the design page
+/// allows.
+fn assert_few_writes(writes: u64) {
+    let seconds = GROWN_REQUESTS as u64 * 67 / 1000;
+    assert!(writes * 2 <= seconds * 5, "{writes} writes");
+}
+
+/// Serves requests of many VMs, where the keeper's boot has this clock; returns how many
+/// asks the keeper made and how many of them changed the record.
+fn serve_from_one_grant(moment: impl Fn(Duration) -> Option<BootMoment>) -> (u64, u64) {
     const BOUGHT: u64 = 10_000_000;
     const COST: TokenCount = TokenCount(9_000);
-    const REQUESTS: usize = 1200;
-    let mut now = Instant::now();
+    let start = Instant::now();
+    let mut now = start;
     let mut record = BudgetRecord::default();
     let mut revision = 0;
+    let mut writes = 0;
     let mut purses: Vec<BudgetPurse> = (0..GROWN_VMS as u64)
         .map(|vm| BudgetPurse::new(1, vm, vm, TokenCount(BOUGHT), now))
         .collect();
     let mut served = 0;
     // 15 requests a second of one workspace, each at another VM.
-    for number in 0..REQUESTS {
+    for number in 0..GROWN_REQUESTS {
         now += Duration::from_millis(67);
         let at = 1 + number % (GROWN_VMS - 1);
         purses[at].note_request(COST, now);
-        if purses[at].reserve(COST).is_err() {
-            let missing = purses[at].missing(COST);
+        if purses[at].reserve(COST, now).is_err() {
+            let missing = purses[at].missing(COST, now);
             let wish = purses[at].wish(now);
             let keeper = &mut purses[0];
             keeper.note_demand(missing, now);
-            keeper.set_view(record.view(1, revision, 0, 0));
-            if let Some(ask) = keeper.plan_ask(PurseRole::Keeper, missing, false, now) {
-                record.apply(&ask, TokenCount(BOUGHT));
+            keeper.set_view(record.view(1, revision, 0, 0), now);
+            let boot = moment(now - start);
+            let time = PlanTime { now, boot };
+            if let Some(ask) = keeper.plan_ask(PurseRole::Keeper, missing, false, time) {
+                writes += u64::from(record.apply(&ask, TokenCount(BOUGHT)));
                 revision += 1;
-                keeper.set_view(record.view(1, revision, 0, 0));
+                keeper.set_view(record.view(1, revision, 0, 0), now);
             }
-            let given = keeper.give(missing, wish);
+            let given = keeper.give(missing, wish, now);
             purses[at].receive(given);
-            if purses[at].reserve(COST).is_err() {
+            if purses[at].reserve(COST, now).is_err() {
                 continue;
             }
         }
         served += 1;
         purses[at].settle(COST, COST);
         let surplus = purses[at].surplus(false, now);
-        let back = purses[at].give(surplus, TokenCount::ZERO);
+        let back = purses[at].give(surplus, TokenCount::ZERO, now);
         purses[0].receive(back);
     }
     // All but 3 in 100 of the budget reaches requests, with few writes.
     assert!(served * COST.0 * 100 >= BOUGHT * 97, "{served} served");
-    // The design page allows 2.5 writes a second of a shard.
-    let seconds = REQUESTS as u64 * 67 / 1000;
-    assert!(revision * 2 <= seconds * 5, "{revision} writes");
+    (revision, writes)
+}
+
+/// What a kill of a keeper takes: no more than two seconds of demand at once and, for
+/// the time that it is down, what the pace allows beyond.
+#[test]
+fn kill_of_a_keeper_takes_few_seconds_of_demand() {
+    const BOUGHT: u64 = 44_000_000;
+    const A_SECOND: u64 = BOUGHT / 44;
+    const DOWN: Duration = Duration::from_millis(1500);
+    let mut time = TestTime::begin();
+    let mut store = TestStore::new(SHORT_BUDGET);
+    let boot = BootId::of(&["keeper"]);
+    let new = |run: u64, time: TestTime| {
+        BudgetPurse::new(1, 1, run, TokenCount(BOUGHT), time.now())
+            .with_beginning(time.moment(boot))
+    };
+    let mut purse = new(1, time);
+    let mut spent = 0;
+    // Ten requests a second for a quarter of the budget.
+    for step in 1..=110 {
+        time.elapsed = Duration::from_millis(100 * step);
+        let now = time.now();
+        let cost = TokenCount(A_SECOND / 10);
+        purse.note_request(cost, now);
+        let served = purse.reserve(cost, now).is_ok();
+        if let Some(ask) =
+            purse.plan_ask(PurseRole::Keeper, TokenCount::ZERO, false, time.plan(boot))
+        {
+            assert!(store.record.apply(&ask, TokenCount(BOUGHT)));
+            store.revision += 1;
+            purse.set_view(store.record.view(1, store.revision, 1, 1), now);
+        }
+        if served || purse.reserve(cost, now).is_ok() {
+            purse.settle(cost, cost);
+            spent += cost.0;
+        }
+    }
+    let held = store.record.taken().0 - spent;
+    assert!(
+        held >= 5 * A_SECOND,
+        "an outage would be served from {held}"
+    );
+    time.elapsed += DOWN;
+    let mut record = store.record.clone();
+    record.close_earlier_runs(1, 2, time.moment(boot));
+    let lost = record.taken().0 - spent;
+    assert!(lost <= 3 * A_SECOND, "{lost}");
+    // Nothing is known of a run before the machine lost power.
+    let other_boot = BootId::of(&["keeper", "again"]);
+    let mut record = store.record.clone();
+    record.close_earlier_runs(1, 2, time.moment(other_boot));
+    assert_eq!(record.taken(), store.record.taken());
 }
 
 #[test]
@@ -414,7 +670,7 @@
     const OWN: TokenCount = TokenCount(100_000);
     let mut now = Instant::now();
     let mut purse = BudgetPurse::new(1, 1, 1, TokenCount(BOUGHT), now);
-    purse.set_view(BudgetRecord::default().view(1, 1, 1, 1));
+    purse.set_view(BudgetRecord::default().view(1, 1, 1, 1), now);
     // Of a million tokens that are asked for in a second, a tenth comes to this VM.
     for _ in 0..5 {
         now += Duration::from_secs(1);
@@ -423,7 +679,7 @@
     }
     let role = PurseRole::NewKeeper;
     let ask = purse
-        .plan_ask(role, TokenCount::ZERO, false, now)
+        .plan_ask(role, TokenCount::ZERO, false, plan_at(now))
         .expect("an ask");
     assert!(ask.granted.0 <= 2 * OWN.0, "{}", ask.granted);
 }
--- a/lib/gateway/tests/test_token_tally.rs
+++ b/lib/gateway/tests/test_token_tally.rs
@@ -145,7 +145,7 @@
 fn purse_counts_of_reserved_tokens_what_is_likely_to_be_left() {
     let now = Instant::now();
     let mut purse = BudgetPurse::new(WORKSPACE, 1, 1, TokenCount(1000), now);
-    purse.set_view(BudgetView {
+    let view = BudgetView {
         totals: BudgetTotals {
             workspace: WORKSPACE,
             revision: 1,
@@ -154,13 +154,14 @@
         },
         own_granted: TokenCount(1000),
         ..BudgetView::default()
-    });
+    };
+    purse.set_view(view, now);
     for cost in [90, 90] {
-        assert_eq!(purse.reserve(TokenCount(100)), Ok(()));
+        assert_eq!(purse.reserve(TokenCount(100), now), Ok(()));
         purse.settle(TokenCount(100), TokenCount(cost));
     }
     assert_eq!(purse.left(), TokenCount(820));
-    assert_eq!(purse.reserve(TokenCount(800)), Ok(()));
-    assert_eq!(purse.free(), TokenCount(20));
+    assert_eq!(purse.reserve(TokenCount(800), now), Ok(()));
+    assert_eq!(purse.free(now), TokenCount(20));
     assert_eq!(purse.left(), TokenCount(20 + 160));
 }
--- a/lib/types/src/lib.rs
+++ b/lib/types/src/lib.rs
@@ -1,12 +1,15 @@
 //! Ids, sizes, rates, result codes and the clock interface that every part of
 //! snipegate shares.
 
+mod boot;
 mod clock;
 mod id;
 mod place;
 mod result_code;
 mod size;
 
+pub use boot::BootId;
+pub use boot::BootMoment;
 pub use clock::ManualClock;
 pub use clock::SystemClock;
 pub use clock::TimeSource;
