--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -68,6 +68,9 @@
     Silent,
     /// It streams this many events with a pause between them.
     Stream(u64, Duration),
+    /// It begins a stream and sends single bytes with this pause, which never make an
+    /// event.
+    Drip(Duration),
     /// It streams events and breaks off within the one after this many.
     StreamBreak(u64),
 }
@@ -261,6 +264,10 @@
         RunnerScript::Stream(events, pause) => {
             stream_events(state, stream, request, events, pause, false).await
         }
+        RunnerScript::Drip(pause) => {
+            drip(state, stream, request, pause).await;
+            false
+        }
         RunnerScript::StreamBreak(events) => {
             stream_events(state, stream, request, events, Duration::ZERO, true).await
         }
@@ -276,6 +283,23 @@
     write_answer(stream, signed_head(request, 200), id.as_bytes()).await
 }
 
+/// Sends single bytes of an event until the reader leaves.
+async fn drip(state: &State, stream: &TcpStream, request: &RequestHead, pause: Duration) {
+    let mut open = write_raw(stream, &stream_head(request), b"").await;
+    while open {
+        sleep(pause).await;
+        open = write_chunk(stream, "x").await;
+    }
+    state.left.set(state.left.get() + 1);
+}
+
+fn stream_head(request: &RequestHead) -> AnswerHead {
+    let mut head = signed_head(request, 200);
+    head.headers.push("Content-Type", "text/event-stream");
+    head.headers.push("Transfer-Encoding", "chunked");
+    head
+}
+
 async fn stream_events(
     state: &State,
     stream: &TcpStream,
@@ -284,9 +308,7 @@
     pause: Duration,
     breaks: bool,
 ) -> bool {
-    let mut head = signed_head(request, 200);
-    head.headers.push("Content-Type", "text/event-stream");
-    head.headers.push("Transfer-Encoding", "chunked");
+    let head = stream_head(request);
     let first = request
         .headers
         .get("Last-Event-Id")
