gateway: grants at the end of a run have their own module

The boot's id with the VM's address was hashed at each plan of asks; it is made once, at the start.

Behaviour is otherwise as before; the tests are unchanged.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -4,6 +4,8 @@
 //! Who is the keeper decides nothing: every write names the revision that it
 //! replaces.
 
+mod run_end;
+
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +24,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+pub use self::run_end::close_budgets;
+use self::run_end::close_earlier_runs;
 use crate::budget_exchange::SHARDS;
 use crate::budget_exchange::adopt_workspaces;
 use crate::budget_exchange::is_scarce;
@@ -67,18 +71,9 @@
 /// Shortest pause between two looks at what a member should hand back.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Longest wait until other VMs have what a stopping one hands them.
-const HANDOVER_WAIT: Duration = Duration::from_millis(400);
-
-/// Pause between two looks whether they have it.
-const HANDOVER_LOOK: Duration = Duration::from_millis(5);
-
 /// Pause after a conflict or a call that the store did not answer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(60);
 
-/// Most writes that are tried to give a shard's grants back.
-const MAX_CLOSE_TRIES: u32 = 8;
-
 /// A shard as this VM knows it.
 struct ShardKeeper {
     number: u64,
@@ -437,116 +432,3 @@
     let now = gateway.now();
     PlanTime { now, boot }
 }
-
-/// Counts what earlier runs of this VM may have spent as used, so that the rest of their
-/// grants can be granted again.
-async fn close_earlier_runs<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>) {
-    while let Err(error) = try_close_earlier_runs(&gateway, &*store).await {
-        info!(gateway.log, "grants of earlier runs not closed"; "error" => %error);
-        sleep(spread(FAILURE_PAUSE)).await;
-        if gateway.contact.get().is_failing() {
-            gateway.wait_for_store().await;
-        }
-    }
-}
-
-async fn try_close_earlier_runs<S: ConfigStore>(
-    gateway: &Gateway,
-    store: &S,
-) -> Result<(), StoreError> {
-    let prefix = gateway.dialect.layout().budget_prefix;
-    let call = store.list(prefix, None);
-    let listing = gateway.ask_store(StoreTask::Budgets, call).await?;
-    for (key, stored) in listing.entries {
-        let number = key.strip_prefix(prefix).and_then(|text| text.parse().ok());
-        let Some(number) = number else {
-            info!(gateway.log, "budget key not known"; "key" => key);
-            continue;
-        };
-        let mut keeper = ShardKeeper::new(number);
-        keeper.take(gateway, Some(stored))?;
-        keeper.close_earlier_runs(gateway, store).await?;
-    }
-    Ok(())
-}
-
-/// Hands what is not used to other VMs at the end of the process, and gives the rest back
-/// to the store.
-pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
-    for number in 0..SHARDS {
-        let mut keeper = ShardKeeper::new(number);
-        if let Some(other) = other_keeper(gateway, number, gateway.now()) {
-            keeper.hand_over(gateway, other);
-        }
-        // What the pace does not let go of yet, or all where no other VM is heard.
-        keeper.give_back(gateway, store).await;
-    }
-    let all_arrived = async {
-        while !gateway.transfers.borrow().is_settled() {
-            sleep(HANDOVER_LOOK).await;
-        }
-    };
-    if timeout(HANDOVER_WAIT, all_arrived).await.is_err() {
-        info!(gateway.log, "tokens may not have arrived");
-    }
-}
-
-impl ShardKeeper {
-    async fn close_earlier_runs<S: ConfigStore>(
-        &mut self,
-        gateway: &Gateway,
-        store: &S,
-    ) -> Result<(), StoreError> {
-        let vm = hash_name(gateway.settings.vm.as_str());
-        let mut shard = self.shard.clone();
-        let mut changed = false;
-        for (workspace, record) in &mut shard.records {
-            let taken = record.taken();
-            if record.close_earlier_runs(vm, gateway.incarnation, gateway.began) {
-                changed = true;
-                let returned = taken.saturating_sub(record.taken());
-                info!(gateway.log, "grants of an earlier run closed"; "workspace" => workspace,
-                    "returned" => returned.0, "revision" => self.revision.0);
-            }
-        }
-        match changed {
-            true => self.swap(gateway, store, shard).await,
-            false => Ok(()),
-        }
-    }
-
-    fn hand_over(&self, gateway: &Gateway, other: TransferTarget) {
-        for workspace in self.workspaces(gateway) {
-            report_use(gateway, other.address, &workspace);
-            let (hash, free) = {
-                let purses = gateway.purses.borrow();
-                let purse = &purses[&workspace];
-                (purse.workspace(), purse.free(gateway.now()))
-            };
-            hand_over(gateway, other, hash, free);
-        }
-    }
-
-    async fn give_back<S: ConfigStore>(&mut self, gateway: &Gateway, store: &S) {
-        let asks: Vec<GrantAsk> = gateway
-            .purses
-            .borrow_mut()
-            .iter_mut()
-            .filter(|(id, purse)| shard_of(id) == self.number && purse.has_spare_grant())
-            .map(|(_, purse)| purse.plan_return(plan_time(gateway)))
-            .collect();
-        if asks.is_empty() {
-            return;
-        }
-        for _ in 0..MAX_CLOSE_TRIES {
-            if gateway.contact.get().is_failing() {
-                break;
-            }
-            match self.write(gateway, store, &asks).await {
-                Ok(()) => break,
-                Err(error) => info!(gateway.log, "budgets not given back";
-                    "shard" => self.number, "error" => %error),
-            }
-        }
-    }
-}
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -174,7 +174,10 @@
         metrics: MetricRegistry,
     ) -> Self {
         let retries = RetryBudget::new(settings.retry);
-        let began = boot_moment(&*clock, &settings);
+        let began = clock.boot_moment().map(|moment| BootMoment {
+            boot: moment.boot.at_address(settings.gossip),
+            ..moment
+        });
         Self {
             settings,
             incarnation: fastrand::u64(1..),
@@ -230,7 +233,9 @@
 
     /// Returns the moment on the clock of the machine's boot, for this VM's address.
     pub fn boot_moment(&self) -> Option<BootMoment> {
-        boot_moment(&*self.clock, &self.settings)
+        let boot = self.began?.boot;
+        let moment = self.clock.boot_moment()?;
+        Some(BootMoment { boot, ..moment })
     }
 
     /// Returns the configuration in force.
@@ -325,12 +330,6 @@
     }
 }
 
-fn boot_moment(clock: &dyn TimeSource, settings: &GatewaySettings) -> Option<BootMoment> {
-    let moment = clock.boot_moment()?;
-    let boot = moment.boot.at_address(settings.gossip);
-    Some(BootMoment { boot, ..moment })
-}
-
 /// Hashes a name, the same on all VMs.
 pub fn hash_name(name: &str) -> u64 {
     let mut hasher = SipHasher13::new();
