gateway: the parts of a prompt and the progress of an answer in the logs

Which requests ended with an upstream was in the logs, and not what they have in common nor what had been answered by then, so an input that crashes upstreams could not be told from load that does. `upstream chosen` now has the ids of the prompt's parts, `send failed` the events received. Ids of parts are a type of their own.

--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
+use snipegate_types::PartId;
 use snipegate_types::TokenCount;
 use snipegate_types::VmId;
 use tokio::net::UdpSocket;
@@ -69,7 +70,7 @@
     /// Code of the upstream; see [`upstream_code`].
     pub upstream: u32,
     /// Id and length in tokens of each part of the prompt.
-    pub parts: Vec<(u64, u64)>,
+    pub parts: Vec<(PartId, u64)>,
 }
 
 /// Periodic message from one VM to the others.
--- a/lib/gateway/src/metadata.rs
+++ b/lib/gateway/src/metadata.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use snipegate_types::PartId;
 use snipegate_types::RequestRate;
 use snipegate_types::TokenCount;
 
@@ -9,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
     /// Identifies the text of the part.
-    pub id: u64,
+    pub id: PartId,
     /// Length in tokens.
     pub tokens: u64,
 }
--- a/lib/gateway/src/prompt_cache.rs
+++ b/lib/gateway/src/prompt_cache.rs
@@ -76,7 +76,7 @@
 /// Returns for each part an id that also covers the parts before it.
 fn prefix_ids(parts: &[PromptPart]) -> impl Iterator<Item = u64> {
     parts.iter().scan(0_u64, |prefix_id, part| {
-        *prefix_id = (prefix_id.rotate_left(23) ^ part.id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        *prefix_id = (prefix_id.rotate_left(23) ^ part.id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15);
         Some(*prefix_id)
     })
 }
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -99,6 +99,8 @@
     current: Option<UpstreamId>,
     sends: u32,
     connect_failures: u32,
+    /// Events received in the attempt in progress.
+    attempt_events: u64,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
     progress: StreamProgress,
@@ -127,6 +129,7 @@
             current: None,
             sends: 0,
             connect_failures: 0,
+            attempt_events: 0,
             may_have_run: false,
             progress: StreamProgress::default(),
             fallback: None,
@@ -170,6 +173,7 @@
             };
             self.log_choice(&entry, &choice);
             self.current = Some(entry.id.clone());
+            self.attempt_events = 0;
             let outcome = self.send_once(caller, &entry, &choice).await?;
             self.current = None;
             self.record_outcome(&entry.id, &outcome);
@@ -229,11 +233,22 @@
             "ahead" => choice.queued_tokens,
             "running" => choice.running, "expected_ms" => choice.expected.as_millis() as u64,
             "rate" => rate.map(|rate| rate.0), "share" => share.map(|share| share.0),
-            "send" => self.sends + 1,
+            "send" => self.sends + 1, "parts" => self.format_parts(),
             "upstreams_revision" => self.gateway.upstreams.borrow().latest().0,
             "config" => self.admission.config.version.0);
     }
 
+    /// Formats the ids of the prompt's parts for a log line; `None` if there are none.
+    fn format_parts(&self) -> Option<String> {
+        let prompt = self.request.metadata.prompt.as_ref()?;
+        let ids: Vec<String> = prompt
+            .parts
+            .iter()
+            .map(|part| part.id.to_string())
+            .collect();
+        (!ids.is_empty()).then(|| ids.join(","))
+    }
+
     /// Makes one attempt at an upstream and relays the response.
     async fn send_once(
         &mut self,
@@ -376,6 +391,7 @@
                 continue;
             };
             self.progress.events += batch.events;
+            self.attempt_events += batch.events;
             if self.progress.events > self.max_events() {
                 return Ok(SendOutcome::Broken(SendFailure::Malformed));
             }
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -86,7 +86,8 @@
         }
         self.gateway.metrics.count_tagged("send.failed", &reason);
         info!(self.gateway.log, "send failed"; "request" => &*self.request.metadata.attempt_id,
-            "upstream" => %id, "reason" => reason, "sends" => self.sends);
+            "upstream" => %id, "reason" => reason, "sends" => self.sends,
+            "events" => self.attempt_events);
     }
 
     /// Records a failed attempt if the deadline passed before its response began.
--- a/lib/gateway/tests/test_placement.rs
+++ b/lib/gateway/tests/test_placement.rs
@@ -12,6 +12,7 @@
 use snipegate_gateway::WorkLoad;
 use snipegate_gateway::placement::PlacementQuery;
 use snipegate_gateway::placement::choose;
+use snipegate_types::PartId;
 use snipegate_types::TokenCount;
 use snipegate_types::UpstreamId;
 
@@ -42,15 +43,15 @@
 fn prompt(session: u64, own: u64) -> PromptShape {
     let parts = vec![
         PromptPart {
-            id: session % 4,
+            id: PartId(session % 4),
             tokens: 2500,
         },
         PromptPart {
-            id: 100 + session,
+            id: PartId(100 + session),
             tokens: 3800,
         },
         PromptPart {
-            id: own,
+            id: PartId(own),
             tokens: 2900,
         },
     ];
--- a/lib/types/src/lib.rs
+++ b/lib/types/src/lib.rs
@@ -4,6 +4,7 @@
 mod boot;
 mod clock;
 mod id;
+mod part;
 mod place;
 mod result_code;
 mod size;
@@ -23,6 +24,7 @@
 pub use id::ShardId;
 pub use id::UpstreamId;
 pub use id::WorkspaceId;
+pub use part::PartId;
 pub use place::DataCentre;
 pub use place::IncarnationId;
 pub use place::ProcessRole;
