--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -10,6 +10,7 @@
 pub use rate_judge::RatePeriod;
 pub use rate_judge::VmEvent;
 pub use rate_judge::find_rate_excess;
+pub use runner::CrashingPart;
 pub use runner::EndlessPart;
 pub use runner::RecordedRequest;
 pub use runner::RunnerScript;
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -13,10 +13,12 @@
 use snipegate_http1::ResponseHead;
 use snipegate_http1::write_all;
 use snipegate_types::RequestRate;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::server::listen;
 use crate::server::read_body;
 use crate::server::read_head;
 use crate::server::write_response;
@@ -30,6 +32,9 @@
 /// Pause between two chunks of [`EndlessPart::Refusal`].
 const REFUSAL_CHUNK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Header field with the parts of a request's prompt, as `ID:TOKENS` entries.
+const PROMPT_PARTS_FIELD: &str = "X-Prefix-Hash";
+
 /// Number of events in a stream of [`RunnerScript::Echo`].
 const ECHO_EVENT_COUNT: u64 = 3;
 
@@ -118,11 +123,38 @@
     pub advertised_rate: Option<RequestRate>,
 }
 
+/// A prompt part that crashes a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashingPart {
+    /// Id of the part, as it is sent. It has no effect as the last part of a prompt.
+    pub id: String,
+    /// Time until a runner begins to answer a request with the part, and crashes.
+    pub delay: Duration,
+    /// How long a runner is down after a crash.
+    pub downtime: Duration,
+}
+
+impl CrashingPart {
+    /// Returns whether a request has the part in its prompt, and not as its last part.
+    pub fn is_in(&self, request: &RequestHead) -> bool {
+        let parts = request.headers.get(PROMPT_PARTS_FIELD).unwrap_or_default();
+        let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
+        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| id == self.id)
+    }
+}
+
 struct State {
     script: Cell<RunnerScript>,
     advertised_rate: Cell<Option<RequestRate>>,
     requests: RefCell<Vec<RecordedRequest>>,
     aborted_count: Cell<u64>,
+    crashing_part: RefCell<Option<CrashingPart>>,
+    crashes: RefCell<Vec<Instant>>,
+    /// How long the runner is down after its last crash.
+    downtime: Cell<Duration>,
+    /// Notified when the runner crashes.
+    crashed: Notify,
 }
 
 /// A stand-in for a runner. Clones share one state.
@@ -144,8 +176,14 @@
             advertised_rate: Cell::new(None),
             requests: RefCell::default(),
             aborted_count: Cell::new(0),
+            crashing_part: RefCell::default(),
+            crashes: RefCell::default(),
+            downtime: Cell::default(),
+            crashed: Notify::new(),
         });
-        let address = listen(Rc::clone(&state), serve).await?;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        spawn_local(run_and_restart(Rc::clone(&state), listener, address));
         Ok(Self { state, address })
     }
 
@@ -165,6 +203,22 @@
         self.state.advertised_rate.set(rate);
     }
 
+    /// Sets the prompt part that crashes the runner: all its connections close, and it accepts
+    /// none while it is down.
+    pub fn set_crashing_part(&self, part: CrashingPart) {
+        *self.state.crashing_part.borrow_mut() = Some(part);
+    }
+
+    /// Crashes the runner for `downtime`.
+    pub fn crash(&self, downtime: Duration) {
+        self.state.crash(downtime);
+    }
+
+    /// Returns when the runner crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.crashes.borrow().clone()
+    }
+
     /// Returns the requests that reached the runner.
     pub fn requests(&self) -> Vec<RecordedRequest> {
         self.state.requests.borrow().clone()
@@ -177,6 +231,12 @@
 }
 
 impl State {
+    fn crash(&self, downtime: Duration) {
+        self.crashes.borrow_mut().push(Instant::now());
+        self.downtime.set(downtime);
+        self.crashed.notify_waiters();
+    }
+
     fn record_request(&self, head: &RequestHead, body: Vec<u8>) {
         let head = head.clone();
         let script = self.script.get();
@@ -216,6 +276,40 @@
     )
 }
 
+/// Serves on an address, and again after each crash.
+async fn run_and_restart(state: Rc<State>, listener: TcpListener, address: SocketAddr) {
+    let mut listener = listener;
+    loop {
+        accept_until_crash(&state, listener).await;
+        sleep(state.downtime.get()).await;
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(_) => return,
+        };
+    }
+}
+
+async fn accept_until_crash(state: &Rc<State>, listener: TcpListener) {
+    let crashed = state.crashed.notified();
+    tokio::pin!(crashed);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut crashed => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            spawn_local(serve_until_crash(Rc::clone(state), stream));
+        }
+    }
+}
+
+async fn serve_until_crash(state: Rc<State>, stream: TcpStream) {
+    tokio::select! {
+        () = state.crashed.notified() => {}
+        () = serve(Rc::clone(&state), stream) => {}
+    }
+}
+
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut buffer = BytesMut::new();
     while let Some(head) = read_head(&stream, &mut buffer).await {
@@ -240,6 +334,12 @@
 
 /// Responds as scripted. Returns whether the connection stays open.
 async fn respond(state: &State, stream: &TcpStream, request: &RequestHead) -> bool {
+    let part = state.crashing_part.borrow().clone();
+    if let Some(part) = part.filter(|part| part.is_in(request)) {
+        sleep(part.delay).await;
+        state.crash(part.downtime);
+        return false;
+    }
     let body = b"the answer";
     let head = signed_head(state, request, 200);
     match state.script.get() {
