gateway: prompt parts that crash upstreams are found, refused and quarantined

Callers got 502 and broken streams for sound requests: one part of a prompt ended each upstream that began to answer it, with the 4 to 82 requests beside it, for as long as requests with the part came.

Cause: placement knows that an upstream failed and nothing of why. A request that ends an upstream looked like any that broke off there, so the next one with the same part went to the next upstream. No VM could tell by itself either: each sees a part of the requests at an upstream, and a bound for the fleet can't be kept by counting alone.

Now a VM whose requests break off before their answers began tries one connection; refused means that the upstream crashed. It tells the others the parts of these requests. What is at three crashes without an answer in between (five, if it was ever answered) is blamed, by all VMs from the same evidence. Parts that the same crashes speak against are blamed together only: the part before the deadly one is sound, and in most plays never seen without it before the third crash. A crash that a blamed part explains counts against no other. Blamed prompts are refused at once as not run; after a time to object all VMs and the store keep the set, restarted and cut VMs read it there. One request of the whole fleet, claimed in the store, tries the set again after ten minutes, then after four times as long.

Beside it: a stream that ends with its connection before its first event has broken off; it was passed on as an empty success.

--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -22,6 +22,7 @@
 use snipegate_gateway::follow_upstreams;
 use snipegate_gateway::maintain_budgets;
 use snipegate_gateway::maintain_membership;
+use snipegate_gateway::maintain_quarantine;
 use snipegate_gateway::serve_addresses;
 use snipegate_gateway::serve_callers;
 use snipegate_gateway::serve_metrics;
@@ -120,6 +121,7 @@
     spawn_local(follow_upstreams(Rc::clone(gateway), Rc::clone(store)));
     spawn_local(maintain_membership(Rc::clone(gateway), Rc::clone(store)));
     spawn_local(maintain_budgets(Rc::clone(gateway), Rc::clone(store)));
+    spawn_local(maintain_quarantine(Rc::clone(gateway), Rc::clone(store)));
 }
 
 fn build_gateway_settings(site: &SiteSettings) -> GatewaySettings {
--- a/lib/gateway/src/attempt.rs
+++ b/lib/gateway/src/attempt.rs
@@ -139,6 +139,11 @@
 }
 
 impl UpstreamResponse {
+    /// Returns whether only the end of the connection ends the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == BodyFraming::UntilClose
+    }
+
     /// Reads the next chunk of the body; `None` at its end.
     ///
     /// # Errors
--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -36,6 +36,8 @@
 use crate::local_response::pick_service;
 use crate::local_response::refuse;
 use crate::metadata::RequestMetadata;
+use crate::part_guard::claim_due_trial;
+use crate::part_guard::refuse_parts;
 use crate::refusal::Refusal;
 use crate::relay::CallerRequest;
 use crate::relay::Relay;
@@ -327,14 +329,35 @@
         let refusal = Refusal::retryable(ResultCode::NoUpstream, jitter(STARTING_RETRY_AFTER));
         return refuse_unsent(gateway, request, caller, &refusal).await;
     };
+    let is_trial = match check_parts(gateway, request).await {
+        Ok(is_trial) => is_trial,
+        Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
+    };
     let reservation = match reserve_budget(gateway, request, &admission, &service).await {
         Ok(reservation) => reservation,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
     let mut relay = Relay::new(gateway, request, &admission, service, reservation.as_ref());
+    relay.is_trial = is_trial;
     relay.run(caller).await
 }
 
+/// Refuses a prompt whose parts crash upstreams; returns whether it is sent as the trial of
+/// such parts.
+async fn check_parts(gateway: &Gateway, request: &CallerRequest) -> Result<bool, Refusal> {
+    let Some(prompt) = &request.metadata.prompt else {
+        return Ok(false);
+    };
+    let id = &request.metadata.attempt_id;
+    if claim_due_trial(gateway, id, prompt).await {
+        return Ok(true);
+    }
+    match refuse_parts(gateway, id, prompt) {
+        Some(refusal) => Err(refusal),
+        None => Ok(false),
+    }
+}
+
 fn admit_request(gateway: &Gateway, request: &CallerRequest) -> Result<Admission, Refusal> {
     let starting = gateway.stage.get() == VmStage::Starting;
     let config = match gateway.current_config() {
--- /dev/null
+++ b/lib/gateway/src/crash_probe.rs
@@ -0,0 +1,115 @@
+//! Confirms that an upstream crashed after a connection to it broke.
+//!
+//! A broken connection alone may have many causes. A crashed upstream refuses new
+//! connections, so one connection attempt tells the cases apart.
+
+use std::collections::HashSet;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use slog::info;
+use snipegate_http1::ConnectError;
+use snipegate_http1::connect;
+use snipegate_types::PartId;
+use strum::Display;
+use strum::IntoStaticStr;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::attempt::SendFailure;
+use crate::crash_evidence::UpstreamRun;
+use crate::gateway::Gateway;
+use crate::metadata::PromptPart;
+use crate::part_guard::record_crash;
+use crate::upstream::UpstreamEntry;
+
+/// Delay before the connection attempt, in which the other connections to a crashed upstream
+/// break as well.
+const PROBE_DELAY: Duration = Duration::from_millis(5);
+
+/// Timeout of the connection attempt.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// What a connection attempt says of an upstream to which a connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum ProbeResult {
+    /// It refuses connections, so its process has ended.
+    Ended,
+    /// It accepts connections.
+    Running,
+    /// The attempt failed in another way.
+    Unknown,
+}
+
+/// Requests that broke off at one run of an upstream and are being looked into.
+#[derive(Debug)]
+pub struct BrokenRequests {
+    at: Instant,
+    requests: usize,
+    parts: HashSet<PartId>,
+}
+
+/// Broken requests by the run of the upstream, while its probe is pending.
+pub type PendingProbes = IndexMap<UpstreamRun, BrokenRequests>;
+
+/// Returns whether a failure may come from a crash of the upstream.
+pub fn may_be_crash(failure: SendFailure) -> bool {
+    match failure {
+        SendFailure::Closed | SendFailure::Broken | SendFailure::Malformed => true,
+        SendFailure::ConnectTimedOut
+        | SendFailure::ConnectRefused
+        | SendFailure::NothingSent
+        | SendFailure::Silent
+        | SendFailure::TooLarge => false,
+    }
+}
+
+/// Looks into a request that broke off before its answer had begun. `parts` are the shared
+/// parts of its prompt.
+pub fn record_broken_request(gateway: &Rc<Gateway>, entry: &UpstreamEntry, parts: &[PromptPart]) {
+    let run = UpstreamRun::of(entry);
+    let ids = parts.iter().map(|part| part.id);
+    let mut pending = gateway.parts.pending_probes.borrow_mut();
+    if let Some(broken) = pending.get_mut(&run) {
+        broken.requests += 1;
+        broken.parts.extend(ids);
+        return;
+    }
+    let broken = BrokenRequests {
+        at: gateway.now(),
+        requests: 1,
+        parts: ids.collect(),
+    };
+    pending.insert(run, broken);
+    spawn_local(probe_upstream(Rc::clone(gateway), entry.clone()));
+}
+
+async fn probe_upstream(gateway: Rc<Gateway>, entry: UpstreamEntry) {
+    sleep(PROBE_DELAY).await;
+    let result = match connect(entry.address, PROBE_TIMEOUT, PROBE_TIMEOUT).await {
+        Ok(_) => ProbeResult::Running,
+        Err(ConnectError::Refused(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            ProbeResult::Ended
+        }
+        Err(_) => ProbeResult::Unknown,
+    };
+    let run = UpstreamRun::of(&entry);
+    let pending = gateway.parts.pending_probes.borrow_mut().swap_remove(&run);
+    let Some(broken) = pending else {
+        return;
+    };
+    let label: &'static str = result.into();
+    gateway.metrics.count_tagged("upstream.probed", label);
+    let age = gateway.now().saturating_duration_since(broken.at);
+    info!(gateway.log, "upstream probed"; "upstream" => %entry.id, "result" => %result,
+        "requests" => broken.requests, "parts" => broken.parts.len(),
+        "broken_ms_ago" => age.as_millis() as u64, "started_ms" => entry.started_ms);
+    if result == ProbeResult::Ended {
+        let parts = broken.parts.into_iter().collect();
+        record_crash(&gateway, &entry, broken.at, parts);
+    }
+}
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::gossip::PlacedPrompt;
 use crate::holding::BudgetHolding;
 use crate::load::LoadTable;
+use crate::part_guard::PartGuard;
 use crate::peers::PeerTable;
 use crate::peers::VmRecord;
 use crate::pool::ConnectionPool;
@@ -104,6 +105,8 @@
     pub retry_schedules: RefCell<IndexMap<ServiceName, RetrySchedule>>,
     /// Whether the upstreams have been listed at least once.
     pub upstreams_known: Cell<bool>,
+    /// Prompt parts that crash upstreams.
+    pub parts: PartGuard,
     /// Outstanding work at the upstreams.
     pub loads: RefCell<LoadTable>,
     /// Prompts placed since the last gossip message, to be announced in the next.
@@ -209,6 +212,7 @@
             rates: RefCell::new(rates),
             retry_schedules: RefCell::default(),
             upstreams_known: Cell::new(false),
+            parts: PartGuard::default(),
             loads: RefCell::default(),
             placed: RefCell::default(),
             response_memory,
@@ -297,9 +301,12 @@
         self.peers.borrow().count() + 1
     }
 
-    /// Moves from `Starting` to `Serving` once configuration and upstreams are known.
+    /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
+    /// quarantined prompt parts are known.
     pub fn update_stage(&self) {
-        let known = self.config.borrow().is_some() && self.upstreams_known.get();
+        let known = self.config.borrow().is_some()
+            && self.upstreams_known.get()
+            && self.parts.is_quarantine_known.get();
         if known && self.stage.get() == VmStage::Starting {
             self.serving_since.set(Some(self.now()));
             self.set_stage(VmStage::Serving);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -25,6 +25,10 @@
 use crate::gateway::stable_hash;
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
+use crate::part_guard::PartNews;
+use crate::part_guard::announce_part_news;
+use crate::part_guard::apply_part_news;
+use crate::part_guard::build_part_news;
 use crate::peers::VmRecord;
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
@@ -117,6 +121,10 @@
     Transfer(TokenTransfer),
     /// Acknowledges the transfer with this number.
     TransferTaken(u64),
+    /// News of prompt parts that crash upstreams.
+    PartNews(Box<PartNews>),
+    /// Like `PartNews`, to be relayed to the other VMs of the receiver's data centre.
+    RelayPartNews(Box<PartNews>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -137,9 +145,7 @@
         send_gossip(&gateway, &socket, number);
         number += 1;
         send_direct_messages(&gateway, &socket);
-        let peers = gateway.peers.borrow().count() as f64;
-        let spacing = Duration::from_secs_f64(peers / MAX_DATAGRAM_RATE);
-        let pause = sleep(MIN_GOSSIP_INTERVAL.max(spacing));
+        let pause = sleep(gossip_spacing(gateway.vm_count()));
         tokio::pin!(pause);
         loop {
             tokio::select! {
@@ -150,6 +156,12 @@
     }
 }
 
+/// Returns the shortest time between two gossip messages of a VM in a fleet of `vms` VMs.
+pub fn gossip_spacing(vms: usize) -> Duration {
+    let peers = vms.saturating_sub(1) as f64;
+    MIN_GOSSIP_INTERVAL.max(Duration::from_secs_f64(peers / MAX_DATAGRAM_RATE))
+}
+
 /// Sends the queued messages to individual VMs.
 fn send_direct_messages(gateway: &Gateway, socket: &UdpSocket) {
     let messages = std::mem::take(&mut *gateway.direct_messages.borrow_mut());
@@ -169,26 +181,33 @@
         .gossip_targets(own, MIN_VMS_FOR_RELAY, now);
     let direct = PeerMessage::Gossip(message.clone());
     send_to(gateway, socket, &direct, &targets.direct);
-    if !targets.relays.is_empty() {
-        send_to(
-            gateway,
-            socket,
-            &PeerMessage::Relay(message),
-            &targets.relays,
-        );
+    send_to(
+        gateway,
+        socket,
+        &PeerMessage::Relay(message),
+        &targets.relays,
+    );
+    if let Some(news) = build_part_news(gateway, now).map(Box::new) {
+        let direct = PeerMessage::PartNews(news.clone());
+        send_to(gateway, socket, &direct, &targets.direct);
+        let relayed = PeerMessage::RelayPartNews(news);
+        send_to(gateway, socket, &relayed, &targets.relays);
     }
     gateway.metrics.count("gossip.sent");
 }
 
 /// Relays a message to the other VMs of this data centre.
-fn relay_message(gateway: &Gateway, socket: &UdpSocket, message: Box<GossipMessage>) {
+fn relay_message(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage) {
     let own = &gateway.settings.data_centre;
     let targets = gateway.peers.borrow().gossip_addresses_in(own);
-    send_to(gateway, socket, &PeerMessage::Gossip(message), &targets);
+    send_to(gateway, socket, message, &targets);
     gateway.metrics.count("gossip.passed_on");
 }
 
 fn send_to(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
+    if targets.is_empty() {
+        return;
+    }
     let bytes = match rmp_serde::to_vec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -257,9 +276,16 @@
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_gossip(&gateway, *message),
             Ok(PeerMessage::Relay(message)) => {
-                relay_message(&gateway, &socket, message.clone());
+                let relayed = PeerMessage::Gossip(message.clone());
+                relay_message(&gateway, &socket, &relayed);
                 apply_gossip(&gateway, *message);
             }
+            Ok(PeerMessage::PartNews(news)) => apply_part_news(&gateway, *news),
+            Ok(PeerMessage::RelayPartNews(news)) => {
+                let relayed = PeerMessage::PartNews(news.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_part_news(&gateway, *news);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
@@ -304,6 +330,7 @@
     {
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
         gateway.rates.borrow_mut().announce_all(now);
+        announce_part_news(gateway, now);
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/metadata.rs
+++ b/lib/gateway/src/metadata.rs
@@ -31,6 +31,11 @@
     pub fn max_cost(&self) -> TokenCount {
         self.input.saturating_add(self.max_output)
     }
+
+    /// Returns all parts but the last, which belongs to this request or its session alone.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// Metadata of a request.
--- /dev/null
+++ b/lib/gateway/src/quarantine_task.rs
@@ -0,0 +1,233 @@
+//! Keeps the quarantine of prompt parts in the store, for VMs that start later or that hear no
+//! other VM.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use snipegate_platform::ConfigStore;
+use snipegate_platform::ExpectedVersion;
+use snipegate_platform::StoreError;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
+use snipegate_platform::SwapOutcome;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::gateway::duty_rendezvous_weight;
+use crate::local_response::jitter;
+use crate::part_guard::QuarantineSource;
+use crate::part_guard::TrialClaim;
+use crate::part_guard::merge_quarantine;
+use crate::quarantine::QuarantineRecord;
+use crate::quarantine::QuarantineTable;
+use crate::store_task::StoreTask;
+use crate::store_watch::StoreWatch;
+use crate::store_watch::WatchOutcome;
+
+/// Longest time that one watch waits. VMs that hear others learn of changes by gossip.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Interval at which records that are not stored yet are looked at again.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long VMs other than the one whose duty it is wait before they write a record.
+const STAND_IN_DELAY: Duration = Duration::from_millis(1000);
+
+/// Delay after a write that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
+
+/// The quarantine as this VM last read or wrote it.
+#[derive(Default)]
+struct StoredQuarantine {
+    records: Vec<QuarantineRecord>,
+    /// Revision of the stored value; `None` if there is no value.
+    revision: Option<StoreRevision>,
+}
+
+type SharedQuarantine = Rc<RefCell<StoredQuarantine>>;
+
+/// Follows and writes the stored quarantine until the process ends.
+pub async fn maintain_quarantine<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
+    let stored = SharedQuarantine::default();
+    let follower = (Rc::clone(&gateway), Rc::clone(&store), Rc::clone(&stored));
+    spawn_local(follow_quarantine(follower.0, follower.1, follower.2));
+    loop {
+        let changed = gateway.parts.quarantine_changed.notified();
+        let _ = timeout(POLL_INTERVAL, changed).await;
+        if !gateway.parts.is_quarantine_known.get() {
+            continue;
+        }
+        claim_trials(&gateway, &*store, &stored).await;
+        if let Err(error) = write_news(&gateway, &*store, &stored).await {
+            info!(gateway.log, "failed to write quarantine"; "error" => %error);
+            sleep(jitter(RETRY_DELAY)).await;
+        }
+    }
+}
+
+async fn follow_quarantine<S: ConfigStore>(
+    gateway: Rc<Gateway>,
+    store: Rc<S>,
+    stored: SharedQuarantine,
+) {
+    loop {
+        if read_and_watch(&gateway, &*store, &stored).await.is_err() {
+            gateway.wait_for_store().await;
+        }
+    }
+}
+
+async fn read_and_watch<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+    stored: &SharedQuarantine,
+) -> Result<(), StoreError> {
+    let key = gateway.wire_format.layout().quarantine_key;
+    let call = store.list(key, None);
+    let listing = gateway.call_store(StoreTask::Quarantine, call).await?;
+    let entry = listing.entries.into_iter().find(|(name, _)| name == key);
+    apply_stored(gateway, stored, entry.map(|(_, value)| value));
+    gateway.parts.is_quarantine_known.set(true);
+    gateway.update_stage();
+    let mut watch = StoreWatch::new(gateway, store, StoreTask::Quarantine, key, listing.revision);
+    loop {
+        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, pending()).await?
+        else {
+            return Ok(());
+        };
+        for change in changes.into_iter().filter(|change| change.key == key) {
+            let revision = change.revision;
+            let value = change.value.map(|value| StoredValue { revision, value });
+            apply_stored(gateway, stored, value);
+        }
+    }
+}
+
+/// Applies the stored value; one that can't be decoded holds no records and is replaced by
+/// the next write.
+fn apply_stored(gateway: &Gateway, stored: &SharedQuarantine, value: Option<StoredValue>) {
+    let revision = value.as_ref().map(|value| value.revision);
+    let records = value.map_or_else(Vec::new, |value| decode_records(gateway, &value));
+    *stored.borrow_mut() = StoredQuarantine {
+        records: records.clone(),
+        revision,
+    };
+    merge_quarantine(gateway, records, QuarantineSource::Store);
+}
+
+fn decode_records(gateway: &Gateway, value: &StoredValue) -> Vec<QuarantineRecord> {
+    rmp_serde::from_slice(&value.value).unwrap_or_else(|error| {
+        warn!(gateway.log, "failed to decode quarantine"; "error" => %error,
+            "revision" => value.revision.0);
+        Vec::new()
+    })
+}
+
+/// Writes the known records if the store lacks some.
+async fn write_news<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+    stored: &SharedQuarantine,
+) -> Result<(), StoreError> {
+    let lacks_news = || {
+        let table = gateway.parts.quarantine.borrow();
+        table.is_ahead_of(&stored.borrow().records)
+    };
+    if !lacks_news() || gateway.store_contact.get().is_failing() {
+        return Ok(());
+    }
+    if !has_duty(gateway) {
+        sleep(jitter(STAND_IN_DELAY)).await;
+    }
+    while lacks_news() && !gateway.store_contact.get().is_failing() {
+        let records = gateway.parts.quarantine.borrow().records();
+        write_records(gateway, store, stored, records).await?;
+    }
+    Ok(())
+}
+
+/// Returns whether this VM is the one that writes for the VMs that hear each other.
+fn has_duty(gateway: &Gateway) -> bool {
+    let weight = |vm| duty_rendezvous_weight(vm, StoreTask::Quarantine);
+    let own = weight(&gateway.settings.vm);
+    let peers = gateway.peers.borrow();
+    let mut others = peers.reaching_store(gateway.now());
+    others.all(|peer| weight(&peer.vm) < own)
+}
+
+/// Writes records if the stored value is the known one; returns whether it was. If not, the
+/// stored value is applied.
+async fn write_records<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+    stored: &SharedQuarantine,
+    records: Vec<QuarantineRecord>,
+) -> Result<bool, StoreError> {
+    let bytes = rmp_serde::to_vec(&records).map_err(|_| StoreError::InvalidReply)?;
+    let expected = match stored.borrow().revision {
+        None => ExpectedVersion::Absent,
+        Some(revision) => ExpectedVersion::At(revision),
+    };
+    let key = gateway.wire_format.layout().quarantine_key;
+    let call = store.swap(key, expected, bytes, None);
+    match gateway.call_store(StoreTask::Quarantine, call).await? {
+        SwapOutcome::Swapped(revision) => {
+            info!(gateway.log, "quarantine written"; "records" => records.len(),
+                "revision" => revision.0);
+            *stored.borrow_mut() = StoredQuarantine {
+                records,
+                revision: Some(revision),
+            };
+            Ok(true)
+        }
+        SwapOutcome::Conflict(value) => {
+            apply_stored(gateway, stored, value);
+            Ok(false)
+        }
+    }
+}
+
+/// Claims the trials that requests wait for. A claim succeeds if the record that it is for is
+/// still in force in the store.
+async fn claim_trials<S: ConfigStore>(gateway: &Gateway, store: &S, stored: &SharedQuarantine) {
+    let claims = std::mem::take(&mut *gateway.parts.trial_claims.borrow_mut());
+    for claim in claims {
+        let TrialClaim { record, outcome } = claim;
+        let claimed = claim_trial(gateway, store, stored, &record).await;
+        let is_claimed = claimed.unwrap_or_else(|error| {
+            info!(gateway.log, "failed to claim trial"; "parts" => %record.parts,
+                "error" => %error);
+            false
+        });
+        if outcome.send(is_claimed).is_err() {
+            info!(gateway.log, "trial not used"; "parts" => %record.parts);
+        }
+    }
+}
+
+async fn claim_trial<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+    stored: &SharedQuarantine,
+    record: &QuarantineRecord,
+) -> Result<bool, StoreError> {
+    let is_in_force = gateway.parts.quarantine.borrow().records().contains(record);
+    if !is_in_force || !stored.borrow().records.contains(record) {
+        return Ok(false);
+    }
+    let trial = QuarantineTable::trial_of(record);
+    let mut records = gateway.parts.quarantine.borrow().records();
+    records.retain(|known| known.parts != record.parts);
+    records.push(trial.clone());
+    if !write_records(gateway, store, stored, records).await? {
+        return Ok(false);
+    }
+    merge_quarantine(gateway, vec![trial], QuarantineSource::Trial);
+    Ok(true)
+}
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -99,8 +99,12 @@
     current: Option<UpstreamId>,
     sends: u32,
     connect_failures: u32,
+    /// Whether the request may be sent though its parts are quarantined.
+    pub is_trial: bool,
     /// Events received in the attempt in progress.
     attempt_events: u64,
+    /// When the first event of the attempt in progress was received.
+    first_event_at: Option<Instant>,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
     progress: StreamProgress,
@@ -129,7 +133,9 @@
             current: None,
             sends: 0,
             connect_failures: 0,
+            is_trial: false,
             attempt_events: 0,
+            first_event_at: None,
             may_have_run: false,
             progress: StreamProgress::default(),
             fallback: None,
@@ -168,15 +174,20 @@
         caller: &mut CallerWriter<'_>,
     ) -> Result<Option<Refusal>, CallerDisconnected> {
         loop {
+            if let Some(refusal) = self.refuse_crashing_parts() {
+                return Ok(Some(refusal));
+            }
             let Some((entry, choice)) = self.choose() else {
                 return Ok(Some(self.no_upstream_refusal()));
             };
             self.log_choice(&entry, &choice);
             self.current = Some(entry.id.clone());
             self.attempt_events = 0;
+            self.first_event_at = None;
             let outcome = self.send_once(caller, &entry, &choice).await?;
             self.current = None;
             self.record_outcome(&entry.id, &outcome);
+            self.record_broken(&entry, &outcome);
             self.tried.push(entry.id.clone());
             match outcome {
                 SendOutcome::Answered => return Ok(None),
@@ -350,6 +361,9 @@
             let mut loads = self.gateway.loads.borrow_mut();
             loads.record_service_time(&entry.id, elapsed, now);
         }
+        if head.is_success() {
+            self.record_prompt_answer(now);
+        }
         caller
             .write_response(strip_hop_by_hop_fields(&head), &body)
             .await?;
@@ -377,6 +391,10 @@
                 Ok(None) if splitter.has_partial() => {
                     return Ok(SendOutcome::Broken(SendFailure::Malformed));
                 }
+                // A crash before the first event looks like the end of an empty stream.
+                Ok(None) if response.ends_with_connection() && self.attempt_events == 0 => {
+                    return Ok(SendOutcome::Broken(SendFailure::Closed));
+                }
                 Ok(None) => break,
                 Err(failure) => return Ok(SendOutcome::Broken(failure)),
             };
@@ -391,7 +409,7 @@
                 continue;
             };
             self.progress.events += batch.events;
-            self.attempt_events += batch.events;
+            self.record_attempt_events(batch.events);
             if self.progress.events > self.max_events() {
                 return Ok(SendOutcome::Broken(SendFailure::Malformed));
             }
@@ -417,6 +435,7 @@
         caller.finish_stream().await?;
         response.release(self.gateway, &entry.id);
         let now = self.gateway.now();
+        self.record_prompt_answer(self.first_event_at.unwrap_or(now));
         self.record_answered(
             &entry.id,
             now.saturating_duration_since(load_guard.placed_at),
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -15,9 +15,13 @@
 use crate::caller::CallerDisconnected;
 use crate::caller::CallerWriter;
 use crate::caller::ResponseState;
+use crate::crash_probe::may_be_crash;
+use crate::crash_probe::record_broken_request;
 use crate::local_response::jitter;
 use crate::local_response::refuse;
 use crate::local_response::strip_hop_by_hop_fields;
+use crate::part_guard::record_prompt_answer;
+use crate::part_guard::refuse_parts;
 use crate::placement::PlacementChoice;
 use crate::refusal::Refusal;
 use crate::request_guards::LoadGuard;
@@ -31,6 +35,9 @@
 /// off.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Number of events after which an upstream is known to answer a prompt without crashing.
+const EVENTS_OF_SOUND_ANSWER: u64 = 2;
+
 impl Relay<'_> {
     /// Records the time to the first byte of a response.
     pub(super) fn record_first_byte(
@@ -47,6 +54,60 @@
         self.gateway.metrics.record_timing("first_byte", elapsed);
     }
 
+    /// Counts events of the attempt in progress. The second one proves that the upstream
+    /// answers the prompt; the first may be what it crashes on.
+    pub(super) fn record_attempt_events(&mut self, events: u64) {
+        let before = self.attempt_events;
+        self.attempt_events += events;
+        if events > 0 {
+            self.first_event_at.get_or_insert(self.gateway.now());
+        }
+        if let Some(at) = self.first_event_at
+            && before < EVENTS_OF_SOUND_ANSWER
+            && self.attempt_events >= EVENTS_OF_SOUND_ANSWER
+        {
+            self.record_prompt_answer(at);
+        }
+    }
+
+    /// Records that an upstream began to answer the prompt at `at`, and went on.
+    pub(super) fn record_prompt_answer(&self, at: Instant) {
+        if let Some(prompt) = &self.request.metadata.prompt {
+            let id = &self.request.metadata.attempt_id;
+            record_prompt_answer(self.gateway, id, prompt, at);
+        }
+    }
+
+    /// Looks into a prompt that broke off before its answer had begun: it may have crashed the
+    /// upstream.
+    pub(super) fn record_broken(&self, entry: &UpstreamEntry, outcome: &SendOutcome) {
+        let SendOutcome::Broken(failure) = outcome else {
+            return;
+        };
+        let has_answer = self.attempt_events >= EVENTS_OF_SOUND_ANSWER;
+        if has_answer || !may_be_crash(*failure) {
+            return;
+        }
+        let prompt = self.request.metadata.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        if !parts.is_empty() {
+            record_broken_request(self.gateway, entry, parts);
+        }
+    }
+
+    /// Returns the refusal of a prompt whose parts crash upstreams.
+    pub(super) fn refuse_crashing_parts(&self) -> Option<Refusal> {
+        let prompt = self.request.metadata.prompt.as_ref()?;
+        if self.is_trial {
+            return None;
+        }
+        let refusal = refuse_parts(self.gateway, &self.request.metadata.attempt_id, prompt)?;
+        Some(match self.may_have_run {
+            true => Refusal::may_have_run(ResultCode::UpstreamFailed),
+            false => refusal,
+        })
+    }
+
     /// Records a completed request.
     pub(super) fn record_answered(&self, id: &UpstreamId, elapsed: Duration) {
         self.gateway.metrics.count("request.answered");
--- a/lib/gateway/src/store_task.rs
+++ b/lib/gateway/src/store_task.rs
@@ -17,15 +17,31 @@
     VmLease,
     /// Reads and writes budget records.
     Budgets,
+    /// Follows and writes the quarantine of prompt parts.
+    Quarantine,
+}
+
+/// Which VMs use short watches for a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShortWatchers {
+    /// No VM.
+    None,
+    /// A VM that hears no other VM that reaches the store.
+    IfAlone,
+    /// Two of the VMs that hear each other.
+    Two,
 }
 
 impl StoreTask {
-    /// Returns whether VMs announce by gossip the version or revision that the task has
-    /// reached.
-    pub fn is_gossiped(self) -> bool {
+    /// Returns how many of the VMs that hear each other use short watches for the task.
+    ///
+    /// The others learn by gossip that there is a change. Quarantined parts are gossiped
+    /// themselves, so only a VM that hears no other depends on its watch.
+    pub fn short_watchers(self) -> ShortWatchers {
         match self {
-            StoreTask::Config | StoreTask::Upstreams => true,
-            StoreTask::VmRecords | StoreTask::VmLease | StoreTask::Budgets => false,
+            StoreTask::Config | StoreTask::Upstreams => ShortWatchers::Two,
+            StoreTask::Quarantine => ShortWatchers::IfAlone,
+            StoreTask::VmRecords | StoreTask::VmLease | StoreTask::Budgets => ShortWatchers::None,
         }
     }
 }
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::Gateway;
 use crate::short_watch::uses_short_watch;
+use crate::store_task::ShortWatchers;
 use crate::store_task::StoreTask;
 
 /// Longest wait of a short watch.
@@ -131,17 +132,14 @@
 
     /// Returns whether this VM is one of the short watchers of the task.
     fn is_short_watcher(&self) -> bool {
-        if !self.task.is_gossiped() {
-            return false;
-        }
         let gateway = self.gateway;
         let peers = gateway.peers.borrow();
-        let others = peers.reaching_store(gateway.now());
-        uses_short_watch(
-            &gateway.settings.vm,
-            others.map(|record| &record.vm),
-            self.task,
-        )
+        let mut others = peers.reaching_store(gateway.now()).map(|record| &record.vm);
+        match self.task.short_watchers() {
+            ShortWatchers::None => false,
+            ShortWatchers::IfAlone => others.next().is_none(),
+            ShortWatchers::Two => uses_short_watch(&gateway.settings.vm, others, self.task),
+        }
     }
 
     fn log_end(&self, end: WatchEnd, began: Instant) {
--- a/lib/types/src/result_code.rs
+++ b/lib/types/src/result_code.rs
@@ -92,6 +92,8 @@
     HeadTooLarge = 1015,
     /// The head of the request or its body framing is malformed or ambiguous.
     MalformedRequest = 1016,
+    /// Parts of the prompt have crashed upstreams and are not sent for now.
+    PromptQuarantined = 1017,
     /// The budget cannot cover the worst-case cost of the request.
     BudgetExhausted = 2001,
     /// The budget may have tokens left, but this process cannot reach them now.
@@ -166,7 +168,7 @@
             DeadlinePassed => 504,
             BudgetUnreachable | NoUpstream | UpstreamsFull | DeadlineUnmeetable
             | RetryBudgetSpent | StoreUnavailable | ConfigMissing | BillUnconfirmed
-            | ConfigStale | Stopping | NotReady => 503,
+            | ConfigStale | Stopping | NotReady | PromptQuarantined => 503,
             InternalFault => 500,
         }
     }
@@ -196,7 +198,7 @@
             | ProfileLimited | NoUpstream | UpstreamsFull | DeadlineUnmeetable
             | RetryBudgetSpent | UpstreamFailed | DeadlinePassed | UpstreamSilent
             | PriorityShed | StoreUnavailable | ConfigMissing | BillUnconfirmed | ConfigStale
-            | StillRunning | Stopping | NotReady | InternalFault => true,
+            | StillRunning | Stopping | NotReady | PromptQuarantined | InternalFault => true,
         }
     }
 }
