gateway: blame allows for other crashes, missing answers and VMs that are cut off

- a rare part lost three requests in a row to crashes of other causes.
Now the crashes count by the share of all recent ones that the part is at: three at half of them, four at a quarter, else five; and in a group of crashes at one moment it has to be at half.
VMs also report crashes that left no prompt unanswered, or the shares would be too high.
- the companion of the deadly part was at one crash more and was blamed alone.
Now parts at two thirds of the same crashes are blamed together only.
- a restarted VM was told of old crashes with parts that were answered since.
Reports leave them out now.
- a VM cut off from the others blamed a common first part whose answers it did not hear of.
One that hears less than half of the fleet takes five crashes.

What is decided is now in PartTable, free of I/O; part_guard connects it with requests, gossip and store.

--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -19,15 +19,24 @@
 use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
-/// Crashes after which a part is blamed that was never answered.
-const CRASHES_TO_BLAME: usize = 3;
+/// Crashes after which a part is blamed that was never answered and is at half or more of all
+/// recent crashes.
+const MIN_CRASHES_TO_BLAME: usize = 3;
 
-/// Crashes after which a part is blamed that was answered before the first of them.
-const CRASHES_TO_BLAME_ANSWERED: usize = 5;
+/// Crashes after which a part is blamed in any case. It is the number that a fleet may see
+/// before it has to know the part.
+const MAX_CRASHES_TO_BLAME: usize = 5;
 
-/// Crashes that are closer together count as one: a single cause, such as the loss of a rack,
-/// may end many upstreams.
-const MIN_CRASH_SPACING: Duration = Duration::from_millis(100);
+/// Crashes are recent to a part's crashes up to this time before its first one.
+const RECENT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Crashes within this time are one group, which counts once. A part has to be at half or
+/// more of a group: a single cause, such as the loss of a rack, may end many upstreams, with
+/// any part at some of them.
+const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Maximum number of remembered crashes.
+const MAX_CRASHES: usize = 256;
 
 /// How long a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(600);
@@ -42,7 +51,7 @@
 const MAX_OWN_REPORTS: usize = 64;
 
 /// Maximum number of parts in one report.
-const MAX_REPORTED_PARTS: usize = 48;
+const MAX_REPORTED_PARTS: usize = 32;
 
 /// Maximum number of reports, and of answers, in one message.
 const MAX_ANNOUNCED: usize = 32;
@@ -74,6 +83,15 @@
     }
 }
 
+/// Which VMs' crashes and answers a VM knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvidenceView {
+    /// Those of half or more of the fleet.
+    Fleet,
+    /// Those of a smaller part, so answers may be missing that clear a part.
+    Minority,
+}
+
 /// A VM's report of a crash, sent to the other VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -104,12 +122,17 @@
     announce_until: Instant,
 }
 
+/// Crashes by the run that ended, with the time at which the first report puts them.
+type CrashTimes = IndexMap<UpstreamRun, Instant>;
+
 /// Crashes and answers that are known, of all VMs.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
+    /// All crashes, also those that left no prompt unanswered.
+    crashes: CrashTimes,
     /// For each suspected part, the crashes since its last answer. The last part to become
     /// suspected is at the end.
-    suspects: IndexMap<PartId, IndexMap<UpstreamRun, Instant>>,
+    suspects: IndexMap<PartId, CrashTimes>,
     answered: AnsweredParts,
     own_reports: Vec<OwnReport>,
     /// Suspected parts of which this VM knows an answer, with the time until which other VMs
@@ -157,6 +180,10 @@
 
     fn record_crash(&mut self, run: UpstreamRun, at: Instant, parts: &[PartId], now: Instant) {
         self.drop_old_crashes(now);
+        if !self.crashes.contains_key(&run) && self.crashes.len() >= MAX_CRASHES {
+            self.crashes.shift_remove_index(0);
+        }
+        let at = *self.crashes.entry(run).or_insert(at);
         for part in parts.iter().take(MAX_REPORTED_PARTS) {
             if self.answered.last(*part).is_some_and(|answer| answer >= at) {
                 continue;
@@ -174,6 +201,7 @@
     fn drop_old_crashes(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) > CRASH_TTL;
         self.own_reports.retain(|report| !is_old(report.at));
+        self.crashes.retain(|_, at| !is_old(*at));
         self.suspects.retain(|_, crashes| {
             crashes.retain(|_, at| !is_old(*at));
             !crashes.is_empty()
@@ -241,7 +269,8 @@
         }
     }
 
-    /// Returns the own reports for a message, the newest first.
+    /// Returns the own reports for a message, the newest first. Parts that were answered
+    /// since are left out: a VM that knows no answers would suspect them.
     pub fn report_announcements(&self, now: Instant) -> Vec<CrashReport> {
         let announced = self.own_reports.iter().rev();
         announced
@@ -250,11 +279,19 @@
             .map(|report| CrashReport {
                 run: report.run,
                 age_ms: age_ms(report.at, now),
-                parts: report.parts.clone(),
+                parts: self.still_suspected(report),
             })
             .collect()
     }
 
+    fn still_suspected(&self, report: &OwnReport) -> Vec<PartId> {
+        let is_suspected = |part: &&PartId| {
+            let crashes = self.suspects.get(*part);
+            crashes.is_some_and(|crashes| crashes.contains_key(&report.run))
+        };
+        report.parts.iter().filter(is_suspected).copied().collect()
+    }
+
     /// Returns the answers for a message, the newest first.
     pub fn answer_announcements(&mut self, now: Instant) -> Vec<PartAnswer> {
         self.cleared.retain(|_, until| now < *until);
@@ -278,72 +315,103 @@
     /// Returns the parts that the known crashes put the blame on, and the number of crashes
     /// that each set explains.
     ///
-    /// Parts that the same crashes speak against can't be told apart: a prompt is blamed
-    /// only if it has all of them. A crash that a set explains does not count against
+    /// Parts that are at nearly the same crashes can't be told apart: a prompt is blamed only
+    /// if it has all of them. A crash that a set explains does not count against
     /// further parts, which the prompts may have had beside it.
-    pub fn blamed(&self) -> Vec<(PartSet, usize)> {
-        let mut unexplained: IndexMap<PartId, IndexMap<UpstreamRun, Instant>> = self
-            .suspects
-            .iter()
-            .filter(|(part, crashes)| crashes.len() >= self.crashes_to_blame(**part))
-            .map(|(part, crashes)| (*part, crashes.clone()))
-            .collect();
+    pub fn blamed(&self, view: EvidenceView) -> Vec<(PartSet, usize)> {
         let mut blamed = Vec::new();
-        while let Some((parts, runs)) = self.most_blamed(&unexplained) {
+        if self.crashes.len() < MIN_CRASHES_TO_BLAME {
+            return blamed;
+        }
+        let mut unexplained = self.crashes.clone();
+        let mut suspects = self.suspects.clone();
+        suspects.retain(|_, crashes| crashes.len() > 1);
+        while let Some((parts, runs)) = self.most_blamed(&suspects, &unexplained, view) {
             blamed.push((PartSet::new(parts), runs.len()));
-            for crashes in unexplained.values_mut() {
-                crashes.retain(|run, _| !runs.contains(run));
+            let is_unexplained = |run: &UpstreamRun| !runs.contains(run);
+            unexplained.retain(|run, _| is_unexplained(run));
+            for crashes in suspects.values_mut() {
+                crashes.retain(|run, _| is_unexplained(run));
             }
         }
         blamed
     }
 
-    /// Returns the parts with the most crashes, if there are enough, and these crashes. A
-    /// part that was never answered goes first.
+    /// Returns the part with the most crashes, if these are enough, together with those that
+    /// can't be told apart from it, and the crashes. A part that was never answered goes
+    /// first.
     fn most_blamed(
         &self,
-        unexplained: &IndexMap<PartId, IndexMap<UpstreamRun, Instant>>,
+        suspects: &IndexMap<PartId, CrashTimes>,
+        unexplained: &CrashTimes,
+        view: EvidenceView,
     ) -> Option<(Vec<PartId>, Vec<UpstreamRun>)> {
-        let rank = |part: PartId, crashes: &IndexMap<UpstreamRun, Instant>| {
-            (self.answered.last(part).is_none(), count_apart(crashes))
-        };
-        let candidates = || {
-            unexplained
-                .iter()
-                .filter(|(part, crashes)| count_apart(crashes) >= self.crashes_to_blame(**part))
-        };
-        let (top, crashes) = candidates().max_by_key(|(part, crashes)| rank(**part, crashes))?;
-        let is_tied = |part: PartId, other: &IndexMap<UpstreamRun, Instant>| {
-            rank(part, other) == rank(*top, crashes)
-                && other.len() == crashes.len()
-                && other.keys().all(|run| crashes.contains_key(run))
+        let groups = group_crashes(unexplained);
+        let is_new = |part: &PartId| self.answered.last(*part).is_none();
+        let candidates = suspects.iter().filter_map(|(part, crashes)| {
+            let count = count_groups(&groups, crashes);
+            let may_be_early = is_new(part) && view == EvidenceView::Fleet;
+            let is_enough = count >= crashes_to_blame(may_be_early, crashes, unexplained);
+            is_enough.then_some((is_new(part), count, part, crashes))
+        });
+        let (top_is_new, _, _, crashes) =
+            candidates.max_by_key(|(is_new, count, ..)| (*is_new, *count))?;
+        let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
+            let shared = crashes
+                .keys()
+                .filter(|run| other.contains_key(*run))
+                .count();
+            is_new(part) >= top_is_new && 3 * shared >= 2 * crashes.len()
         };
-        let tied = candidates().filter(|(part, other)| is_tied(**part, other));
-        let parts = tied.map(|(part, _)| *part).collect();
+        let parts = suspects.iter().filter(may_be_cause);
+        let parts = parts.map(|(part, _)| *part).collect();
         Some((parts, crashes.keys().copied().collect()))
     }
+}
 
-    fn crashes_to_blame(&self, part: PartId) -> usize {
-        match self.answered.last(part) {
-            None => CRASHES_TO_BLAME,
-            Some(_) => CRASHES_TO_BLAME_ANSWERED,
-        }
+/// Returns the number of crashes after which a part is blamed; if it may be early, fewer than
+/// the most. Where many upstreams crash for other reasons, a rare part is at some of the
+/// crashes by chance, and it takes more.
+fn crashes_to_blame(may_be_early: bool, crashes: &CrashTimes, unexplained: &CrashTimes) -> usize {
+    let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
+        return MAX_CRASHES_TO_BLAME;
+    };
+    let is_recent = |at: &&Instant| **at + RECENT_PERIOD >= *first && *at <= last;
+    let recent = unexplained.values().filter(is_recent).count();
+    match may_be_early {
+        true if 2 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME,
+        true if 4 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME + 1,
+        _ => MAX_CRASHES_TO_BLAME,
     }
 }
 
-/// Counts crashes, of which those within `MIN_CRASH_SPACING` after a counted one don't count.
-fn count_apart(crashes: &IndexMap<UpstreamRun, Instant>) -> usize {
-    let mut times: Vec<Instant> = crashes.values().copied().collect();
-    times.sort();
-    let mut counted = 0;
-    let mut last: Option<Instant> = None;
-    for at in times {
-        if last.is_none_or(|last| at - last >= MIN_CRASH_SPACING) {
-            counted += 1;
-            last = Some(at);
+/// Divides crashes into groups, each of those within `CRASH_GROUP_PERIOD` of its first one.
+fn group_crashes(crashes: &CrashTimes) -> Vec<Vec<UpstreamRun>> {
+    let mut ordered: Vec<(Instant, UpstreamRun)> =
+        crashes.iter().map(|(run, at)| (*at, *run)).collect();
+    ordered.sort_by_key(|(at, _)| *at);
+    let mut groups: Vec<Vec<UpstreamRun>> = Vec::new();
+    let mut first: Option<Instant> = None;
+    for (at, run) in ordered {
+        match groups.last_mut() {
+            Some(group) if first.is_some_and(|first| at - first < CRASH_GROUP_PERIOD) => {
+                group.push(run);
+            }
+            _ => {
+                first = Some(at);
+                groups.push(vec![run]);
+            }
         }
     }
-    counted
+    groups
+}
+
+/// Counts the groups of which half or more are among `crashes`.
+fn count_groups(groups: &[Vec<UpstreamRun>], crashes: &CrashTimes) -> usize {
+    let is_in = |run: &&UpstreamRun| crashes.contains_key(*run);
+    let has_half =
+        |group: &&Vec<UpstreamRun>| 2 * group.iter().filter(is_in).count() >= group.len();
+    groups.iter().filter(has_half).count()
 }
 
 fn age_ms(at: Instant, now: Instant) -> u64 {
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Looks into a request that broke off before its answer had begun. `parts` are the shared
-/// parts of its prompt.
+/// Looks into a request that broke off. `parts` are the shared parts of its prompt if its
+/// answer had not begun.
 pub fn record_broken_request(gateway: &Rc<Gateway>, entry: &UpstreamEntry, parts: &[PromptPart]) {
     let run = UpstreamRun::of(entry);
     let ids = parts.iter().map(|part| part.id);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -25,10 +25,8 @@
 use crate::gateway::stable_hash;
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
-use crate::part_guard::PartNews;
-use crate::part_guard::announce_part_news;
 use crate::part_guard::apply_part_news;
-use crate::part_guard::build_part_news;
+use crate::part_table::PartNews;
 use crate::peers::VmRecord;
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
@@ -187,7 +185,9 @@
         &PeerMessage::Relay(message),
         &targets.relays,
     );
-    if let Some(news) = build_part_news(gateway, now).map(Box::new) {
+    let vm = &gateway.settings.vm;
+    let news = gateway.parts.table.borrow_mut().news(vm, now);
+    if let Some(news) = news.map(Box::new) {
         let direct = PeerMessage::PartNews(news.clone());
         send_to(gateway, socket, &direct, &targets.direct);
         let relayed = PeerMessage::RelayPartNews(news);
@@ -330,7 +330,7 @@
     {
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
         gateway.rates.borrow_mut().announce_all(now);
-        announce_part_news(gateway, now);
+        gateway.parts.table.borrow_mut().announce_all(now);
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/part_guard.rs
+++ b/lib/gateway/src/part_guard.rs
@@ -1,8 +1,5 @@
-//! Keeps prompt parts that crash upstreams from being sent.
-//!
-//! All VMs exchange what they notice by gossip, and each comes to the same conclusion. A
-//! blamed set of parts is refused by this VM at once. After a time in which other VMs can
-//! contradict it is quarantined, which all VMs and the store are told.
+//! Keeps prompt parts that crash upstreams from being sent: connects [`PartTable`] with
+//! requests, the other VMs and the store.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -10,8 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Deserialize;
-use serde::Serialize;
 use slog::info;
 use snipegate_types::PartId;
 use snipegate_types::ResultCode;
@@ -22,24 +17,22 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::crash_evidence::CrashEvidence;
-use crate::crash_evidence::CrashReport;
-use crate::crash_evidence::PartAnswer;
+use crate::crash_evidence::EvidenceView;
 use crate::crash_evidence::UpstreamRun;
 use crate::crash_probe::PendingProbes;
 use crate::gateway::Gateway;
 use crate::gossip::gossip_spacing;
-use crate::metadata::PromptPart;
 use crate::metadata::PromptShape;
-use crate::part_set::PartSet;
+use crate::part_table::PartChange;
+use crate::part_table::PartNews;
+use crate::part_table::PartTable;
 use crate::quarantine::ActiveQuarantine;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineState;
-use crate::quarantine::QuarantineTable;
 use crate::refusal::Refusal;
 use crate::upstream::UpstreamEntry;
 
-/// Time beyond two rounds of gossip in which other VMs can contradict a blame.
+/// Time beyond two rounds of gossip in which other VMs can tell of an answer to blamed parts.
 const OBJECTION_SLACK: Duration = Duration::from_millis(150);
 
 /// Shortest `Retry-After` of a refused prompt.
@@ -48,17 +41,12 @@
 /// How long a request waits for the claim of a trial.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// What a VM knows of prompt parts that crash upstreams.
+/// State of a VM's protection from prompt parts that crash upstreams.
 #[derive(Default)]
 pub struct PartGuard {
-    /// Crashes and answers from which parts are blamed.
-    pub evidence: RefCell<CrashEvidence>,
-    /// Sets of parts that are blamed by this VM now, with the time from which they are
-    /// quarantined.
-    blamed: RefCell<Vec<(PartSet, Instant)>>,
-    /// Sets of parts that are quarantined.
-    pub quarantine: RefCell<QuarantineTable>,
-    /// Notified when the quarantine has changed.
+    /// What is known and refused.
+    pub table: RefCell<PartTable>,
+    /// Notified when the quarantine has changed or a trial is to be claimed.
     pub quarantine_changed: Notify,
     /// Whether the stored quarantine has been read.
     pub is_quarantine_known: Cell<bool>,
@@ -76,54 +64,37 @@
     pub outcome: oneshot::Sender<bool>,
 }
 
-/// What a VM tells the others of prompt parts that crash upstreams.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PartNews {
-    /// The sender.
-    pub sender: VmId,
-    /// Crashes that the sender noticed.
-    pub crashes: Vec<CrashReport>,
-    /// Suspected parts of which the sender knows an answer.
-    pub answers: Vec<PartAnswer>,
-    /// Changes of the quarantine.
-    pub quarantine: Vec<QuarantineRecord>,
-}
-
-/// How a VM learned of a change of the quarantine.
+/// What a change of the refused parts follows from.
 #[derive(Clone, Copy, Debug)]
-pub enum QuarantineSource<'a> {
-    /// From its own conclusion, of this many crashes.
-    Crashes(usize),
-    /// From an answer to a request of its own.
-    Answer,
-    /// From another VM.
+pub enum PartSource<'a> {
+    /// Crashes and answers that are known.
+    Evidence,
+    /// The answer to this request.
+    Answer(&'a str),
+    /// News of another VM.
     Vm(&'a VmId),
-    /// From the store.
+    /// The store.
     Store,
-    /// It claimed a trial.
+    /// The claim of a trial.
     Trial,
 }
 
-impl QuarantineSource<'_> {
+impl PartSource<'_> {
     fn label(self) -> &'static str {
         match self {
-            QuarantineSource::Crashes(_) => "crashes",
-            QuarantineSource::Answer => "answer",
-            QuarantineSource::Vm(_) => "vm",
-            QuarantineSource::Store => "store",
-            QuarantineSource::Trial => "trial",
+            PartSource::Evidence => "evidence",
+            PartSource::Answer(_) => "answer",
+            PartSource::Vm(_) => "vm",
+            PartSource::Store => "store",
+            PartSource::Trial => "trial",
         }
     }
 }
 
-/// Returns the refusal of a prompt whose parts are blamed or quarantined, if they are.
+/// Returns the refusal of a prompt whose parts are refused.
 pub fn refuse_parts(gateway: &Gateway, request: &str, prompt: &PromptShape) -> Option<Refusal> {
-    let shared = prompt.shared_parts();
-    let active = gateway.parts.quarantine.borrow().find(shared);
-    let (parts, until) = match active {
-        Some(active) => (active.record.parts, active.trial_at),
-        None => find_blamed(gateway, shared)?,
-    };
+    let table = gateway.parts.table.borrow();
+    let (parts, until) = table.refused(prompt.shared_parts())?;
     let wait = until.saturating_duration_since(gateway.now());
     info!(gateway.log, "prompt parts refused"; "request" => request, "parts" => %parts,
         "retry_ms" => wait.as_millis() as u64);
@@ -134,27 +105,25 @@
 /// Claims the trial of a prompt's quarantined parts if it is due. Returns whether the prompt
 /// may be sent as the trial.
 pub async fn claim_due_trial(gateway: &Gateway, request: &str, prompt: &PromptShape) -> bool {
-    let active = gateway
+    let now = gateway.now();
+    let due = gateway
         .parts
-        .quarantine
+        .table
         .borrow()
-        .find(prompt.shared_parts());
-    let Some(active) = active.filter(|active| active.trial_at <= gateway.now()) else {
+        .due_trial(prompt.shared_parts(), now);
+    let Some(active) = due else {
         return false;
     };
     let is_claimed = claim_trial(gateway, &active).await;
-    if is_claimed {
-        info!(gateway.log, "quarantined parts tried"; "request" => request,
-            "parts" => %active.record.parts, "trials" => active.record.trials + 1);
-    }
+    gateway
+        .metrics
+        .count_tagged("part.trial", if is_claimed { "claimed" } else { "refused" });
+    info!(gateway.log, "trial of quarantined parts"; "request" => request,
+        "parts" => %active.record.parts, "trials" => active.record.trials,
+        "claimed" => is_claimed);
     is_claimed
 }
 
-fn find_blamed(gateway: &Gateway, parts: &[PromptPart]) -> Option<(PartSet, Instant)> {
-    let blamed = gateway.parts.blamed.borrow();
-    blamed.iter().find(|(set, _)| set.is_within(parts)).cloned()
-}
-
 async fn claim_trial(gateway: &Gateway, active: &ActiveQuarantine) -> bool {
     if gateway.store_contact.get().is_failing() {
         return false;
@@ -171,18 +140,16 @@
 }
 
 /// Records that an upstream crashed. `parts` are the shared parts of this VM's requests that
-/// it had not begun to answer.
+/// it had not begun to answer, if any.
 pub fn record_crash(gateway: &Rc<Gateway>, entry: &UpstreamEntry, at: Instant, parts: Vec<PartId>) {
-    let now = gateway.now();
-    let run = UpstreamRun::of(entry);
     gateway.metrics.count("upstream.crashed");
-    gateway
-        .parts
-        .evidence
-        .borrow_mut()
-        .record_own_crash(run, at, parts, now);
+    let run = UpstreamRun::of(entry);
+    let now = gateway.now();
+    let mut table = gateway.parts.table.borrow_mut();
+    table.record_crash(run, at, parts, now);
+    drop(table);
     gateway.gossip_notify.notify_one();
-    update_blame(gateway, now);
+    review(gateway);
 }
 
 /// Records that the answer to a prompt began at `at`, which clears its parts.
@@ -193,165 +160,113 @@
     at: Instant,
 ) {
     let now = gateway.now();
-    let parts = prompt.shared_parts();
-    let mut cleared = false;
-    for part in parts {
-        let mut evidence = gateway.parts.evidence.borrow_mut();
-        cleared |= evidence.record_own_answer(part.id, at, now);
-    }
-    let released = gateway
-        .parts
-        .quarantine
-        .borrow_mut()
-        .release(parts, at, now);
-    for record in &released {
-        log_quarantine(gateway, record, QuarantineSource::Answer, Some(request));
-    }
-    if cleared {
-        update_blame(gateway, now);
-    }
-    if cleared || !released.is_empty() {
+    let mut table = gateway.parts.table.borrow_mut();
+    let (changes, is_news) = table.record_answer(prompt.shared_parts(), at, now);
+    drop(table);
+    if is_news {
         gateway.gossip_notify.notify_one();
-    }
-    if !released.is_empty() {
-        gateway.parts.quarantine_changed.notify_one();
+        apply_changes(gateway, changes, PartSource::Answer(request));
+        review(gateway);
     }
 }
 
-/// Derives from the evidence which sets of parts are blamed now, and schedules their
-/// quarantine.
-fn update_blame(gateway: &Rc<Gateway>, now: Instant) {
-    let blamed_now = gateway.parts.evidence.borrow().blamed();
-    let mut blamed = gateway.parts.blamed.borrow_mut();
-    blamed.retain(|(set, _)| {
-        let stays = blamed_now.iter().any(|(now, _)| now == set);
-        if !stays {
-            info!(gateway.log, "prompt parts cleared"; "parts" => %set);
-        }
-        stays
-    });
-    let delay = objection_time(gateway);
-    for (set, crashes) in blamed_now {
-        let is_known = blamed.iter().any(|(known, _)| *known == set);
-        if is_known || gateway.parts.quarantine.borrow().covers(&set) {
-            continue;
-        }
-        gateway.metrics.count("part.blamed");
-        info!(gateway.log, "prompt parts blamed"; "parts" => %set, "crashes" => crashes,
-            "suspected_parts" => gateway.parts.evidence.borrow().suspect_count(),
-            "quarantined_in_ms" => delay.as_millis() as u64);
-        blamed.push((set.clone(), now + delay));
-        spawn_local(quarantine_unless_cleared(
-            Rc::clone(gateway),
-            set,
-            crashes,
-            delay,
-        ));
+/// Applies another VM's news.
+pub fn apply_part_news(gateway: &Rc<Gateway>, news: PartNews) {
+    if news.sender == gateway.settings.vm {
+        return;
     }
+    let now = gateway.now();
+    let sender = news.sender.clone();
+    let changes = gateway.parts.table.borrow_mut().apply_news(news, now);
+    apply_changes(gateway, changes, PartSource::Vm(&sender));
+    review(gateway);
 }
 
-/// Returns how long other VMs have to tell of an answer to blamed parts: they must hear of
-/// the crashes, and this VM of their answers.
-fn objection_time(gateway: &Gateway) -> Duration {
-    2 * gossip_spacing(gateway.vm_count()) + OBJECTION_SLACK
+/// Merges records of the quarantine that the store holds, or that this VM has written.
+pub fn merge_quarantine(gateway: &Gateway, records: Vec<QuarantineRecord>, source: PartSource<'_>) {
+    let now = gateway.now();
+    let changes = gateway.parts.table.borrow_mut().merge(records, now);
+    apply_changes(gateway, changes, source);
 }
 
-async fn quarantine_unless_cleared(
-    gateway: Rc<Gateway>,
-    set: PartSet,
-    crashes: usize,
-    delay: Duration,
-) {
-    sleep(delay).await;
-    let mut blamed = gateway.parts.blamed.borrow_mut();
-    let Some(index) = blamed.iter().position(|(known, _)| *known == set) else {
-        return;
-    };
-    blamed.swap_remove(index);
-    drop(blamed);
+/// Reviews the blame, and again when a newly blamed set is to be quarantined.
+fn review(gateway: &Rc<Gateway>) {
     let now = gateway.now();
-    let imposed = gateway.parts.quarantine.borrow_mut().impose(&set, now);
-    if let Some(record) = imposed {
-        log_quarantine(&gateway, &record, QuarantineSource::Crashes(crashes), None);
-        gateway.gossip_notify.notify_one();
-        gateway.parts.quarantine_changed.notify_one();
+    // Other VMs must hear of the crashes, and this VM of their answers.
+    let objection_time = 2 * gossip_spacing(gateway.vm_count()) + OBJECTION_SLACK;
+    let view = evidence_view(gateway, now);
+    let mut table = gateway.parts.table.borrow_mut();
+    let changes = table.review(objection_time, view, now);
+    drop(table);
+    let is_blamed = |change: &PartChange| matches!(change, PartChange::Blamed(..));
+    if changes.iter().any(is_blamed) {
+        spawn_local(review_when_due(Rc::clone(gateway)));
     }
+    apply_changes(gateway, changes, PartSource::Evidence);
 }
 
-/// Returns this VM's news for the next message; `None` if there is none.
-pub fn build_part_news(gateway: &Gateway, now: Instant) -> Option<PartNews> {
-    let mut evidence = gateway.parts.evidence.borrow_mut();
-    let news = PartNews {
-        sender: gateway.settings.vm.clone(),
-        crashes: evidence.report_announcements(now),
-        answers: evidence.answer_announcements(now),
-        quarantine: gateway.parts.quarantine.borrow().announcements(now),
-    };
-    let is_empty = news.crashes.is_empty() && news.answers.is_empty() && news.quarantine.is_empty();
-    (!is_empty).then_some(news)
+fn evidence_view(gateway: &Gateway, now: Instant) -> EvidenceView {
+    let peers = gateway.peers.borrow();
+    let heard = peers.live_serving(now).count() + 1;
+    match 2 * heard > peers.known_serving() {
+        true => EvidenceView::Fleet,
+        false => EvidenceView::Minority,
+    }
 }
 
-/// Announces all that this VM knows again, for a VM that may know nothing.
-pub fn announce_part_news(gateway: &Gateway, now: Instant) {
-    gateway.parts.evidence.borrow_mut().announce_all(now);
-    gateway.parts.quarantine.borrow_mut().announce_all(now);
+/// Reviews the blame until no set waits to be quarantined.
+async fn review_when_due(gateway: Rc<Gateway>) {
+    loop {
+        let next = gateway.parts.table.borrow().next_review_at();
+        let Some(next) = next else {
+            return;
+        };
+        sleep(next.saturating_duration_since(gateway.now())).await;
+        review(&gateway);
+    }
 }
 
-/// Applies another VM's news.
-pub fn apply_part_news(gateway: &Rc<Gateway>, news: PartNews) {
-    if news.sender == gateway.settings.vm {
-        return;
-    }
-    let now = gateway.now();
-    let mut evidence = gateway.parts.evidence.borrow_mut();
-    for answer in &news.answers {
-        evidence.apply_answer(answer, now);
+/// Logs changes, and has those of the quarantine sent and stored.
+fn apply_changes(gateway: &Gateway, changes: Vec<PartChange>, source: PartSource<'_>) {
+    for change in &changes {
+        log_change(gateway, change, source);
     }
-    for report in &news.crashes {
-        evidence.apply_report(report, now);
+    if changes.iter().any(|change| change.record().is_some()) {
+        gateway.gossip_notify.notify_one();
+        gateway.parts.quarantine_changed.notify_one();
     }
-    drop(evidence);
-    let source = QuarantineSource::Vm(&news.sender);
-    merge_quarantine(gateway, news.quarantine, source);
-    update_blame(gateway, now);
 }
 
-/// Merges records of another VM or of the store.
-pub fn merge_quarantine(
-    gateway: &Gateway,
-    records: Vec<QuarantineRecord>,
-    source: QuarantineSource<'_>,
-) {
-    let now = gateway.now();
-    for record in records {
-        let merged = gateway
-            .parts
-            .quarantine
-            .borrow_mut()
-            .merge(record.clone(), now);
-        if merged {
-            if record.state == QuarantineState::Released {
-                let mut evidence = gateway.parts.evidence.borrow_mut();
-                evidence.record_release(record.parts.parts(), now);
-            }
-            log_quarantine(gateway, &record, source, None);
-            gateway.parts.quarantine_changed.notify_one();
+fn log_change(gateway: &Gateway, change: &PartChange, source: PartSource<'_>) {
+    match change {
+        PartChange::Blamed(parts, crashes) => {
+            gateway.metrics.count("part.blamed");
+            info!(gateway.log, "prompt parts blamed"; "parts" => %parts, "crashes" => crashes,
+                "suspected_parts" => gateway.parts.table.borrow().suspect_count());
+        }
+        PartChange::Cleared(parts) => {
+            gateway.metrics.count("part.cleared");
+            info!(gateway.log, "prompt parts cleared"; "parts" => %parts);
+        }
+        PartChange::Quarantined(record, crashes) => {
+            log_record(gateway, record, Some(*crashes), source);
+        }
+        PartChange::Merged(record) | PartChange::Released(record) => {
+            log_record(gateway, record, None, source);
         }
     }
 }
 
-fn log_quarantine(
+fn log_record(
     gateway: &Gateway,
     record: &QuarantineRecord,
-    source: QuarantineSource<'_>,
-    request: Option<&str>,
+    crashes: Option<usize>,
+    source: PartSource<'_>,
 ) {
-    let (crashes, peer) = match source {
-        QuarantineSource::Crashes(crashes) => (Some(crashes), None),
-        QuarantineSource::Vm(vm) => (None, Some(vm.as_str())),
-        QuarantineSource::Answer | QuarantineSource::Store | QuarantineSource::Trial => {
-            (None, None)
-        }
+    let (request, peer) = match source {
+        PartSource::Answer(request) => (Some(request), None),
+        PartSource::Vm(vm) => (None, Some(vm.as_str())),
+        PartSource::Evidence | PartSource::Store | PartSource::Trial => (None, None),
     };
     let event = match record.state {
         QuarantineState::Active => "prompt parts quarantined",
--- a/lib/gateway/src/quarantine_task.rs
+++ b/lib/gateway/src/quarantine_task.rs
@@ -21,7 +21,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::duty_rendezvous_weight;
 use crate::local_response::jitter;
-use crate::part_guard::QuarantineSource;
+use crate::part_guard::PartSource;
 use crate::part_guard::TrialClaim;
 use crate::part_guard::merge_quarantine;
 use crate::quarantine::QuarantineRecord;
@@ -118,7 +118,7 @@
         records: records.clone(),
         revision,
     };
-    merge_quarantine(gateway, records, QuarantineSource::Store);
+    merge_quarantine(gateway, records, PartSource::Store);
 }
 
 fn decode_records(gateway: &Gateway, value: &StoredValue) -> Vec<QuarantineRecord> {
@@ -136,7 +136,7 @@
     stored: &SharedQuarantine,
 ) -> Result<(), StoreError> {
     let lacks_news = || {
-        let table = gateway.parts.quarantine.borrow();
+        let table = gateway.parts.table.borrow();
         table.is_ahead_of(&stored.borrow().records)
     };
     if !lacks_news() || gateway.store_contact.get().is_failing() {
@@ -146,7 +146,7 @@
         sleep(jitter(STAND_IN_DELAY)).await;
     }
     while lacks_news() && !gateway.store_contact.get().is_failing() {
-        let records = gateway.parts.quarantine.borrow().records();
+        let records = gateway.parts.table.borrow().records();
         write_records(gateway, store, stored, records).await?;
     }
     Ok(())
@@ -217,17 +217,17 @@
     stored: &SharedQuarantine,
     record: &QuarantineRecord,
 ) -> Result<bool, StoreError> {
-    let is_in_force = gateway.parts.quarantine.borrow().records().contains(record);
+    let is_in_force = gateway.parts.table.borrow().records().contains(record);
     if !is_in_force || !stored.borrow().records.contains(record) {
         return Ok(false);
     }
     let trial = QuarantineTable::trial_of(record);
-    let mut records = gateway.parts.quarantine.borrow().records();
+    let mut records = gateway.parts.table.borrow().records();
     records.retain(|known| known.parts != record.parts);
     records.push(trial.clone());
     if !write_records(gateway, store, stored, records).await? {
         return Ok(false);
     }
-    merge_quarantine(gateway, vec![trial], QuarantineSource::Trial);
+    merge_quarantine(gateway, vec![trial], PartSource::Trial);
     Ok(true)
 }
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -78,21 +78,21 @@
         }
     }
 
-    /// Looks into a prompt that broke off before its answer had begun: it may have crashed the
-    /// upstream.
+    /// Looks into a prompt that broke off. If its answer had not begun, it may have crashed
+    /// the upstream.
     pub(super) fn record_broken(&self, entry: &UpstreamEntry, outcome: &SendOutcome) {
-        let SendOutcome::Broken(failure) = outcome else {
+        let (Some(prompt), SendOutcome::Broken(failure)) = (&self.request.metadata.prompt, outcome)
+        else {
             return;
         };
-        let has_answer = self.attempt_events >= EVENTS_OF_SOUND_ANSWER;
-        if has_answer || !may_be_crash(*failure) {
+        if !may_be_crash(*failure) {
             return;
         }
-        let prompt = self.request.metadata.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
-        if !parts.is_empty() {
-            record_broken_request(self.gateway, entry, parts);
-        }
+        let suspected = match self.attempt_events < EVENTS_OF_SOUND_ANSWER {
+            true => prompt.shared_parts(),
+            false => &[],
+        };
+        record_broken_request(self.gateway, entry, suspected);
     }
 
     /// Returns the refusal of a prompt whose parts crash upstreams.
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -99,6 +99,8 @@
     Silent,
     /// It streams this many events, with this pause after each.
     Stream(u64, Duration),
+    /// It streams this many events in a response that ends when the connection closes.
+    NoLengthStream(u64),
     /// It starts a stream and sends single bytes with this pause before each, which never
     /// complete an event.
     Drip(Duration),
@@ -415,6 +417,13 @@
         RunnerScript::Stream(events, pause) => {
             stream_events(state, stream, request, events, pause, false).await
         }
+        RunnerScript::NoLengthStream(events) => {
+            let mut head = head;
+            head.headers.push("Content-Type", "text/event-stream");
+            let body: String = (1..=events).map(encode_event).collect();
+            let _ = write_raw(stream, &head, body.as_bytes()).await;
+            false
+        }
         RunnerScript::Drip(pause) => {
             drip(state, stream, request, pause).await;
             false
@@ -497,6 +506,10 @@
     encode_chunk(&"x".repeat(16 * 1024))
 }
 
+fn encode_event(id: u64) -> String {
+    format!("id: {id}\ndata: event {id}\n\n")
+}
+
 fn encode_chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -524,7 +537,7 @@
         .map_or(1, |id| id + 1);
     let mut written = write_raw(stream, &head, b"").await;
     for id in first_id..=events {
-        written = written && write_chunk(stream, &format!("id: {id}\ndata: event {id}\n\n")).await;
+        written = written && write_chunk(stream, &encode_event(id)).await;
         sleep(pause).await;
     }
     if truncates {
