--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -205,10 +205,10 @@
         self.state.advertised_rate.set(rate);
     }
 
-    /// Sets the prompt part that crashes the runner: all its connections close, and it accepts
-    /// none while it is down.
-    pub fn set_crashing_part(&self, part: CrashingPart) {
-        *self.state.crashing_part.borrow_mut() = Some(part);
+    /// Sets the prompt part that crashes the runner, if any: all its connections close, and it
+    /// accepts none while it is down.
+    pub fn set_crashing_part(&self, part: Option<CrashingPart>) {
+        *self.state.crashing_part.borrow_mut() = part;
     }
 
     /// Crashes the runner for `downtime`.
