soak: prompts that crash upstreams, beside kills, pauses and cuts

For nine seconds before the plan, prompts with a part that crashes the stand-in runners come at random VMs, beside up to four faults of VMs, their links and the store that the seed draws. Sound prompts share the first part and at times the second. The check counts what undisturbed VMs send later than 3 s after the fifth crash (three are allowed) and sound prompts that are refused for their parts. A link refuses connections while its runner is down.

--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -216,6 +216,12 @@
         self.state.crash(downtime);
     }
 
+    /// Waits until the runner crashes. Returns how long it is down.
+    pub async fn wait_for_crash(&self) -> Duration {
+        self.state.crashed.notified().await;
+        self.state.downtime.get()
+    }
+
     /// Returns when the runner crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.state.crashes.borrow().clone()
--- a/testing/soak/src/callers.rs
+++ b/testing/soak/src/callers.rs
@@ -12,12 +12,19 @@
 use snipegate_http1::HttpConnection;
 use snipegate_http1::RequestHead;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 /// The API key of the workspace that all callers belong to.
 pub const API_KEY: &str = "key-of-acme";
 
+/// Id of the part that crashes upstreams.
+pub const CRASHING_PART: &str = "dead";
+
+/// Pause between two calls whose prompts crash upstreams.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Longest pause between two calls of a caller.
 const MAX_PAUSE: Duration = Duration::from_millis(60);
 
@@ -39,6 +46,8 @@
     Read,
     /// A streamed generation, paid from the budget, which may run at most once.
     Stream,
+    /// A generation whose prompt has a part that crashes upstreams.
+    Crashing,
     /// A read on the route that this version of the configuration added.
     Probe(u64),
 }
@@ -49,14 +58,14 @@
         match self {
             Self::Booking => "/book/".to_owned(),
             Self::Read => "/read/".to_owned(),
-            Self::Stream => "/stream/".to_owned(),
+            Self::Stream | Self::Crashing => "/stream/".to_owned(),
             Self::Probe(version) => format!("/v{version}/"),
         }
     }
 
     /// Returns whether the call may run at most once.
     pub fn runs_once(self) -> bool {
-        matches!(self, Self::Booking | Self::Stream)
+        matches!(self, Self::Booking | Self::Stream | Self::Crashing)
     }
 }
 
@@ -177,6 +186,28 @@
     }
 }
 
+/// Makes calls whose prompts crash upstreams, each at another VM, until `until`.
+pub async fn send_crashing_prompts(callers: Rc<CallerState>, until: Instant) {
+    let mut calls = Vec::new();
+    while Instant::now() < until {
+        let vm = fastrand::usize(..callers.addresses.len());
+        let target = CallTarget {
+            vm,
+            process: 0,
+            address: callers.addresses[vm],
+        };
+        let id = format!("x-{}", calls.len());
+        let callers = Rc::clone(&callers);
+        calls.push(spawn_local(async move {
+            callers.call(target, None, CallKind::Crashing, id).await;
+        }));
+        sleep(CRASHING_INTERVAL).await;
+    }
+    for call in calls {
+        call.await.expect("call should not panic");
+    }
+}
+
 /// Makes one call. Returns the outcome, and the connection if it can be reused.
 async fn call(
     address: SocketAddr,
@@ -221,14 +252,28 @@
     head.headers.push("X-Deadline-Ms", deadline_ms);
     head.headers
         .push("Authorization", format!("Bearer {API_KEY}"));
-    if kind == CallKind::Stream {
+    if let Some(parts) = prompt_parts(kind, id) {
         head.headers.push("X-Token-Usage", "1000,9");
+        head.headers.push("X-Prefix-Hash", parts);
     }
     let mut bytes = BytesMut::new();
     head.write(&mut bytes);
     bytes
 }
 
+/// Returns the parts of a generation's prompt. The sound ones share all parts of the crashing
+/// ones but one.
+fn prompt_parts(kind: CallKind, id: &str) -> Option<String> {
+    let hash = id.bytes().fold(0_u32, |hash, byte| {
+        hash.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    match kind {
+        CallKind::Stream => Some(format!("f1:600,a{}:300,{hash:x}:100", hash % 12)),
+        CallKind::Crashing => Some(format!("f1:600,a1:290,{CRASHING_PART}:10,{hash:x}:100")),
+        CallKind::Booking | CallKind::Read | CallKind::Probe(_) => None,
+    }
+}
+
 fn to_outcome(response: FullResponse) -> CallOutcome {
     let attempt_id = response
         .head
--- a/testing/soak/src/check.rs
+++ b/testing/soak/src/check.rs
@@ -24,6 +24,18 @@
 /// one.
 const REVERT_TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Crashes after which the fleet must know the part that causes them.
+const TOLERATED_CRASHES: usize = 5;
+
+/// Time after the last of these crashes until VMs in contact must know the part.
+const CRASH_PROPAGATION_TIME: Duration = Duration::from_secs(3);
+
+/// Prompts with the part that VMs in contact may still send then.
+const TOLERATED_CRASHING_PROMPTS: usize = 3;
+
+/// Start of the body of a refusal for a prompt's parts.
+const QUARANTINE_CODE: &[u8] = b"1017 ";
+
 /// The body of a complete stream.
 pub const WHOLE_STREAM: &str =
     "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n";
@@ -131,6 +143,8 @@
     pub stops: Vec<StopRecord>,
     /// Injected faults, without planned work.
     pub disturbances: Vec<Disturbance>,
+    /// When prompts crashed upstreams.
+    pub crashes: Vec<Instant>,
     /// VMs that did not serve the newest configuration after the recovery time.
     pub not_recovered: Vec<usize>,
 }
@@ -153,6 +167,11 @@
     /// An upstream got more requests than its rate limit allows. Holds the upstream, the
     /// requests in 4 s and the allowed number.
     RateLimitExceeded(usize, usize, usize),
+    /// More prompts that crash upstreams were sent than the fleet may send once it should
+    /// know their common part; holds their number.
+    CrashingPromptsSent(usize),
+    /// A sound prompt was refused for its parts.
+    SoundPromptRefused(String),
     /// A graceful stop cut off a request.
     CutOff(String),
     /// A configuration was not in force in time.
@@ -176,6 +195,7 @@
     check_responses(record, &mut violations);
     check_drains(record, &calls, &mut violations);
     check_rate_limits(record, &calls, &mut violations);
+    check_crashes(record, &calls, &mut violations);
     check_stops(record, &mut violations);
     check_versions(record, &mut violations);
     check_in_force(record, &mut violations);
@@ -238,7 +258,7 @@
             continue;
         };
         let expected = match call.kind {
-            CallKind::Stream => WHOLE_STREAM,
+            CallKind::Stream | CallKind::Crashing => WHOLE_STREAM,
             _ => &call.id,
         };
         if *attempt_id != call.id || body != expected.as_bytes() {
@@ -309,6 +329,40 @@
     }
 }
 
+/// Checks that VMs in contact stop sending prompts that crash upstreams, and refuse no others.
+fn check_crashes(
+    record: &SoakRecord,
+    calls: &BTreeMap<&str, &CallRecord>,
+    violations: &mut Vec<Violation>,
+) {
+    let refused_for_parts = |call: &&CallRecord| {
+        matches!(&call.outcome, CallOutcome::Response { body, .. }
+            if body.starts_with(QUARANTINE_CODE))
+    };
+    let sound = record
+        .calls
+        .iter()
+        .filter(|call| call.kind != CallKind::Crashing);
+    let refused = sound.filter(refused_for_parts);
+    violations.extend(refused.map(|call| Violation::SoundPromptRefused(call.id.clone())));
+    let Some(last_tolerated) = record.crashes.get(TOLERATED_CRASHES - 1) else {
+        return;
+    };
+    let known_from = *last_tolerated + CRASH_PROPAGATION_TIME;
+    let late = record.arrivals.iter().filter(|arrival| {
+        let call = calls.get(arrival.id.as_str());
+        call.is_some_and(|call| {
+            call.kind == CallKind::Crashing
+                && arrival.at > known_from
+                && !is_interrupted(record, call.vm, call.sent, arrival.at)
+        })
+    });
+    let late = late.count();
+    if late > TOLERATED_CRASHING_PROMPTS {
+        violations.push(Violation::CrashingPromptsSent(late));
+    }
+}
+
 /// Returns whether a VM was restarted, paused or cut off in this period or up to
 /// [`SETTLE_TIME`] before.
 fn is_interrupted(record: &SoakRecord, vm: usize, from: Instant, until: Instant) -> bool {
--- a/testing/soak/src/link.rs
+++ b/testing/soak/src/link.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -37,6 +38,8 @@
 struct State {
     fault: Cell<LinkFault>,
     reset: Notify,
+    /// Until when the link refuses connections, as its target does after a crash.
+    down_until: Cell<Option<Instant>>,
 }
 
 /// A proxy in front of one target. Clones share one state.
@@ -58,13 +61,14 @@
         let state = Rc::new(State {
             fault: Cell::new(LinkFault::None),
             reset: Notify::new(),
+            down_until: Cell::new(None),
         });
-        let shared = Rc::clone(&state);
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(forward_connection(Rc::clone(&shared), stream, target));
-            }
-        });
+        spawn_local(accept_connections(
+            Rc::clone(&state),
+            listener,
+            address,
+            target,
+        ));
         Ok(Self { state, address })
     }
 
@@ -78,12 +82,46 @@
         self.state.fault.set(fault);
     }
 
+    /// Resets all open connections and refuses new ones for `downtime`.
+    pub fn take_down(&self, downtime: Duration) {
+        self.state.down_until.set(Some(Instant::now() + downtime));
+        self.reset();
+    }
+
     /// Resets all open connections.
     pub fn reset(&self) {
         self.state.reset.notify_waiters();
     }
 }
 
+/// Accepts connections, except while the link is down.
+async fn accept_connections(
+    state: Rc<State>,
+    mut listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
+                spawn_local(forward_connection(Rc::clone(&state), stream, target));
+            }
+            () = state.reset.notified() => {}
+        }
+        if let Some(until) = state.down_until.take() {
+            drop(listener);
+            sleep(until.saturating_duration_since(Instant::now())).await;
+            listener = match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
+    }
+}
+
 /// Forwards one connection until both directions have ended or the link is reset.
 async fn forward_connection(state: Rc<State>, client: TcpStream, target: SocketAddr) {
     let Ok(target) = TcpStream::connect(target).await else {
--- a/testing/soak/src/plan.rs
+++ b/testing/soak/src/plan.rs
@@ -35,6 +35,12 @@
 /// other faults unchanged.
 const RATE_LIMIT_SEED_MASK: u64 = 0x7261_7465;
 
+/// Mixed into the seed for the faults while prompts crash upstreams.
+const CRASH_PHASE_SEED_MASK: u64 = 0x6372_6173;
+
+/// Maximum number of these faults.
+const CRASH_PHASE_FAULTS: usize = 4;
+
 /// An injected fault or an operator's action.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SoakFault {
@@ -140,6 +146,30 @@
     }
 }
 
+/// Draws the faults while prompts crash upstreams: of VMs, their links and the store only.
+pub fn draw_crash_phase(seed: u64, vms: usize, duration: Duration) -> FaultPlan {
+    let mut rng = Rng::with_seed(seed ^ CRASH_PHASE_SEED_MASK);
+    let mut faults: Vec<PlannedFault> = (0..rng.usize(..=CRASH_PHASE_FAULTS))
+        .map(|_| {
+            let at = duration.mul_f64(0.6 * rng.f64());
+            let length =
+                FAULT_DURATIONS.0 + (FAULT_DURATIONS.1 - FAULT_DURATIONS.0).mul_f64(rng.f64());
+            let vm = rng.usize(..vms);
+            let fault = match rng.u32(..6) {
+                0 | 1 => SoakFault::Kill(vm),
+                2 => SoakFault::KillAll,
+                3 => SoakFault::Pause(vm),
+                4 => SoakFault::StoreLink(vm, draw_link_fault(&mut rng)),
+                _ => SoakFault::Store(draw_store_fault(&mut rng)),
+            };
+            let until = at + length;
+            PlannedFault { at, until, fault }
+        })
+        .collect();
+    faults.sort_by_key(|fault| fault.at);
+    FaultPlan { faults }
+}
+
 /// Draws the rate limits of upstreams, at most one for each upstream.
 fn draw_rate_limits(seed: u64, upstreams: usize, duration: Duration) -> Vec<PlannedFault> {
     let mut rng = Rng::with_seed(seed ^ RATE_LIMIT_SEED_MASK);
--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -13,12 +13,13 @@
 use serde_json::Value;
 use snipegate_http1::HttpConnection;
 use snipegate_http1::RequestHead;
+use snipegate_standin_site::CrashingPart;
 use snipegate_standin_site::RatePeriod;
 use snipegate_standin_site::RunnerScript;
 use snipegate_standin_site::StandinRunner;
 use snipegate_standin_site::StandinStore;
 use snipegate_standin_site::StoreFault;
-use snipegate_standin_site::runner_entry;
+use snipegate_standin_site::started_runner_entry;
 use snipegate_types::RequestRate;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -26,11 +27,13 @@
 use tokio::time::timeout;
 
 use crate::callers::API_KEY;
+use crate::callers::CRASHING_PART;
 use crate::callers::CallKind;
 use crate::callers::CallOutcome;
 use crate::callers::CallTarget;
 use crate::callers::CallerState;
 use crate::callers::run_caller;
+use crate::callers::send_crashing_prompts;
 use crate::check::ArrivalRecord;
 use crate::check::ConfigRecord;
 use crate::check::Disturbance;
@@ -45,6 +48,7 @@
 use crate::plan::DRAIN_PROPAGATION_TIME;
 use crate::plan::FaultPlan;
 use crate::plan::SoakFault;
+use crate::plan::draw_crash_phase;
 
 /// Number of upstreams in a run.
 const UPSTREAMS: usize = 3;
@@ -53,7 +57,7 @@
 const CALLERS: usize = 10;
 
 /// Number of tokens that the workspace has bought. They run out in some runs.
-const PREPAID_TOKENS: u64 = 700_000;
+const PREPAID_TOKENS: u64 = 1_000_000;
 
 /// The script of an upstream without a fault.
 const NORMAL_SCRIPT: RunnerScript = RunnerScript::Echo(Duration::from_millis(4));
@@ -67,6 +71,15 @@
 /// Longest wait for the response to an address query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long prompts that crash upstreams are sent before the plan.
+const CRASH_PHASE: Duration = Duration::from_secs(9);
+
+/// Time until an upstream begins to answer a prompt that crashes it.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// How long an upstream is down after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(500);
+
 /// Time without faults after the plan, in which all VMs must recover.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
@@ -82,6 +95,9 @@
 /// Longest wait for the processes to start serving.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Start time of an upstream's first run; each later one starts a millisecond later.
+const FIRST_START_MS: u64 = 1000;
+
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 2;
 
@@ -130,6 +146,11 @@
         (0..vms).map(|vm| spawn_local(probe_config(Rc::clone(&run), Rc::clone(&callers), vm))),
     );
     tasks.extend((0..CALLERS).map(|n| spawn_local(run_caller(Rc::clone(&callers), n))));
+    for upstream in 0..UPSTREAMS {
+        spawn_local(restart_after_crashes(Rc::clone(&run), upstream));
+    }
+    run.execute_crash_phase(&callers, &draw_crash_phase(seed, vms, CRASH_PHASE))
+        .await?;
     let plan = FaultPlan::new(seed, vms, UPSTREAMS, duration);
     run.execute_plan(&plan).await?;
     run.wait_for_recovery().await?;
@@ -200,6 +221,25 @@
         Ok(run)
     }
 
+    /// Sends prompts that crash upstreams beside the faults of a plan.
+    async fn execute_crash_phase(
+        &self,
+        callers: &Rc<CallerState>,
+        plan: &FaultPlan,
+    ) -> io::Result<()> {
+        let until = Instant::now() + CRASH_PHASE;
+        for runner in &self.runners {
+            runner.set_crashing_part(Some(CrashingPart {
+                id: CRASHING_PART.to_owned(),
+                delay: CRASH_DELAY,
+                downtime: CRASH_DOWNTIME,
+            }));
+        }
+        let sender = spawn_local(send_crashing_prompts(Rc::clone(callers), until));
+        self.execute_plan(plan).await?;
+        sender.await.map_err(io::Error::other)
+    }
+
     /// Starts and ends the faults of a plan at their times.
     async fn execute_plan(&self, plan: &FaultPlan) -> io::Result<()> {
         let start = Instant::now();
@@ -404,6 +444,8 @@
     fn take_record(&self, callers: &CallerState) -> SoakRecord {
         let mut record = self.record.take();
         record.calls = callers.records.take();
+        record.crashes = self.runners.iter().flat_map(|r| r.crashes()).collect();
+        record.crashes.sort();
         for (upstream, runner) in self.runners.iter().enumerate() {
             for request in runner.requests() {
                 let id = request.head.headers.get("X-Attempt-Id").unwrap_or_default();
@@ -427,7 +469,8 @@
     }
 
     fn write_upstream_entry(&self, upstream: usize, state: &str) {
-        let text = runner_entry(self.runner_links[upstream].address(), state);
+        let starts = FIRST_START_MS + self.runners[upstream].crashes().len() as u64;
+        let text = started_runner_entry(self.runner_links[upstream].address(), state, starts);
         let key = format!("servers/i-{upstream}");
         self.store.put(&key, text.as_bytes());
     }
@@ -464,6 +507,23 @@
     }
 }
 
+/// Takes the link of an upstream down at each crash, and lists the run after it.
+async fn restart_after_crashes(run: Rc<SoakRun>, upstream: usize) {
+    loop {
+        let downtime = run.runners[upstream].wait_for_crash().await;
+        run.runner_links[upstream].take_down(downtime);
+        let from = Instant::now();
+        sleep(downtime).await;
+        run.write_upstream_entry(upstream, "ready");
+        run.record.borrow_mut().disturbances.push(Disturbance {
+            vm: None,
+            interrupts_vms: false,
+            from,
+            until: Instant::now(),
+        });
+    }
+}
+
 /// Queries the VMs' address directories in turn until the run ends.
 async fn poll_addresses(run: Rc<SoakRun>, callers: Rc<CallerState>) {
     let directories: Vec<SocketAddr> = run
--- a/testing/soak/tests/test_check.rs
+++ b/testing/soak/tests/test_check.rs
@@ -283,3 +283,53 @@
     assert_ne!(plan, FaultPlan::new(6, 4, 3, span));
     assert!(plan.faults.iter().all(|fault| fault.until <= span));
 }
+
+/// Returns a record of crashes at each second, and of a call with the crashing part after
+/// each.
+fn crash_record(start: Instant, crashes: usize) -> SoakRecord {
+    let mut record = SoakRecord::default();
+    for crash in 0..crashes {
+        let at = seconds_after(start, crash as f64);
+        let id = format!("x-{crash}");
+        record.crashes.push(at);
+        let outcome = response(502, &id, b"3005 upstream_failed");
+        record
+            .calls
+            .push(call(&id, CallKind::Crashing, at, outcome));
+        record.arrivals.push(ArrivalRecord {
+            id,
+            upstream: 0,
+            at,
+            advertises_rate: false,
+        });
+    }
+    record
+}
+
+#[test]
+fn prompts_that_crash_upstreams_are_found_once_the_fleet_should_know_them() {
+    let start = Instant::now();
+    // The fifth crash is 4 s after the start, and the first late call 8 s after it.
+    assert_eq!(check_record(&crash_record(start, 11)), []);
+    let mut record = crash_record(start, 12);
+    assert_eq!(check_record(&record), [Violation::CrashingPromptsSent(4)]);
+    record.disturbances.push(Disturbance {
+        vm: Some(0),
+        interrupts_vms: true,
+        from: seconds_after(start, 7.5),
+        until: seconds_after(start, 8.0),
+    });
+    assert_eq!(check_record(&record), []);
+}
+
+#[test]
+fn sound_prompt_that_is_refused_for_its_parts_is_found() {
+    let start = Instant::now();
+    let mut record = SoakRecord::default();
+    let outcome = response(503, "s", b"1017 prompt_quarantined\n");
+    record
+        .calls
+        .push(call("s", CallKind::Stream, start, outcome));
+    let expected = [Violation::SoundPromptRefused("s".to_owned())];
+    assert_eq!(check_record(&record), expected);
+}
--- a/testing/soak/tests/test_soak.rs
+++ b/testing/soak/tests/test_soak.rs
@@ -70,12 +70,13 @@
         let record = run_seed(seed);
         let violations = check_record(&record);
         println!(
-            "seed {seed}: {} calls, {} served, {} runs, {} drains, {} stops, {violations:?}",
+            "seed {seed}: {} calls, {} served, {} runs, {} drains, {} stops, {} crashes, {violations:?}",
             record.calls.len(),
             count_served(&record),
             record.runs.len(),
             record.drains.len(),
             record.stops.len(),
+            record.crashes.len(),
         );
         assert!(count_served(&record) > 0, "seed {seed} served nothing");
         if !violations.is_empty() {
