gateway: a field whose name only begins with data is no data field of an event

An event with a field such as `database:` counted as one with data: its tokens were charged, and since the second event of an answer clears the parts of its prompt, it would have been taken for an answer. The test counts 3 events before and 2 now.

--- a/lib/gateway/src/event_stream.rs
+++ b/lib/gateway/src/event_stream.rs
@@ -76,7 +76,7 @@
         if line.is_empty() {
             events += u64::from(in_data);
             in_data = false;
-        } else if line.starts_with(b"data") {
+        } else if line == b"data" || line.starts_with(b"data:") {
             in_data = true;
         } else if let Some(id) = line.strip_prefix(b"id:") {
             last_id = std::str::from_utf8(id).ok().map(|id| id.trim().into());
--- a/lib/gateway/tests/test_tables.rs
+++ b/lib/gateway/tests/test_tables.rs
@@ -180,3 +180,11 @@
         assert_eq!((events, last.as_deref()), (2, Some("2")), "cut by {size}");
     }
 }
+
+#[test]
+fn event_without_a_data_field_is_not_counted() {
+    let mut splitter = EventSplitter::default();
+    let stream = b"database: x\n\ndata: y\n\n:\n\ndata\n\n";
+    let batch = splitter.push(stream).expect("events are complete");
+    assert_eq!(batch.events, 2);
+}
