gateway: a VM receives every message that fits into one datagram

The receive buffer of 16 KiB cut longer gossip messages, which then could not be decoded: a VM with many placed prompts would fall silent for the others, and its crash reports with it. The buffer is now larger than any UDP datagram.

--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -60,8 +60,8 @@
 /// relays them to the others.
 const MIN_VMS_FOR_RELAY: usize = 6;
 
-/// Size of the receive buffer, in bytes.
-const MAX_MESSAGE_SIZE: usize = 16 * 1024;
+/// Size of the receive buffer, in bytes: more than the largest UDP datagram.
+const MAX_MESSAGE_SIZE: usize = 64 * 1024;
 
 /// How long an announcement that a budget is scarce remains valid.
 pub const SCARCE_TTL: Duration = Duration::from_secs(1);
