gateway: a crash counts at its own time though the upstream seemed to crash before

A VM that is cut off by links that refuse connections reports all upstreams as crashed at one moment. Their real crashes, later, were put at that moment, in one group, so a part that crashed each of them counted once: a fleet would have had to lose upstreams by the dozen. Of two reports of one run that are more than a second apart the later one holds now. The test fails before.

Records learned from others are no longer passed on by every VM: their origin and the store tell all, and in a fleet of 195 each such record doubled the messages for two seconds.

--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -35,6 +35,9 @@
 /// any part at some of them.
 const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
 
+/// Reports of the same crash by different VMs are within this time.
+const SAME_CRASH_PERIOD: Duration = Duration::from_secs(1);
+
 /// Maximum number of remembered crashes.
 const MAX_CRASHES: usize = 256;
 
@@ -180,10 +183,9 @@
 
     fn record_crash(&mut self, run: UpstreamRun, at: Instant, parts: &[PartId], now: Instant) {
         self.drop_old_crashes(now);
-        if !self.crashes.contains_key(&run) && self.crashes.len() >= MAX_CRASHES {
-            self.crashes.shift_remove_index(0);
-        }
-        let at = *self.crashes.entry(run).or_insert(at);
+        let Some(at) = self.reconcile_crash(run, at) else {
+            return;
+        };
         for part in parts.iter().take(MAX_REPORTED_PARTS) {
             if self.answered.last(*part).is_some_and(|answer| answer >= at) {
                 continue;
@@ -198,6 +200,28 @@
         }
     }
 
+    /// Adds a crash, of which other VMs may have reported the time already, and returns its
+    /// time. A run ends once: of two reports that are far apart the earlier one was wrong, for
+    /// example because the VM was cut off by a link that refuses connections.
+    fn reconcile_crash(&mut self, run: UpstreamRun, at: Instant) -> Option<Instant> {
+        match self.crashes.get(&run).copied() {
+            Some(known) if at + SAME_CRASH_PERIOD < known => return None,
+            Some(known) if at <= known + SAME_CRASH_PERIOD => return Some(known),
+            Some(_) => {
+                for crashes in self.suspects.values_mut() {
+                    crashes.shift_remove(&run);
+                }
+                self.suspects.retain(|_, crashes| !crashes.is_empty());
+            }
+            None if self.crashes.len() >= MAX_CRASHES => {
+                self.crashes.shift_remove_index(0);
+            }
+            None => {}
+        }
+        self.crashes.insert(run, at);
+        Some(at)
+    }
+
     fn drop_old_crashes(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) > CRASH_TTL;
         self.own_reports.retain(|report| !is_old(report.at));
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -105,7 +105,8 @@
             state: QuarantineState::Active,
             trials: known.map_or(0, |record| record.trials),
         };
-        self.merge(record.clone(), now).then_some(record)
+        self.apply(record.clone(), now, now + ANNOUNCE_PERIOD)
+            .then_some(record)
     }
 
     /// Releases all sets that `parts` has, after a prompt with these parts was answered. The
@@ -127,14 +128,18 @@
             })
             .collect();
         for record in &released {
-            self.merge(record.clone(), now);
+            self.apply(record.clone(), now, now + ANNOUNCE_PERIOD);
         }
         released
     }
 
-    /// Applies a record of another VM or of the store. Returns whether it is newer than the
-    /// known one.
+    /// Applies a record of another VM or of the store, which tell all VMs themselves. Returns
+    /// whether it is newer than the known one.
     pub fn merge(&mut self, record: QuarantineRecord, now: Instant) -> bool {
+        self.apply(record, now, now)
+    }
+
+    fn apply(&mut self, record: QuarantineRecord, now: Instant, announce_until: Instant) -> bool {
         let known = self.records.get(&record.parts);
         if known.is_some_and(|known| !record.replaces(&known.record)) {
             return false;
@@ -144,7 +149,7 @@
         }
         let known = KnownRecord {
             learned_at: now,
-            announce_until: now + ANNOUNCE_PERIOD,
+            announce_until,
             record: record.clone(),
         };
         self.records.insert(record.parts, known);
--- a/lib/gateway/tests/test_part_table.rs
+++ b/lib/gateway/tests/test_part_table.rs
@@ -245,6 +245,23 @@
     }
 }
 
+#[test]
+fn crash_of_an_upstream_that_was_wrongly_reported_before_counts_at_its_own_time() {
+    let mut test = TestTable::new();
+    // To a VM that is cut off all upstreams seem to crash at once.
+    for upstream in 1..=3 {
+        let (ended, now) = (run(upstream), test.now);
+        test.table.record_crash(ended, now, vec![SUBJECT], now);
+    }
+    for upstream in 1..=3 {
+        test.pass(Duration::from_secs(2));
+        let (ended, now) = (run(upstream), test.now);
+        test.table.record_crash(ended, now, vec![DEADLY], now);
+    }
+    assert!(test.is_refused(&[DEADLY]));
+    assert!(!test.is_refused(&[SUBJECT]));
+}
+
 #[test]
 fn restarted_vm_is_not_told_to_suspect_parts_that_were_answered() {
     let mut test = TestTable::new();
