gateway: a closing process waits for requests that it began to read

A stopping VM closed its connections, counted no active request and ended some 14 ms later; a request that it had read in between was cut at the upstream.

Cause: a connection that has a request in its socket when the VM closes is woken for both, and the branch to read was taken by chance; and a request counted as active only once it was whole.

Now closing goes first, and a request counts from its first byte. Class: a decision that the work is done, made before the last work was counted.

--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -70,8 +70,9 @@
 pub async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             () = wait_for_shutdown(&gateway) => return,
+            accepted = listener.accept() => accepted,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -122,7 +123,12 @@
         let limits = gateway
             .current_config()
             .map_or(INITIAL_LIMITS, |config| config.limits);
-        match connection.read_request(gateway, &limits).await {
+        if !connection.wait_for_request(gateway, &limits).await {
+            return;
+        }
+        // Counted from its first byte: a closing process ends once none is active.
+        let _active = ActiveRequestGuard::new(gateway);
+        match connection.read_request(&limits).await {
             ReadOutcome::Closed => return,
             ReadOutcome::Refused(refusal) => {
                 let mut caller = CallerWriter::new(&connection.stream, true, false);
@@ -140,21 +146,25 @@
 }
 
 impl CallerConnection {
-    /// Waits for and reads the next request.
-    async fn read_request(&mut self, gateway: &Gateway, limits: &CallerLimits) -> ReadOutcome {
-        if self.buffer.is_empty() {
-            let idle = timeout(
-                limits.idle_timeout,
-                read_available(&self.stream, &mut self.buffer),
-            );
-            let read = tokio::select! {
-                read = idle => read,
-                () = wait_for_shutdown(gateway) => return ReadOutcome::Closed,
-            };
-            if !matches!(read, Ok(Ok(1..))) {
-                return ReadOutcome::Closed;
-            }
+    /// Waits for the first bytes of the next request. Returns whether there are any; none are
+    /// read once the gateway shuts down.
+    async fn wait_for_request(&mut self, gateway: &Gateway, limits: &CallerLimits) -> bool {
+        if !self.buffer.is_empty() {
+            return true;
+        }
+        let idle = timeout(
+            limits.idle_timeout,
+            read_available(&self.stream, &mut self.buffer),
+        );
+        tokio::select! {
+            biased;
+            () = wait_for_shutdown(gateway) => false,
+            read = idle => matches!(read, Ok(Ok(1..))),
         }
+    }
+
+    /// Reads a request whose first bytes were read.
+    async fn read_request(&mut self, limits: &CallerLimits) -> ReadOutcome {
         let read = timeout(limits.head_timeout, self.read_head_and_body(limits));
         match read.await {
             Ok(end) => end,
@@ -248,7 +258,6 @@
         head: RequestHead,
         body: Bytes,
     ) -> Result<(), CallerDisconnected> {
-        let _active = ActiveRequestGuard::new(gateway);
         let leaving = gateway.stage.get() == VmStage::Leaving;
         let close = leaving || head.wants_close();
         let metadata = gateway.wire_format.decode_request(&head);
