gateway: the blame for crashes is a module of its own; a response without framing proves no answer

crash_evidence held what is known and what follows from it; crash_blame has the second now, with types in place of pairs. A response that only the end of its connection ends may have ended by a crash: as long as it has one event, or is not a stream, it no longer clears the parts of its prompt. No other change of behaviour.

--- /dev/null
+++ b/lib/gateway/src/crash_blame.rs
@@ -0,0 +1,169 @@
+//! Decides which prompt parts the known crashes put the blame on.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use snipegate_types::PartId;
+
+use crate::crash_evidence::UpstreamRun;
+use crate::part_set::PartSet;
+
+/// Crashes after which a part is blamed that was never answered and is at half or more of all
+/// recent crashes.
+const MIN_CRASHES_TO_BLAME: usize = 3;
+
+/// Crashes after which a part is blamed in any case. It is the number that a fleet may see
+/// before it has to know the part.
+const MAX_CRASHES_TO_BLAME: usize = 5;
+
+/// Crashes are recent to a part's crashes up to this time before its first one.
+const RECENT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Crashes within this time are one group, which counts once. A part has to be at half or
+/// more of a group: a single cause, such as the loss of a rack, may end many upstreams, with
+/// any part at some of them.
+const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Crashes by the run that ended, with the time at which the first report puts them.
+pub type CrashTimes = IndexMap<UpstreamRun, Instant>;
+
+/// Which VMs' crashes and answers a VM knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvidenceView {
+    /// Those of half or more of the fleet.
+    Fleet,
+    /// Those of a smaller part, so answers may be missing that clear a part.
+    Minority,
+}
+
+/// A set of parts that is blamed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BlamedParts {
+    /// The parts; a prompt is affected if it has all of them.
+    pub parts: PartSet,
+    /// Number of crashes that they explain.
+    pub crashes: usize,
+}
+
+/// Finds the sets of parts that explain the crashes.
+///
+/// `suspects` holds the crashes since the last answer to each part, and `is_new` tells whether
+/// a part was never answered. Parts that are at nearly the same crashes can't be told apart: a
+/// prompt is blamed only if it has all of them. A crash that a set explains does not count
+/// against further parts, which the prompts may have had beside it.
+pub fn find_blamed(
+    crashes: &CrashTimes,
+    suspects: &IndexMap<PartId, CrashTimes>,
+    is_new: impl Fn(PartId) -> bool,
+    view: EvidenceView,
+) -> Vec<BlamedParts> {
+    let mut blamed = Vec::new();
+    if crashes.len() < MIN_CRASHES_TO_BLAME {
+        return blamed;
+    }
+    let mut open = OpenCrashes {
+        crashes: crashes.clone(),
+        suspects: suspects.clone(),
+    };
+    open.suspects.retain(|_, crashes| crashes.len() > 1);
+    while let Some((parts, explained)) = open.most_blamed(&is_new, view) {
+        blamed.push(BlamedParts {
+            parts,
+            crashes: explained.len(),
+        });
+        open.remove(&explained);
+    }
+    blamed
+}
+
+/// Crashes that no blamed part explains.
+struct OpenCrashes {
+    crashes: CrashTimes,
+    suspects: IndexMap<PartId, CrashTimes>,
+}
+
+impl OpenCrashes {
+    /// Returns the part with the most crashes, if these are enough, together with those that
+    /// can't be told apart from it, and the crashes. A part that was never answered goes
+    /// first.
+    fn most_blamed(
+        &self,
+        is_new: &impl Fn(PartId) -> bool,
+        view: EvidenceView,
+    ) -> Option<(PartSet, CrashTimes)> {
+        let groups = group_crashes(&self.crashes);
+        let candidates = self.suspects.iter().filter_map(|(part, crashes)| {
+            let is_new = is_new(*part);
+            let may_be_early = is_new && view == EvidenceView::Fleet;
+            let count = count_groups(&groups, crashes);
+            let is_enough = count >= self.crashes_to_blame(may_be_early, crashes);
+            is_enough.then_some((is_new, count, crashes))
+        });
+        let (top_is_new, _, crashes) =
+            candidates.max_by_key(|(is_new, count, _)| (*is_new, *count))?;
+        let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
+            let shared = crashes
+                .keys()
+                .filter(|run| other.contains_key(*run))
+                .count();
+            is_new(**part) >= top_is_new && 3 * shared >= 2 * crashes.len()
+        };
+        let parts = self.suspects.iter().filter(may_be_cause);
+        let parts = parts.map(|(part, _)| *part).collect();
+        Some((PartSet::new(parts), crashes.clone()))
+    }
+
+    /// Returns the number of crashes after which a part is blamed; if it may be early, fewer
+    /// than the most. Where many upstreams crash for other reasons, a rare part is at some of
+    /// the crashes by chance, and it takes more.
+    fn crashes_to_blame(&self, may_be_early: bool, crashes: &CrashTimes) -> usize {
+        let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
+            return MAX_CRASHES_TO_BLAME;
+        };
+        let is_recent = |at: &&Instant| **at + RECENT_PERIOD >= *first && *at <= last;
+        let recent = self.crashes.values().filter(is_recent).count();
+        match may_be_early {
+            true if 2 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME,
+            true if 4 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME + 1,
+            _ => MAX_CRASHES_TO_BLAME,
+        }
+    }
+
+    fn remove(&mut self, explained: &CrashTimes) {
+        let is_open = |run: &UpstreamRun| !explained.contains_key(run);
+        self.crashes.retain(|run, _| is_open(run));
+        for crashes in self.suspects.values_mut() {
+            crashes.retain(|run, _| is_open(run));
+        }
+    }
+}
+
+/// Divides crashes into groups, each of those within `CRASH_GROUP_PERIOD` of its first one.
+fn group_crashes(crashes: &CrashTimes) -> Vec<Vec<UpstreamRun>> {
+    let mut ordered: Vec<(Instant, UpstreamRun)> =
+        crashes.iter().map(|(run, at)| (*at, *run)).collect();
+    ordered.sort_by_key(|(at, _)| *at);
+    let mut groups: Vec<Vec<UpstreamRun>> = Vec::new();
+    let mut first: Option<Instant> = None;
+    for (at, run) in ordered {
+        match groups.last_mut() {
+            Some(group) if first.is_some_and(|first| at - first < CRASH_GROUP_PERIOD) => {
+                group.push(run);
+            }
+            _ => {
+                first = Some(at);
+                groups.push(vec![run]);
+            }
+        }
+    }
+    groups
+}
+
+/// Counts the groups of which half or more are among `crashes`.
+fn count_groups(groups: &[Vec<UpstreamRun>], crashes: &CrashTimes) -> usize {
+    let is_in = |run: &&UpstreamRun| crashes.contains_key(*run);
+    let has_half =
+        |group: &&Vec<UpstreamRun>| 2 * group.iter().filter(is_in).count() >= group.len();
+    groups.iter().filter(has_half).count()
+}
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -1,9 +1,8 @@
-//! Finds the prompt parts that crash upstreams.
+//! Crashes of upstreams and the prompt parts that may have caused them.
 //!
 //! When an upstream crashes, each VM reports the parts of those requests that it had sent
 //! there and that were not being answered yet: one of them may have caused the crash. An
-//! answer that begins after the crash clears its parts. What remains at several crashes is
-//! blamed.
+//! answer that begins after the crash clears its parts.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -12,29 +11,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 use snipegate_types::PartId;
-use snipegate_types::UpstreamId;
 
 use crate::answered_parts::AnsweredParts;
-use crate::part_set::PartSet;
+use crate::crash_blame::BlamedParts;
+use crate::crash_blame::CrashTimes;
+use crate::crash_blame::EvidenceView;
+use crate::crash_blame::find_blamed;
 use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
-/// Crashes after which a part is blamed that was never answered and is at half or more of all
-/// recent crashes.
-const MIN_CRASHES_TO_BLAME: usize = 3;
-
-/// Crashes after which a part is blamed in any case. It is the number that a fleet may see
-/// before it has to know the part.
-const MAX_CRASHES_TO_BLAME: usize = 5;
-
-/// Crashes are recent to a part's crashes up to this time before its first one.
-const RECENT_PERIOD: Duration = Duration::from_secs(10);
-
-/// Crashes within this time are one group, which counts once. A part has to be at half or
-/// more of a group: a single cause, such as the loss of a rack, may end many upstreams, with
-/// any part at some of them.
-const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
-
 /// Reports of the same crash by different VMs are within this time.
 const SAME_CRASH_PERIOD: Duration = Duration::from_secs(1);
 
@@ -74,27 +59,13 @@
 impl UpstreamRun {
     /// Returns the run that an entry describes.
     pub fn of(entry: &UpstreamEntry) -> Self {
-        Self::new(&entry.id, entry.started_ms)
-    }
-
-    /// Returns the run of an upstream with a start time.
-    pub fn new(id: &UpstreamId, started_ms: Option<u64>) -> Self {
         Self {
-            upstream: upstream_code(id),
-            started_ms,
+            upstream: upstream_code(&entry.id),
+            started_ms: entry.started_ms,
         }
     }
 }
 
-/// Which VMs' crashes and answers a VM knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EvidenceView {
-    /// Those of half or more of the fleet.
-    Fleet,
-    /// Those of a smaller part, so answers may be missing that clear a part.
-    Minority,
-}
-
 /// A VM's report of a crash, sent to the other VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -125,9 +96,6 @@
     announce_until: Instant,
 }
 
-/// Crashes by the run that ended, with the time at which the first report puts them.
-type CrashTimes = IndexMap<UpstreamRun, Instant>;
-
 /// Crashes and answers that are known, of all VMs.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
@@ -336,106 +304,11 @@
         self.suspects.len()
     }
 
-    /// Returns the parts that the known crashes put the blame on, and the number of crashes
-    /// that each set explains.
-    ///
-    /// Parts that are at nearly the same crashes can't be told apart: a prompt is blamed only
-    /// if it has all of them. A crash that a set explains does not count against
-    /// further parts, which the prompts may have had beside it.
-    pub fn blamed(&self, view: EvidenceView) -> Vec<(PartSet, usize)> {
-        let mut blamed = Vec::new();
-        if self.crashes.len() < MIN_CRASHES_TO_BLAME {
-            return blamed;
-        }
-        let mut unexplained = self.crashes.clone();
-        let mut suspects = self.suspects.clone();
-        suspects.retain(|_, crashes| crashes.len() > 1);
-        while let Some((parts, runs)) = self.most_blamed(&suspects, &unexplained, view) {
-            blamed.push((PartSet::new(parts), runs.len()));
-            let is_unexplained = |run: &UpstreamRun| !runs.contains(run);
-            unexplained.retain(|run, _| is_unexplained(run));
-            for crashes in suspects.values_mut() {
-                crashes.retain(|run, _| is_unexplained(run));
-            }
-        }
-        blamed
+    /// Returns the sets of parts that the known crashes put the blame on.
+    pub fn blamed(&self, view: EvidenceView) -> Vec<BlamedParts> {
+        let is_new = |part: PartId| self.answered.last(part).is_none();
+        find_blamed(&self.crashes, &self.suspects, is_new, view)
     }
-
-    /// Returns the part with the most crashes, if these are enough, together with those that
-    /// can't be told apart from it, and the crashes. A part that was never answered goes
-    /// first.
-    fn most_blamed(
-        &self,
-        suspects: &IndexMap<PartId, CrashTimes>,
-        unexplained: &CrashTimes,
-        view: EvidenceView,
-    ) -> Option<(Vec<PartId>, Vec<UpstreamRun>)> {
-        let groups = group_crashes(unexplained);
-        let is_new = |part: &PartId| self.answered.last(*part).is_none();
-        let candidates = suspects.iter().filter_map(|(part, crashes)| {
-            let count = count_groups(&groups, crashes);
-            let may_be_early = is_new(part) && view == EvidenceView::Fleet;
-            let is_enough = count >= crashes_to_blame(may_be_early, crashes, unexplained);
-            is_enough.then_some((is_new(part), count, part, crashes))
-        });
-        let (top_is_new, _, _, crashes) =
-            candidates.max_by_key(|(is_new, count, ..)| (*is_new, *count))?;
-        let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
-            let shared = crashes
-                .keys()
-                .filter(|run| other.contains_key(*run))
-                .count();
-            is_new(part) >= top_is_new && 3 * shared >= 2 * crashes.len()
-        };
-        let parts = suspects.iter().filter(may_be_cause);
-        let parts = parts.map(|(part, _)| *part).collect();
-        Some((parts, crashes.keys().copied().collect()))
-    }
-}
-
-/// Returns the number of crashes after which a part is blamed; if it may be early, fewer than
-/// the most. Where many upstreams crash for other reasons, a rare part is at some of the
-/// crashes by chance, and it takes more.
-fn crashes_to_blame(may_be_early: bool, crashes: &CrashTimes, unexplained: &CrashTimes) -> usize {
-    let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
-        return MAX_CRASHES_TO_BLAME;
-    };
-    let is_recent = |at: &&Instant| **at + RECENT_PERIOD >= *first && *at <= last;
-    let recent = unexplained.values().filter(is_recent).count();
-    match may_be_early {
-        true if 2 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME,
-        true if 4 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME + 1,
-        _ => MAX_CRASHES_TO_BLAME,
-    }
-}
-
-/// Divides crashes into groups, each of those within `CRASH_GROUP_PERIOD` of its first one.
-fn group_crashes(crashes: &CrashTimes) -> Vec<Vec<UpstreamRun>> {
-    let mut ordered: Vec<(Instant, UpstreamRun)> =
-        crashes.iter().map(|(run, at)| (*at, *run)).collect();
-    ordered.sort_by_key(|(at, _)| *at);
-    let mut groups: Vec<Vec<UpstreamRun>> = Vec::new();
-    let mut first: Option<Instant> = None;
-    for (at, run) in ordered {
-        match groups.last_mut() {
-            Some(group) if first.is_some_and(|first| at - first < CRASH_GROUP_PERIOD) => {
-                group.push(run);
-            }
-            _ => {
-                first = Some(at);
-                groups.push(vec![run]);
-            }
-        }
-    }
-    groups
-}
-
-/// Counts the groups of which half or more are among `crashes`.
-fn count_groups(groups: &[Vec<UpstreamRun>], crashes: &CrashTimes) -> usize {
-    let is_in = |run: &&UpstreamRun| crashes.contains_key(*run);
-    let has_half =
-        |group: &&Vec<UpstreamRun>| 2 * group.iter().filter(is_in).count() >= group.len();
-    groups.iter().filter(has_half).count()
 }
 
 fn age_ms(at: Instant, now: Instant) -> u64 {
--- a/lib/gateway/src/part_guard.rs
+++ b/lib/gateway/src/part_guard.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::crash_evidence::EvidenceView;
+use crate::crash_blame::EvidenceView;
 use crate::crash_evidence::UpstreamRun;
 use crate::crash_probe::PendingProbes;
 use crate::gateway::Gateway;
@@ -198,7 +198,7 @@
     let mut table = gateway.parts.table.borrow_mut();
     let changes = table.review(objection_time, view, now);
     drop(table);
-    let is_blamed = |change: &PartChange| matches!(change, PartChange::Blamed(..));
+    let is_blamed = |change: &PartChange| matches!(change, PartChange::Blamed(_));
     if changes.iter().any(is_blamed) {
         spawn_local(review_when_due(Rc::clone(gateway)));
     }
@@ -239,9 +239,10 @@
 
 fn log_change(gateway: &Gateway, change: &PartChange, source: PartSource<'_>) {
     match change {
-        PartChange::Blamed(parts, crashes) => {
+        PartChange::Blamed(blamed) => {
             gateway.metrics.count("part.blamed");
-            info!(gateway.log, "prompt parts blamed"; "parts" => %parts, "crashes" => crashes,
+            info!(gateway.log, "prompt parts blamed"; "parts" => %blamed.parts,
+                "crashes" => blamed.crashes,
                 "suspected_parts" => gateway.parts.table.borrow().suspect_count());
         }
         PartChange::Cleared(parts) => {
--- a/lib/gateway/src/part_table.rs
+++ b/lib/gateway/src/part_table.rs
@@ -12,9 +12,10 @@
 use snipegate_types::PartId;
 use snipegate_types::VmId;
 
+use crate::crash_blame::BlamedParts;
+use crate::crash_blame::EvidenceView;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::CrashReport;
-use crate::crash_evidence::EvidenceView;
 use crate::crash_evidence::PartAnswer;
 use crate::crash_evidence::UpstreamRun;
 use crate::metadata::PromptPart;
@@ -40,11 +41,11 @@
 /// Change of what a VM refuses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PartChange {
-    /// A set of parts is blamed for this many crashes and refused.
-    Blamed(PartSet, usize),
+    /// A set of parts is blamed and refused.
+    Blamed(BlamedParts),
     /// A set of parts is no longer blamed.
     Cleared(PartSet),
-    /// A set of parts was blamed for this many crashes until the time for answers was over.
+    /// A set of parts was blamed, for this many crashes, until the time for answers was over.
     Quarantined(QuarantineRecord, usize),
     /// A record of another VM or of the store is newer than the known one.
     Merged(QuarantineRecord),
@@ -56,7 +57,7 @@
     /// Returns the record of a set whose quarantine changed.
     pub fn record(&self) -> Option<&QuarantineRecord> {
         match self {
-            PartChange::Blamed(..) | PartChange::Cleared(_) => None,
+            PartChange::Blamed(_) | PartChange::Cleared(_) => None,
             PartChange::Quarantined(record, _)
             | PartChange::Merged(record)
             | PartChange::Released(record) => Some(record),
@@ -67,8 +68,7 @@
 /// A set of parts that is blamed and not quarantined yet.
 #[derive(Clone, Debug)]
 struct BlamedSet {
-    parts: PartSet,
-    crashes: usize,
+    blamed: BlamedParts,
     quarantine_at: Instant,
 }
 
@@ -87,8 +87,9 @@
         if let Some(active) = self.quarantine.find(parts) {
             return Some((active.record.parts, active.trial_at));
         }
-        let blamed = self.blamed.iter().find(|set| set.parts.is_within(parts))?;
-        Some((blamed.parts.clone(), blamed.quarantine_at))
+        let is_affected = |set: &&BlamedSet| set.blamed.parts.is_within(parts);
+        let set = self.blamed.iter().find(is_affected)?;
+        Some((set.blamed.parts.clone(), set.quarantine_at))
     }
 
     /// Returns the quarantine of a prompt's shared parts if its trial is due.
@@ -162,23 +163,23 @@
         now: Instant,
     ) -> Vec<PartChange> {
         let mut changes = Vec::new();
-        let blamed = self.evidence.blamed(view);
-        self.blamed.retain(|known| {
-            let stays = blamed.iter().any(|(parts, _)| *parts == known.parts);
+        let blamed_now = self.evidence.blamed(view);
+        self.blamed.retain(|set| {
+            let parts = &set.blamed.parts;
+            let stays = blamed_now.iter().any(|blamed| blamed.parts == *parts);
             if !stays {
-                changes.push(PartChange::Cleared(known.parts.clone()));
+                changes.push(PartChange::Cleared(parts.clone()));
             }
             stays
         });
-        for (parts, crashes) in blamed {
-            let known = self.blamed.iter_mut().find(|known| known.parts == parts);
-            if let Some(known) = known {
-                known.crashes = crashes;
-            } else if !self.quarantine.covers(&parts) {
-                changes.push(PartChange::Blamed(parts.clone(), crashes));
+        for blamed in blamed_now {
+            let is_same = |set: &&mut BlamedSet| set.blamed.parts == blamed.parts;
+            if let Some(known) = self.blamed.iter_mut().find(is_same) {
+                known.blamed = blamed;
+            } else if !self.quarantine.covers(&blamed.parts) {
+                changes.push(PartChange::Blamed(blamed.clone()));
                 self.blamed.push(BlamedSet {
-                    parts,
-                    crashes,
+                    blamed,
                     quarantine_at: now + objection_time,
                 });
             }
@@ -192,8 +193,8 @@
         let due: Vec<BlamedSet> = self.blamed.extract_if(.., is_due).collect();
         due.into_iter()
             .filter_map(|set| {
-                let record = self.quarantine.impose(&set.parts, now)?;
-                Some(PartChange::Quarantined(record, set.crashes))
+                let record = self.quarantine.impose(&set.blamed.parts, now)?;
+                Some(PartChange::Quarantined(record, set.blamed.crashes))
             })
             .collect()
     }
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -345,6 +345,7 @@
         };
         let head = response.head.clone();
         let signed = response.metadata.signed;
+        let is_framed = !response.ends_with_connection();
         response.release(self.gateway, &entry.id);
         if head.is_success() && !signed {
             return Ok(SendOutcome::Broken(SendFailure::Malformed));
@@ -361,7 +362,7 @@
             let mut loads = self.gateway.loads.borrow_mut();
             loads.record_service_time(&entry.id, elapsed, now);
         }
-        if head.is_success() {
+        if head.is_success() && is_framed {
             self.record_prompt_answer(now);
         }
         caller
@@ -433,9 +434,12 @@
             caller.begin_stream(head, &[]).await?;
         }
         caller.finish_stream().await?;
-        response.release(self.gateway, &entry.id);
         let now = self.gateway.now();
-        self.record_prompt_answer(self.first_event_at.unwrap_or(now));
+        // A connection may also end because of a crash.
+        if !response.ends_with_connection() {
+            self.record_prompt_answer(self.first_event_at.unwrap_or(now));
+        }
+        response.release(self.gateway, &entry.id);
         self.record_answered(
             &entry.id,
             now.saturating_duration_since(load_guard.placed_at),
