--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -18,4 +18,5 @@
 pub use runner::runner_entry;
 pub use runner::started_runner_entry;
 pub use store::StandinStore;
+pub use store::StoreCopy;
 pub use store::StoreFault;
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -26,6 +26,13 @@
 use crate::server::read_request;
 use crate::server::write_response;
 
+/// Header field of all responses; its number rises when the store comes back from an older
+/// copy.
+const ERA_FIELD: &str = "Store-Era";
+
+/// Prefixes of the keys that the operator and the runners write.
+const OUTSIDE_PREFIXES: [&str; 2] = ["op/", "servers/"];
+
 /// Path of a call that waits for changes of keys under a prefix.
 const WATCH_PATH: &str = "/-/kv-watch";
 
@@ -60,7 +67,16 @@
     lease: u64,
 }
 
+/// A copy of the store's content, from which it may come back.
+#[derive(Clone)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 struct State {
+    /// How often the store has come back from an older copy, counted from 1.
+    era: Cell<u64>,
     items: RefCell<BTreeMap<String, Item>>,
     revision: Cell<u64>,
     leases: Cell<u64>,
@@ -91,6 +107,7 @@
     /// Fails if the listener can't be bound.
     pub async fn start() -> io::Result<Self> {
         let state = Rc::new(State {
+            era: Cell::new(1),
             items: RefCell::default(),
             revision: Cell::new(100),
             leases: Cell::new(0),
@@ -116,6 +133,35 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Returns a copy of the present content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            items: self.state.items.borrow().clone(),
+            revision: self.state.revision.get(),
+        }
+    }
+
+    /// Comes back from an older copy. What the system wrote since is gone, and the revisions
+    /// are given out again; the operator and the runners write again what they had written.
+    pub fn rewind(&self, copy: &StoreCopy) {
+        let state = &self.state;
+        let is_outside = |key: &str| OUTSIDE_PREFIXES.iter().any(|p| key.starts_with(p));
+        let newer: Vec<(String, Option<Vec<u8>>)> = state
+            .items
+            .borrow()
+            .iter()
+            .filter(|(key, item)| is_outside(key) && item.revision > copy.revision)
+            .map(|(key, item)| (key.clone(), item.value.clone()))
+            .collect();
+        state.era.set(state.era.get() + 1);
+        *state.items.borrow_mut() = copy.items.clone();
+        state.revision.set(copy.revision);
+        for (key, value) in newer {
+            state.put(&key, value, 0);
+        }
+        state.changed.notify_waiters();
+    }
+
     /// Stops all responses on the connections that are open. New connections work.
     pub fn silence_connections(&self) {
         self.state
@@ -227,7 +273,7 @@
         let next_events = async {
             loop {
                 let changed = self.changed.notified();
-                if self.fault.get() == StoreFault::Compacted {
+                if self.fault.get() == StoreFault::Compacted || after > self.revision.get() {
                     return None;
                 }
                 let events: Vec<Value> = self
@@ -377,6 +423,7 @@
         }
         let mut head = ResponseHead::new(status, "Answer");
         head.headers.push("Content-Type", "application/json");
+        head.headers.push(ERA_FIELD, state.era.get().to_string());
         if !write_response(&stream, head, body.to_string().as_bytes()).await {
             return;
         }
