gateway: a sound part beside two deadly ones is refused only together with them

Crashes of a set that is refused already are explained by it and count against no part alone. A part that is in one refused set takes two crashes in other company, one that is in two such sets one more crash, and is then blamed alone: a deadly part in ever new company is known after six crashes.

Both tests of it are new; the first failed before. A set that another VM quarantined first is no longer logged as cleared.

--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -13,6 +13,14 @@
 /// recent crashes.
 const MIN_CRASHES_TO_BLAME: usize = 3;
 
+/// Crashes after which a part is blamed that is in one refused set of several parts already,
+/// in other company.
+const CRASHES_IN_OTHER_COMPANY: usize = 2;
+
+/// Crashes after which a part is blamed that is in two or more such sets. It is blamed alone
+/// then.
+const CRASHES_IN_FURTHER_COMPANY: usize = 1;
+
 /// Crashes after which a part is blamed in any case. It is the number that a fleet may see
 /// before it has to know the part.
 const MAX_CRASHES_TO_BLAME: usize = 5;
@@ -48,25 +56,31 @@
 
 /// Finds the sets of parts that explain the crashes.
 ///
-/// `suspects` holds the crashes since the last answer to each part, and `is_new` tells whether
-/// a part was never answered. Parts that are at nearly the same crashes can't be told apart: a
-/// prompt is blamed only if it has all of them. A crash that a set explains does not count
-/// against further parts, which the prompts may have had beside it.
+/// `suspects` holds the crashes since the last answer to each part, `is_new` tells whether a
+/// part was never answered, and `refused` are the sets that are refused already. Parts that
+/// are at nearly the same crashes can't be told apart: a prompt is blamed only if it has all
+/// of them. A crash that a set explains does not count against further parts, which the
+/// prompts may have had beside it.
 pub fn find_blamed(
     crashes: &CrashTimes,
     suspects: &IndexMap<PartId, CrashTimes>,
     is_new: impl Fn(PartId) -> bool,
+    refused: &[PartSet],
     view: EvidenceView,
 ) -> Vec<BlamedParts> {
     let mut blamed = Vec::new();
-    if crashes.len() < MIN_CRASHES_TO_BLAME {
+    if crashes.len() < MIN_CRASHES_TO_BLAME && refused.is_empty() {
         return blamed;
     }
     let mut open = OpenCrashes {
         crashes: crashes.clone(),
         suspects: suspects.clone(),
+        refused,
     };
-    open.suspects.retain(|_, crashes| crashes.len() > 1);
+    for parts in refused {
+        let explained = open.crashes_of_all(parts);
+        open.remove(&explained);
+    }
     while let Some((parts, explained)) = open.most_blamed(&is_new, view) {
         blamed.push(BlamedParts {
             parts,
@@ -78,12 +92,30 @@
 }
 
 /// Crashes that no blamed part explains.
-struct OpenCrashes {
+struct OpenCrashes<'a> {
     crashes: CrashTimes,
     suspects: IndexMap<PartId, CrashTimes>,
+    refused: &'a [PartSet],
 }
 
-impl OpenCrashes {
+impl OpenCrashes<'_> {
+    /// Returns the crashes that all parts of a set are at.
+    fn crashes_of_all(&self, parts: &PartSet) -> CrashTimes {
+        let of_part = |part| self.suspects.get(part);
+        let mut common = self.crashes.clone();
+        common.retain(|run, _| {
+            let is_at = |part| of_part(part).is_some_and(|crashes| crashes.contains_key(run));
+            parts.parts().iter().all(is_at)
+        });
+        common
+    }
+
+    /// Returns in how many refused sets of several parts a part is.
+    fn refused_companies(&self, part: PartId) -> usize {
+        let has_part = |set: &&PartSet| set.parts().len() > 1 && set.parts().contains(&part);
+        self.refused.iter().filter(has_part).count()
+    }
+
     /// Returns the part with the most crashes, if these are enough, together with those that
     /// can't be told apart from it, and the crashes. A part that was never answered goes
     /// first.
@@ -95,13 +127,18 @@
         let groups = group_crashes(&self.crashes);
         let candidates = self.suspects.iter().filter_map(|(part, crashes)| {
             let is_new = is_new(*part);
-            let may_be_early = is_new && view == EvidenceView::Fleet;
             let count = count_groups(&groups, crashes);
-            let is_enough = count >= self.crashes_to_blame(may_be_early, crashes);
-            is_enough.then_some((is_new, count, crashes))
+            let is_enough = match is_new && view == EvidenceView::Fleet {
+                true => count >= self.crashes_to_blame(*part, crashes),
+                false => count >= MAX_CRASHES_TO_BLAME,
+            };
+            is_enough.then_some((is_new, count, *part, crashes))
         });
-        let (top_is_new, _, crashes) =
-            candidates.max_by_key(|(is_new, count, _)| (*is_new, *count))?;
+        let (top_is_new, _, top, crashes) =
+            candidates.max_by_key(|(is_new, count, ..)| (*is_new, *count))?;
+        if top_is_new && self.refused_companies(top) > 1 {
+            return Some((PartSet::new(vec![top]), crashes.clone()));
+        }
         let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
             let shared = crashes
                 .keys()
@@ -114,28 +151,36 @@
         Some((PartSet::new(parts), crashes.clone()))
     }
 
-    /// Returns the number of crashes after which a part is blamed; if it may be early, fewer
-    /// than the most. Where many upstreams crash for other reasons, a rare part is at some of
-    /// the crashes by chance, and it takes more.
-    fn crashes_to_blame(&self, may_be_early: bool, crashes: &CrashTimes) -> usize {
+    /// Returns the number of crashes after which a part is blamed that was never answered.
+    /// Where many upstreams crash for other reasons, a rare part is at some of the crashes by
+    /// chance, and it takes more.
+    fn crashes_to_blame(&self, part: PartId, crashes: &CrashTimes) -> usize {
+        match self.refused_companies(part) {
+            0 => {}
+            1 => return CRASHES_IN_OTHER_COMPANY,
+            _ => return CRASHES_IN_FURTHER_COMPANY,
+        }
         let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
             return MAX_CRASHES_TO_BLAME;
         };
         let is_recent = |at: &&Instant| **at + RECENT_PERIOD >= *first && *at <= last;
         let recent = self.crashes.values().filter(is_recent).count();
-        match may_be_early {
-            true if 2 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME,
-            true if 4 * crashes.len() >= recent => MIN_CRASHES_TO_BLAME + 1,
-            _ => MAX_CRASHES_TO_BLAME,
+        if 2 * crashes.len() >= recent {
+            MIN_CRASHES_TO_BLAME
+        } else if 4 * crashes.len() >= recent {
+            MIN_CRASHES_TO_BLAME + 1
+        } else {
+            MAX_CRASHES_TO_BLAME
         }
     }
 
     fn remove(&mut self, explained: &CrashTimes) {
         let is_open = |run: &UpstreamRun| !explained.contains_key(run);
         self.crashes.retain(|run, _| is_open(run));
-        for crashes in self.suspects.values_mut() {
+        self.suspects.retain(|_, crashes| {
             crashes.retain(|run, _| is_open(run));
-        }
+            !crashes.is_empty()
+        });
     }
 }
 
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -17,6 +17,7 @@
 use crate::crash_blame::CrashTimes;
 use crate::crash_blame::EvidenceView;
 use crate::crash_blame::find_blamed;
+use crate::part_set::PartSet;
 use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
@@ -305,9 +306,10 @@
     }
 
     /// Returns the sets of parts that the known crashes put the blame on.
-    pub fn blamed(&self, view: EvidenceView) -> Vec<BlamedParts> {
+    /// `refused` are the sets that are refused already.
+    pub fn blamed(&self, refused: &[PartSet], view: EvidenceView) -> Vec<BlamedParts> {
         let is_new = |part: PartId| self.answered.last(part).is_none();
-        find_blamed(&self.crashes, &self.suspects, is_new, view)
+        find_blamed(&self.crashes, &self.suspects, is_new, refused, view)
     }
 }
 
--- a/lib/gateway/src/part_table.rs
+++ b/lib/gateway/src/part_table.rs
@@ -163,11 +163,11 @@
         now: Instant,
     ) -> Vec<PartChange> {
         let mut changes = Vec::new();
-        let blamed_now = self.evidence.blamed(view);
+        let blamed_now = self.evidence.blamed(&self.quarantine.active_sets(), view);
         self.blamed.retain(|set| {
             let parts = &set.blamed.parts;
             let stays = blamed_now.iter().any(|blamed| blamed.parts == *parts);
-            if !stays {
+            if !stays && !self.quarantine.covers(parts) {
                 changes.push(PartChange::Cleared(parts.clone()));
             }
             stays
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -200,6 +200,15 @@
             .any(|known| known.record.parts.is_subset(parts))
     }
 
+    /// Returns the sets that are refused.
+    pub fn active_sets(&self) -> Vec<PartSet> {
+        let records = self.records.values().map(|known| &known.record);
+        records
+            .filter(|record| record.state == QuarantineState::Active)
+            .map(|record| record.parts.clone())
+            .collect()
+    }
+
     /// Returns all records.
     pub fn records(&self) -> Vec<QuarantineRecord> {
         let known = self.records.values();
--- a/lib/gateway/tests/test_part_table.rs
+++ b/lib/gateway/tests/test_part_table.rs
@@ -144,6 +144,38 @@
     assert!(!test.is_refused(&[FIRST, SUBJECT]));
 }
 
+#[test]
+fn sound_part_beside_two_deadly_ones_is_refused_only_with_them() {
+    let mut test = TestTable::new();
+    test.answer(&[FIRST]);
+    for _ in 0..3 {
+        test.crash(&[FIRST, SUBJECT, DEADLY]);
+    }
+    assert_eq!(test.quarantined(), [set(&[SUBJECT, DEADLY])]);
+    let other = PartId(4);
+    for _ in 0..3 {
+        test.crash(&[FIRST, SUBJECT, other]);
+    }
+    assert!(test.is_refused(&[FIRST, SUBJECT, other]));
+    assert!(!test.is_refused(&[FIRST, SUBJECT]));
+    test.answer(&[FIRST, SUBJECT]);
+    assert!(test.is_refused(&[FIRST, other]));
+    assert!(test.is_refused(&[FIRST, DEADLY]));
+}
+
+#[test]
+fn deadly_part_in_ever_new_company_is_refused_alone_after_six_crashes() {
+    let mut test = TestTable::new();
+    let companies = [10, 10, 10, 11, 11, 12].map(PartId);
+    for company in companies {
+        assert!(!test.is_refused(&[company, DEADLY]));
+        test.crash(&[company, DEADLY]);
+        test.review();
+        test.pass(OBJECTION_TIME);
+    }
+    assert!(test.is_refused(&[PartId(13), DEADLY]));
+}
+
 #[test]
 fn crashes_at_the_same_moment_put_blame_on_no_part() {
     let mut test = TestTable::new();
