--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod rate_judge;
 mod runner;
+mod runner_script;
 mod server;
 mod store;
 
@@ -10,13 +11,13 @@
 pub use rate_judge::RatePeriod;
 pub use rate_judge::VmEvent;
 pub use rate_judge::find_rate_excess;
-pub use runner::CrashingPart;
-pub use runner::EndlessPart;
 pub use runner::RecordedRequest;
-pub use runner::RunnerScript;
 pub use runner::StandinRunner;
 pub use runner::runner_entry;
 pub use runner::started_runner_entry;
+pub use runner_script::CrashingPart;
+pub use runner_script::EndlessPart;
+pub use runner_script::RunnerScript;
 pub use store::StandinStore;
 pub use store::StoreCopy;
 pub use store::StoreFault;
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -19,6 +19,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::runner_script::CrashingPart;
+use crate::runner_script::EndlessPart;
+use crate::runner_script::RunnerScript;
 use crate::server::read_body;
 use crate::server::read_head;
 use crate::server::write_response;
@@ -32,84 +35,9 @@
 /// Pause between two chunks of [`EndlessPart::Refusal`].
 const REFUSAL_CHUNK_PAUSE: Duration = Duration::from_millis(20);
 
-/// Header field with the parts of a request's prompt, as `ID:TOKENS` entries.
-const PROMPT_PARTS_FIELD: &str = "X-Prefix-Hash";
-
 /// Number of events in a stream of [`RunnerScript::Echo`].
 const ECHO_EVENT_COUNT: u64 = 3;
 
-/// The part of a response that never ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndlessPart {
-    /// The head of the response.
-    Head,
-    /// Interim responses, which are never followed by a final one.
-    Interim,
-    /// The chunked body of a successful response.
-    Body,
-    /// The body of a refusal marked as not run, which is sent slowly.
-    Refusal,
-    /// The body of a response to another request.
-    Stray,
-    /// The events of a stream.
-    Events,
-    /// The trailer fields after the last chunk.
-    Trailer,
-}
-
-/// How a runner handles each request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunnerScript {
-    /// It sends a complete response with a `Content-Length`.
-    Complete,
-    /// It sends a complete response that ends when the connection closes.
-    NoLength,
-    /// It sends a complete response followed by the start of another one.
-    ExtraBytes,
-    /// It sends a response to another request before its own.
-    StrayResponseFirst,
-    /// It closes the connection in the middle of the response.
-    Truncate,
-    /// It responds with 500.
-    Fail,
-    /// It responds with 503 and marks the request as not run.
-    Refuse,
-    /// Like `Refuse`, with this duration in `Retry-After`.
-    RefuseWithRetryAfter(Duration),
-    /// It sends a complete response that says that it is leaving.
-    Leaving,
-    /// Like `Refuse`, and says that it is leaving.
-    LeavingRefusal,
-    /// Like `Misdirected`, and says that it is leaving.
-    LeavingMisdirected,
-    /// Like `Refuse`, with invalid values in `Retry-After` and `Server-Leaving`.
-    InvalidHints,
-    /// It responds with 421, since the request was meant for another runner.
-    Misdirected,
-    /// It reads the request and closes the connection.
-    Close,
-    /// It reads the request and resets the connection.
-    Reset,
-    /// It sends a complete response before it reads the request body, then reads the body.
-    EarlyResponse,
-    /// It responds with the attempt's id after this pause. On the paths of streams it
-    /// sends three events instead, with this pause after each.
-    Echo(Duration),
-    /// It reads the request and never responds.
-    Silent,
-    /// It streams this many events, with this pause after each.
-    Stream(u64, Duration),
-    /// It streams this many events in a response that ends when the connection closes.
-    NoLengthStream(u64),
-    /// It starts a stream and sends single bytes with this pause before each, which never
-    /// complete an event.
-    Drip(Duration),
-    /// It streams this many events and closes the connection in the middle of the next.
-    TruncateStream(u64),
-    /// It sends this part of a response until the client closes the connection.
-    Endless(EndlessPart),
-}
-
 /// A request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct RecordedRequest {
@@ -125,27 +53,6 @@
     pub advertised_rate: Option<RequestRate>,
 }
 
-/// A prompt part that crashes a runner.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashingPart {
-    /// Id of the part, as it is sent. It has no effect as the last part of a prompt.
-    pub id: String,
-    /// Time until a runner begins to answer a request with the part, and crashes.
-    pub delay: Duration,
-    /// How long a runner is down after a crash.
-    pub downtime: Duration,
-}
-
-impl CrashingPart {
-    /// Returns whether a request has the part in its prompt, and not as its last part.
-    pub fn is_in(&self, request: &RequestHead) -> bool {
-        let parts = request.headers.get(PROMPT_PARTS_FIELD).unwrap_or_default();
-        let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
-        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
-        ids.any(|id| id == self.id)
-    }
-}
-
 struct State {
     script: Cell<RunnerScript>,
     advertised_rate: Cell<Option<RequestRate>>,
--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -1,5 +1,7 @@
 //! Executes one run of the soak test.
 
+mod crash_phase;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
@@ -13,7 +15,6 @@
 use serde_json::Value;
 use snipegate_http1::HttpConnection;
 use snipegate_http1::RequestHead;
-use snipegate_standin_site::CrashingPart;
 use snipegate_standin_site::RatePeriod;
 use snipegate_standin_site::RunnerScript;
 use snipegate_standin_site::StandinRunner;
@@ -27,13 +28,11 @@
 use tokio::time::timeout;
 
 use crate::callers::API_KEY;
-use crate::callers::CRASHING_PART;
 use crate::callers::CallKind;
 use crate::callers::CallOutcome;
 use crate::callers::CallTarget;
 use crate::callers::CallerState;
 use crate::callers::run_caller;
-use crate::callers::send_crashing_prompts;
 use crate::check::ArrivalRecord;
 use crate::check::ConfigRecord;
 use crate::check::Disturbance;
@@ -48,7 +47,7 @@
 use crate::plan::DRAIN_PROPAGATION_TIME;
 use crate::plan::FaultPlan;
 use crate::plan::SoakFault;
-use crate::plan::draw_crash_phase;
+use crate::run::crash_phase::restart_after_crashes;
 
 /// Number of upstreams in a run.
 const UPSTREAMS: usize = 3;
@@ -71,15 +70,6 @@
 /// Longest wait for the response to an address query.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long prompts that crash upstreams are sent before the plan.
-const CRASH_PHASE: Duration = Duration::from_secs(9);
-
-/// Time until an upstream begins to answer a prompt that crashes it.
-const CRASH_DELAY: Duration = Duration::from_millis(20);
-
-/// How long an upstream is down after a crash.
-const CRASH_DOWNTIME: Duration = Duration::from_millis(500);
-
 /// Time without faults after the plan, in which all VMs must recover.
 const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
@@ -149,8 +139,7 @@
     for upstream in 0..UPSTREAMS {
         spawn_local(restart_after_crashes(Rc::clone(&run), upstream));
     }
-    run.execute_crash_phase(&callers, &draw_crash_phase(seed, vms, CRASH_PHASE))
-        .await?;
+    run.execute_crash_phase(seed, vms, &callers).await?;
     let plan = FaultPlan::new(seed, vms, UPSTREAMS, duration);
     run.execute_plan(&plan).await?;
     run.wait_for_recovery().await?;
@@ -221,25 +210,6 @@
         Ok(run)
     }
 
-    /// Sends prompts that crash upstreams beside the faults of a plan.
-    async fn execute_crash_phase(
-        &self,
-        callers: &Rc<CallerState>,
-        plan: &FaultPlan,
-    ) -> io::Result<()> {
-        let until = Instant::now() + CRASH_PHASE;
-        for runner in &self.runners {
-            runner.set_crashing_part(Some(CrashingPart {
-                id: CRASHING_PART.to_owned(),
-                delay: CRASH_DELAY,
-                downtime: CRASH_DOWNTIME,
-            }));
-        }
-        let sender = spawn_local(send_crashing_prompts(Rc::clone(callers), until));
-        self.execute_plan(plan).await?;
-        sender.await.map_err(io::Error::other)
-    }
-
     /// Starts and ends the faults of a plan at their times.
     async fn execute_plan(&self, plan: &FaultPlan) -> io::Result<()> {
         let start = Instant::now();
@@ -507,23 +477,6 @@
     }
 }
 
-/// Takes the link of an upstream down at each crash, and lists the run after it.
-async fn restart_after_crashes(run: Rc<SoakRun>, upstream: usize) {
-    loop {
-        let downtime = run.runners[upstream].wait_for_crash().await;
-        run.runner_links[upstream].take_down(downtime);
-        let from = Instant::now();
-        sleep(downtime).await;
-        run.write_upstream_entry(upstream, "ready");
-        run.record.borrow_mut().disturbances.push(Disturbance {
-            vm: None,
-            interrupts_vms: false,
-            from,
-            until: Instant::now(),
-        });
-    }
-}
-
 /// Queries the VMs' address directories in turn until the run ends.
 async fn poll_addresses(run: Rc<SoakRun>, callers: Rc<CallerState>) {
     let directories: Vec<SocketAddr> = run
