gateway: news of crashes stays small, also where VMs are lost and found all the time

A VM that is heard again was sent all reports of the last ten minutes by every VM, up to 32 with 32 parts, for two seconds, and messages to other data centres are relayed to each VM there. With 23 of 66 VMs cut off and back, half of the upstreams crashing and links of 10 Mbit/s that adds up (worked out: some 12 Mbit/s at a relaying VM in the worst case).

A message now holds 8 reports of 16 parts at most, and only crashes of the last 10 s whose parts are still suspected are announced again.

--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -40,10 +40,17 @@
 const MAX_OWN_REPORTS: usize = 64;
 
 /// Maximum number of parts in one report.
-const MAX_REPORTED_PARTS: usize = 32;
+const MAX_REPORTED_PARTS: usize = 16;
 
-/// Maximum number of reports, and of answers, in one message.
-const MAX_ANNOUNCED: usize = 32;
+/// Maximum number of reports in one message. A VM relays the messages of many others, over a
+/// link that may be slow.
+const MAX_ANNOUNCED_REPORTS: usize = 8;
+
+/// Maximum number of answers in one message.
+const MAX_ANNOUNCED_ANSWERS: usize = 32;
+
+/// Age up to which a crash is announced again to a VM that may not know it.
+const REANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
 
 /// How long news is included in every message.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
@@ -255,11 +262,17 @@
         self.cleared.insert(part, now + ANNOUNCE_PERIOD);
     }
 
-    /// Announces all own reports again, for example for a VM that may know none.
-    pub fn announce_all(&mut self, now: Instant) {
-        for report in &mut self.own_reports {
-            report.announce_until = now + ANNOUNCE_PERIOD;
+    /// Announces recent own reports again, for example for a VM that may know none, if their
+    /// parts are still suspected.
+    pub fn announce_again(&mut self, now: Instant) {
+        let mut reports = std::mem::take(&mut self.own_reports);
+        for report in &mut reports {
+            let is_recent = now.saturating_duration_since(report.at) < REANNOUNCE_PERIOD;
+            if is_recent && !self.still_suspected(report).is_empty() {
+                report.announce_until = now + ANNOUNCE_PERIOD;
+            }
         }
+        self.own_reports = reports;
     }
 
     /// Returns the own reports for a message, the newest first. Parts that were answered
@@ -268,7 +281,7 @@
         let announced = self.own_reports.iter().rev();
         announced
             .filter(|report| now < report.announce_until)
-            .take(MAX_ANNOUNCED)
+            .take(MAX_ANNOUNCED_REPORTS)
             .map(|report| CrashReport {
                 run: report.run,
                 age_ms: age_ms(report.at, now),
@@ -288,7 +301,7 @@
     /// Returns the answers for a message, the newest first.
     pub fn answer_announcements(&mut self, now: Instant) -> Vec<PartAnswer> {
         self.cleared.retain(|_, until| now < *until);
-        let parts = self.cleared.keys().rev().take(MAX_ANNOUNCED);
+        let parts = self.cleared.keys().rev().take(MAX_ANNOUNCED_ANSWERS);
         parts
             .filter_map(|part| {
                 let at = self.answered.last(*part)?;
--- a/lib/gateway/src/part_table.rs
+++ b/lib/gateway/src/part_table.rs
@@ -219,9 +219,9 @@
         self.quarantine.is_ahead_of(stored)
     }
 
-    /// Announces all that this VM knows again, for a VM that may know nothing.
+    /// Announces again what a VM may have to know that knows nothing.
     pub fn announce_all(&mut self, now: Instant) {
-        self.evidence.announce_all(now);
+        self.evidence.announce_again(now);
         self.quarantine.announce_all(now);
     }
 
