gateway: a set refused by chance proves nothing of earlier crashes, and reports keep the main suspect

Only crashes after a VM learned of the set count as other company now. - A report of a crash that leaves many prompts unanswered named 16 parts, in order of their ids, so a deadly part with a high id would have been left out each time. The most suspected parts go first now; a report names up to 48, and a message stops adding reports after 96 parts.

Both tests failed before. The log names 16 parts of a prompt at most, whatever a caller sends, and the time for which changes are announced is one constant in place of three.

--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -13,8 +13,9 @@
 /// recent crashes.
 const MIN_CRASHES_TO_BLAME: usize = 3;
 
-/// Crashes after which a part is blamed that is in one refused set of several parts already,
-/// in other company.
+/// Crashes after which a part is blamed that is in one refused set of several parts already, in
+/// other company. Only crashes after the set was refused count: the part may be in the set by
+/// chance.
 const CRASHES_IN_OTHER_COMPANY: usize = 2;
 
 /// Crashes after which a part is blamed that is in two or more such sets. It is blamed alone
@@ -45,6 +46,15 @@
     Minority,
 }
 
+/// A set of parts that is refused already.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedParts {
+    /// The parts.
+    pub parts: PartSet,
+    /// When this VM learned that they are refused.
+    pub since: Instant,
+}
+
 /// A set of parts that is blamed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BlamedParts {
@@ -65,7 +75,7 @@
     crashes: &CrashTimes,
     suspects: &IndexMap<PartId, CrashTimes>,
     is_new: impl Fn(PartId) -> bool,
-    refused: &[PartSet],
+    refused: &[RefusedParts],
     view: EvidenceView,
 ) -> Vec<BlamedParts> {
     let mut blamed = Vec::new();
@@ -77,8 +87,8 @@
         suspects: suspects.clone(),
         refused,
     };
-    for parts in refused {
-        let explained = open.crashes_of_all(parts);
+    for set in refused {
+        let explained = open.crashes_of_all(&set.parts);
         open.remove(&explained);
     }
     while let Some((parts, explained)) = open.most_blamed(&is_new, view) {
@@ -95,7 +105,27 @@
 struct OpenCrashes<'a> {
     crashes: CrashTimes,
     suspects: IndexMap<PartId, CrashTimes>,
-    refused: &'a [PartSet],
+    refused: &'a [RefusedParts],
+}
+
+/// The refused sets of several parts that a part is in.
+struct RefusedCompany {
+    sets: usize,
+    /// When this VM learned of the last of them.
+    since: Instant,
+}
+
+/// A part with enough crashes to be blamed.
+struct Candidate {
+    part: PartId,
+    /// Whether it was never answered.
+    is_new: bool,
+    /// Number of groups of crashes that speak against it.
+    count: usize,
+    /// These crashes.
+    crashes: CrashTimes,
+    /// Whether it is blamed without the parts beside it.
+    is_alone: bool,
 }
 
 impl OpenCrashes<'_> {
@@ -110,12 +140,6 @@
         common
     }
 
-    /// Returns in how many refused sets of several parts a part is.
-    fn refused_companies(&self, part: PartId) -> usize {
-        let has_part = |set: &&PartSet| set.parts().len() > 1 && set.parts().contains(&part);
-        self.refused.iter().filter(has_part).count()
-    }
-
     /// Returns the part with the most crashes, if these are enough, together with those that
     /// can't be told apart from it, and the crashes. A part that was never answered goes
     /// first.
@@ -126,40 +150,83 @@
     ) -> Option<(PartSet, CrashTimes)> {
         let groups = group_crashes(&self.crashes);
         let candidates = self.suspects.iter().filter_map(|(part, crashes)| {
-            let is_new = is_new(*part);
-            let count = count_groups(&groups, crashes);
-            let is_enough = match is_new && view == EvidenceView::Fleet {
-                true => count >= self.crashes_to_blame(*part, crashes),
-                false => count >= MAX_CRASHES_TO_BLAME,
-            };
-            is_enough.then_some((is_new, count, *part, crashes))
+            self.candidate(*part, crashes, &groups, is_new(*part), view)
         });
-        let (top_is_new, _, top, crashes) =
-            candidates.max_by_key(|(is_new, count, ..)| (*is_new, *count))?;
-        if top_is_new && self.refused_companies(top) > 1 {
-            return Some((PartSet::new(vec![top]), crashes.clone()));
+        let top = candidates.max_by_key(|candidate| (candidate.is_new, candidate.count))?;
+        let parts = match top.is_alone {
+            true => vec![top.part],
+            false => self.parts_beside(&top, is_new),
+        };
+        Some((PartSet::new(parts), top.crashes))
+    }
+
+    /// Returns a part as a candidate if it has enough crashes.
+    fn candidate(
+        &self,
+        part: PartId,
+        crashes: &CrashTimes,
+        groups: &[Vec<UpstreamRun>],
+        is_new: bool,
+        view: EvidenceView,
+    ) -> Option<Candidate> {
+        let may_be_early = is_new && view == EvidenceView::Fleet;
+        let candidate = |count, crashes: CrashTimes, is_alone| Candidate {
+            part,
+            is_new,
+            count,
+            crashes,
+            is_alone,
+        };
+        let count = count_groups(groups, crashes);
+        if may_be_early && let Some(company) = self.refused_company(part) {
+            let mut later = crashes.clone();
+            later.retain(|_, at| *at > company.since);
+            let later_count = count_groups(groups, &later);
+            let is_alone = company.sets > 1;
+            let needed = match is_alone {
+                true => CRASHES_IN_FURTHER_COMPANY,
+                false => CRASHES_IN_OTHER_COMPANY,
+            };
+            if later_count >= needed {
+                return Some(candidate(later_count, later, is_alone));
+            }
         }
+        let needed = match may_be_early {
+            true => self.crashes_to_blame(crashes),
+            false => MAX_CRASHES_TO_BLAME,
+        };
+        (count >= needed).then(|| candidate(count, crashes.clone(), false))
+    }
+
+    /// Returns the parts that can't be told apart from a candidate, including its own.
+    fn parts_beside(&self, top: &Candidate, is_new: &impl Fn(PartId) -> bool) -> Vec<PartId> {
         let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
-            let shared = crashes
-                .keys()
-                .filter(|run| other.contains_key(*run))
-                .count();
-            is_new(**part) >= top_is_new && 3 * shared >= 2 * crashes.len()
+            let is_shared = |run: &&UpstreamRun| other.contains_key(*run);
+            let shared = top.crashes.keys().filter(is_shared).count();
+            is_new(**part) >= top.is_new && 3 * shared >= 2 * top.crashes.len()
         };
         let parts = self.suspects.iter().filter(may_be_cause);
-        let parts = parts.map(|(part, _)| *part).collect();
-        Some((PartSet::new(parts), crashes.clone()))
+        parts.map(|(part, _)| *part).collect()
+    }
+
+    /// Returns the refused sets of several parts that a part is in; `None` if there is none.
+    fn refused_company(&self, part: PartId) -> Option<RefusedCompany> {
+        let has_part = |set: &&RefusedParts| {
+            let parts = set.parts.parts();
+            parts.len() > 1 && parts.contains(&part)
+        };
+        let sets = self.refused.iter().filter(has_part);
+        let since = sets.clone().map(|set| set.since).max()?;
+        Some(RefusedCompany {
+            sets: sets.count(),
+            since,
+        })
     }
 
     /// Returns the number of crashes after which a part is blamed that was never answered.
     /// Where many upstreams crash for other reasons, a rare part is at some of the crashes by
     /// chance, and it takes more.
-    fn crashes_to_blame(&self, part: PartId, crashes: &CrashTimes) -> usize {
-        match self.refused_companies(part) {
-            0 => {}
-            1 => return CRASHES_IN_OTHER_COMPANY,
-            _ => return CRASHES_IN_FURTHER_COMPANY,
-        }
+    fn crashes_to_blame(&self, crashes: &CrashTimes) -> usize {
         let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
             return MAX_CRASHES_TO_BLAME;
         };
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -4,6 +4,7 @@
 //! there and that were not being answered yet: one of them may have caused the crash. An
 //! answer that begins after the crash clears its parts.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,8 +17,9 @@
 use crate::crash_blame::BlamedParts;
 use crate::crash_blame::CrashTimes;
 use crate::crash_blame::EvidenceView;
+use crate::crash_blame::RefusedParts;
 use crate::crash_blame::find_blamed;
-use crate::part_set::PartSet;
+use crate::gossip::ANNOUNCE_PERIOD;
 use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
@@ -40,21 +42,21 @@
 const MAX_OWN_REPORTS: usize = 64;
 
 /// Maximum number of parts in one report.
-const MAX_REPORTED_PARTS: usize = 16;
+const MAX_REPORTED_PARTS: usize = 48;
 
-/// Maximum number of reports in one message. A VM relays the messages of many others, over a
-/// link that may be slow.
+/// Maximum number of reports in one message.
 const MAX_ANNOUNCED_REPORTS: usize = 8;
 
+/// Number of parts in a message after which no further report is added. A VM relays the
+/// messages of many others, over a link that may be slow.
+const MAX_ANNOUNCED_PARTS: usize = 96;
+
 /// Maximum number of answers in one message.
 const MAX_ANNOUNCED_ANSWERS: usize = 32;
 
 /// Age up to which a crash is announced again to a VM that may not know it.
 const REANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
 
-/// How long news is included in every message.
-const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
-
 /// One run of an upstream's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UpstreamRun {
@@ -128,8 +130,13 @@
         mut parts: Vec<PartId>,
         now: Instant,
     ) {
-        parts.sort_by_key(|part| (self.answered.last(*part), *part));
+        parts.sort();
         parts.dedup();
+        // The most suspected parts first: those never answered, then by known crashes.
+        parts.sort_by_key(|part| {
+            let crashes = self.suspects.get(part).map_or(0, IndexMap::len);
+            (self.answered.last(*part), Reverse(crashes))
+        });
         parts.truncate(MAX_REPORTED_PARTS);
         self.record_crash(run, at, &parts, now);
         if self.own_reports.len() >= MAX_OWN_REPORTS {
@@ -279,6 +286,7 @@
     /// since are left out: a VM that knows no answers would suspect them.
     pub fn report_announcements(&self, now: Instant) -> Vec<CrashReport> {
         let announced = self.own_reports.iter().rev();
+        let mut parts = 0;
         announced
             .filter(|report| now < report.announce_until)
             .take(MAX_ANNOUNCED_REPORTS)
@@ -287,6 +295,11 @@
                 age_ms: age_ms(report.at, now),
                 parts: self.still_suspected(report),
             })
+            .take_while(|report| {
+                let has_room = parts < MAX_ANNOUNCED_PARTS;
+                parts += report.parts.len();
+                has_room
+            })
             .collect()
     }
 
@@ -318,9 +331,9 @@
         self.suspects.len()
     }
 
-    /// Returns the sets of parts that the known crashes put the blame on.
-    /// `refused` are the sets that are refused already.
-    pub fn blamed(&self, refused: &[PartSet], view: EvidenceView) -> Vec<BlamedParts> {
+    /// Returns the sets of parts that the known crashes put the blame on, beside those that are
+    /// refused already.
+    pub fn blamed(&self, refused: &[RefusedParts], view: EvidenceView) -> Vec<BlamedParts> {
         let is_new = |part: PartId| self.answered.last(part).is_none();
         find_blamed(&self.crashes, &self.suspects, is_new, refused, view)
     }
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -50,6 +50,9 @@
 /// Longest pause between two gossip messages.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// How long a change that VMs announce is included in every message.
+pub const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
+
 /// Every n-th message includes the free tokens.
 const FREE_TOKENS_EVERY: u64 = 8;
 
--- a/lib/gateway/src/part_table.rs
+++ b/lib/gateway/src/part_table.rs
@@ -163,7 +163,7 @@
         now: Instant,
     ) -> Vec<PartChange> {
         let mut changes = Vec::new();
-        let blamed_now = self.evidence.blamed(&self.quarantine.active_sets(), view);
+        let blamed_now = self.evidence.blamed(&self.quarantine.refused(), view);
         self.blamed.retain(|set| {
             let parts = &set.blamed.parts;
             let stays = blamed_now.iter().any(|blamed| blamed.parts == *parts);
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash_blame::RefusedParts;
+use crate::gossip::ANNOUNCE_PERIOD;
 use crate::metadata::PromptPart;
 use crate::part_set::PartSet;
 
@@ -30,9 +32,6 @@
 /// Maximum number of records in one message.
 const MAX_ANNOUNCED: usize = 64;
 
-/// How long a change is included in every message.
-const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
-
 /// Whether a set of parts is sent to upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum QuarantineState {
@@ -201,11 +200,14 @@
     }
 
     /// Returns the sets that are refused.
-    pub fn active_sets(&self) -> Vec<PartSet> {
-        let records = self.records.values().map(|known| &known.record);
-        records
-            .filter(|record| record.state == QuarantineState::Active)
-            .map(|record| record.parts.clone())
+    pub fn refused(&self) -> Vec<RefusedParts> {
+        let is_active = |known: &&KnownRecord| known.record.state == QuarantineState::Active;
+        let active = self.records.values().filter(is_active);
+        active
+            .map(|known| RefusedParts {
+                parts: known.record.parts.clone(),
+                since: known.learned_at,
+            })
             .collect()
     }
 
--- a/lib/gateway/src/rate_table.rs
+++ b/lib/gateway/src/rate_table.rs
@@ -10,6 +10,7 @@
 use snipegate_types::UpstreamId;
 
 use crate::gateway::stable_hash;
+use crate::gossip::ANNOUNCE_PERIOD;
 use crate::metadata::RateLimitNotice;
 use crate::send_pacer::MAX_SPACING;
 use crate::send_pacer::SendPacer;
@@ -23,9 +24,6 @@
 /// Maximum number of rates in one gossip message.
 const MAX_ANNOUNCED: usize = 128;
 
-/// How long a change is included in every gossip message.
-const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
-
 /// Interval at which shares are recomputed.
 const SHARE_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -48,6 +48,9 @@
 /// Class of the least urgent generations.
 const LEAST_URGENT_CLASS: u8 = 9;
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Events that a stream may have beyond one for each token of the maximum output, such as an
 /// end marker.
 const EXTRA_EVENTS: u64 = 16;
@@ -249,12 +252,13 @@
             "config" => self.admission.config.version.0);
     }
 
-    /// Formats the ids of the prompt's parts for a log line; `None` if there are none.
+    /// Formats the ids of the prompt's first parts for a log line; `None` if there are none.
     fn format_parts(&self) -> Option<String> {
         let prompt = self.request.metadata.prompt.as_ref()?;
         let ids: Vec<String> = prompt
             .parts
             .iter()
+            .take(MAX_LOGGED_PARTS)
             .map(|part| part.id.to_string())
             .collect();
         (!ids.is_empty()).then(|| ids.join(","))
--- a/lib/gateway/tests/test_part_table.rs
+++ b/lib/gateway/tests/test_part_table.rs
@@ -163,6 +163,42 @@
     assert!(test.is_refused(&[FIRST, DEADLY]));
 }
 
+#[test]
+fn sound_part_that_got_into_a_refused_set_by_chance_is_not_blamed_for_earlier_crashes() {
+    let rare = PartId(9);
+    let mut witness = TestTable::new();
+    witness.crash(&[rare]);
+    witness.crash(&[rare]);
+    let news = witness.table.news(&vm("a"), witness.now);
+    // A VM that starts now reads the set, and hears of two of the crashes that led to it.
+    let mut test = TestTable::new();
+    test.now = witness.now + Duration::from_millis(300);
+    let stored = QuarantineRecord {
+        parts: set(&[SUBJECT, DEADLY, rare]),
+        ..record(1, QuarantineState::Active, 0)
+    };
+    test.table.merge(vec![stored], test.now);
+    test.table
+        .apply_news(news.expect("there is news"), witness.now);
+    assert!(!test.is_refused(&[FIRST, rare]));
+}
+
+#[test]
+fn part_that_is_suspected_most_is_reported_though_a_crash_leaves_many_prompts() {
+    let mut test = TestTable::new();
+    let deadly = PartId(u64::MAX);
+    let mut listener = PartTable::default();
+    for crash in 0..3_u64 {
+        let others = (0..40).map(|part| PartId(1000 * crash + part));
+        let ids: Vec<PartId> = others.chain([deadly]).collect();
+        test.crash(&ids);
+        let news = test.table.news(&vm("a"), test.now).expect("there is news");
+        listener.apply_news(news, test.now);
+    }
+    listener.review(OBJECTION_TIME, EvidenceView::Fleet, test.now);
+    assert!(listener.refused(&prompt(&[deadly])).is_some());
+}
+
 #[test]
 fn deadly_part_in_ever_new_company_is_refused_alone_after_six_crashes() {
     let mut test = TestTable::new();
