--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -104,6 +104,8 @@
     at: Instant,
     parts: Vec<PartId>,
     announce_until: Instant,
+    /// Number of messages that included it.
+    sent: u32,
 }
 
 /// Crashes and answers that are known, of all VMs.
@@ -147,6 +149,7 @@
             at,
             parts,
             announce_until: now + ANNOUNCE_PERIOD,
+            sent: 0,
         });
     }
 
@@ -282,25 +285,35 @@
         self.own_reports = reports;
     }
 
-    /// Returns the own reports for a message, the newest first. Parts that were answered
-    /// since are left out: a VM that knows no answers would suspect them.
-    pub fn report_announcements(&self, now: Instant) -> Vec<CrashReport> {
-        let announced = self.own_reports.iter().rev();
+    /// Returns the own reports for a message: those sent least often first, and of these the
+    /// newest. Parts that were answered since are left out: a VM that knows no answers would
+    /// suspect them.
+    pub fn report_announcements(&mut self, now: Instant) -> Vec<CrashReport> {
+        let is_announced = |report: &OwnReport| now < report.announce_until;
+        let mut order: Vec<usize> = (0..self.own_reports.len())
+            .filter(|index| is_announced(&self.own_reports[*index]))
+            .collect();
+        order.sort_by_key(|index| {
+            let report = &self.own_reports[*index];
+            (report.sent, Reverse(report.at))
+        });
+        let mut reports = Vec::new();
         let mut parts = 0;
-        announced
-            .filter(|report| now < report.announce_until)
-            .take(MAX_ANNOUNCED_REPORTS)
-            .map(|report| CrashReport {
+        for index in order.into_iter().take(MAX_ANNOUNCED_REPORTS) {
+            if parts >= MAX_ANNOUNCED_PARTS {
+                break;
+            }
+            self.own_reports[index].sent += 1;
+            let report = &self.own_reports[index];
+            let suspected = self.still_suspected(report);
+            parts += suspected.len();
+            reports.push(CrashReport {
                 run: report.run,
                 age_ms: age_ms(report.at, now),
-                parts: self.still_suspected(report),
-            })
-            .take_while(|report| {
-                let has_room = parts < MAX_ANNOUNCED_PARTS;
-                parts += report.parts.len();
-                has_room
-            })
-            .collect()
+                parts: suspected,
+            });
+        }
+        reports
     }
 
     fn still_suspected(&self, report: &OwnReport) -> Vec<PartId> {
--- a/lib/gateway/tests/test_part_table.rs
+++ b/lib/gateway/tests/test_part_table.rs
@@ -199,6 +199,22 @@
     assert!(listener.refused(&prompt(&[deadly])).is_some());
 }
 
+#[test]
+fn all_crashes_of_a_moment_are_told_though_a_message_has_room_for_few() {
+    let mut test = TestTable::new();
+    for crash in 0..20 {
+        test.crash_now(&[PartId(100 + crash)]);
+    }
+    let mut told = Vec::new();
+    for _ in 0..3 {
+        let news = test.table.news(&vm("a"), test.now).expect("there is news");
+        told.extend(news.crashes.iter().map(|report| report.run.upstream));
+    }
+    told.sort();
+    told.dedup();
+    assert_eq!(told.len(), 20);
+}
+
 #[test]
 fn deadly_part_in_ever_new_company_is_refused_alone_after_six_crashes() {
     let mut test = TestTable::new();
