--- a/bin/ctl/src/config_command.rs
+++ b/bin/ctl/src/config_command.rs
@@ -132,7 +132,7 @@
         // stored revision differs, the write fails and reports the stored version.
         let value = base.take().map_or_else(Vec::new, |stored| stored.value);
         base = Some(StoredValue {
-            revision: StoreRevision(*revision),
+            revision: StoreRevision::new(*revision),
             value,
         });
     }
@@ -299,7 +299,7 @@
     let store_key = key.to_string();
     let stored = read_existing(client, key).await?;
     let expected = matches.get_one::<u64>("expect").copied();
-    let revision = expected.map_or(stored.revision, StoreRevision);
+    let revision = expected.map_or(stored.revision, StoreRevision::new);
     let expected = ExpectedVersion::At(revision);
     match client.store.remove(&store_key, expected).await {
         Ok(SwapOutcome::Swapped(revision)) => {
--- a/bin/ctl/src/fleet_client.rs
+++ b/bin/ctl/src/fleet_client.rs
@@ -125,7 +125,7 @@
         let after = if view_keeper.is_ready() {
             view_keeper.complete_to()
         } else {
-            StoreRevision(0)
+            StoreRevision::new(0)
         };
         let query = ViewQuery {
             asker: None,
--- a/bin/ctl/src/status_command.rs
+++ b/bin/ctl/src/status_command.rs
@@ -67,11 +67,11 @@
 /// information in milliseconds.
 fn known_revision(statuses: &[FleetStatus], member: &IncarnationId) -> Option<(u64, u64)> {
     let keepers = statuses.iter().filter(|status| &status.keeper == member);
-    let own = keepers.map(|status| (status.revision.0, status.age_ms.unwrap_or(u64::MAX)));
+    let own = keepers.map(|status| (status.revision.number, status.age_ms.unwrap_or(u64::MAX)));
     let followers = statuses.iter().flat_map(|status| &status.followers);
     let followed = followers
         .filter(|follower| &follower.member == member)
-        .map(|follower| (follower.revision.0, follower.asked_ms_ago));
+        .map(|follower| (follower.revision.number, follower.asked_ms_ago));
     own.chain(followed).max()
 }
 
--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -75,7 +75,7 @@
     // Fails if another process of this VM holds the address, so only one can run.
     let gossip_socket = UdpSocket::bind(site.gossip).await?;
     let gateway = Rc::new(Gateway::new(
-        build_gateway_settings(&site),
+        build_gateway_settings(&site, arguments.max_copy_age),
         Rc::new(SiteWireFormat),
         Arc::clone(&clock),
         log.clone(),
@@ -124,7 +124,7 @@
     spawn_local(maintain_quarantine(Rc::clone(gateway), Rc::clone(store)));
 }
 
-fn build_gateway_settings(site: &SiteSettings) -> GatewaySettings {
+fn build_gateway_settings(site: &SiteSettings, max_copy_age: Duration) -> GatewaySettings {
     GatewaySettings {
         vm: site.vm.clone(),
         data_centre: site.data_centre.clone(),
@@ -142,5 +142,6 @@
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(64),
         memory: site.memory,
+        max_copy_age,
     }
 }
--- a/bin/router/src/control.rs
+++ b/bin/router/src/control.rs
@@ -397,7 +397,8 @@
             .set_limits(workspace_limits(&view), profile_limits(&view));
         let peers = peer_entries(&view, &self.incarnation);
         self.escrow.handle(EscrowEvent::PeersChanged(peers), now);
-        self.metrics.set_gauge("view.revision", view.revision().0);
+        self.metrics
+            .set_gauge("view.revision", view.revision().number);
     }
 
     pub(crate) fn route_refusal(
--- a/bin/router/tests/common/mod.rs
+++ b/bin/router/tests/common/mod.rs
@@ -97,7 +97,7 @@
         .enumerate()
         .map(|(index, (key, value))| {
             let stored = StoredValue {
-                revision: StoreRevision(index as u64 + 1),
+                revision: StoreRevision::new(index as u64 + 1),
                 value: value.to_string().into_bytes(),
             };
             (key, stored)
@@ -107,7 +107,7 @@
     view_state.begin_listing();
     view_state.apply_page(
         &StoreListing {
-            revision: StoreRevision(100),
+            revision: StoreRevision::new(100),
             entries,
             more_after: None,
         },
--- a/lib/fleet/examples/fleet_slopes.rs
+++ b/lib/fleet/examples/fleet_slopes.rs
@@ -147,7 +147,7 @@
         ));
     }
     let numbered = entries.into_iter().enumerate().map(|(at, (key, value))| {
-        let revision = StoreRevision(at as u64 + 1);
+        let revision = StoreRevision::new(at as u64 + 1);
         (
             key,
             StoredValue {
@@ -158,7 +158,7 @@
     });
     let entries: Vec<_> = numbered.collect();
     StoreListing {
-        revision: StoreRevision(entries.len() as u64),
+        revision: StoreRevision::new(entries.len() as u64),
         entries,
         more_after: None,
     }
@@ -207,11 +207,11 @@
     let memory_loaded = resident_bytes();
     let (key, last) = page.entries.last().cloned().expect("not empty");
     let change = StoreListing {
-        revision: StoreRevision(last.revision.0 + 1),
+        revision: StoreRevision::new(last.revision.number + 1),
         entries: vec![(
             key,
             StoredValue {
-                revision: StoreRevision(last.revision.0 + 1),
+                revision: StoreRevision::new(last.revision.number + 1),
                 ..last
             },
         )],
@@ -223,10 +223,10 @@
     let change_time = started.elapsed();
     let memory_changed = resident_bytes();
     let started = Instant::now();
-    let full_reply = view_state.reply_to(&keeper(0), StoreRevision(0), ViewScope::Whole, now);
+    let full_reply = view_state.reply_to(&keeper(0), StoreRevision::new(0), ViewScope::Whole, now);
     let full_reply_time = started.elapsed();
     let started = Instant::now();
-    let newest = StoreRevision(last.revision.0 + 1);
+    let newest = StoreRevision::new(last.revision.number + 1);
     let idle_reply = view_state.reply_to(&keeper(0), newest, ViewScope::Whole, now);
     let idle_reply_time = started.elapsed();
     let full_reply_bytes = encode_message(&full_reply).len();
--- a/lib/fleet/src/view_state.rs
+++ b/lib/fleet/src/view_state.rs
@@ -301,7 +301,7 @@
         now: Instant,
     ) -> ViewReply {
         let full = after < self.tombstones_from;
-        let from = if full { StoreRevision(0) } else { after };
+        let from = if full { StoreRevision::new(0) } else { after };
         let age = self.age(now).filter(|_| self.ready);
         let changes = age.map(|_| self.changes_after(from, scope).collect());
         ViewReply {
--- a/lib/fleet/tests/test_addresses.rs
+++ b/lib/fleet/tests/test_addresses.rs
@@ -54,12 +54,12 @@
     });
     let entries = std::iter::once(settings).chain(members);
     let numbered = entries.enumerate().map(|(at, (key, value))| {
-        let revision = StoreRevision(at as u64 + 1);
+        let revision = StoreRevision::new(at as u64 + 1);
         (key, StoredValue { revision, value })
     });
     let mut view_state = ViewState::new();
     let page = StoreListing {
-        revision: StoreRevision(routers.len() as u64 + 1),
+        revision: StoreRevision::new(routers.len() as u64 + 1),
         entries: numbered.collect(),
         more_after: None,
     };
--- a/lib/fleet/tests/test_edit.rs
+++ b/lib/fleet/tests/test_edit.rs
@@ -61,7 +61,7 @@
         self.applied
             .push(change_note(&value).expect("a note").operation);
         self.revision += 1;
-        let revision = StoreRevision(self.revision);
+        let revision = StoreRevision::new(self.revision);
         self.stored = Some(StoredValue { revision, value });
         SwapOutcome::Swapped(revision)
     }
@@ -164,7 +164,7 @@
     // The operator repeats the command with the same operation ID.
     let mut again = operator(1, None);
     while !step(&mut again, &mut store, false) {}
-    assert_eq!(again.step(), EditStep::Stored(StoreRevision(1)));
+    assert_eq!(again.step(), EditStep::Stored(StoreRevision::new(1)));
     assert_eq!(store.applied.len(), 1);
 }
 
@@ -172,7 +172,7 @@
 fn test_error_names_field_value_and_accepted_range() {
     let parse_error = |record: serde_json::Value| {
         let bytes = serde_json::to_vec(&record).expect("JSON");
-        let error = FleetRecord::parse(key(), StoreRevision(1), &bytes).expect_err("invalid");
+        let error = FleetRecord::parse(key(), StoreRevision::new(1), &bytes).expect_err("invalid");
         error.to_string()
     };
     let mut record: serde_json::Value = serde_json::from_slice(&profile(0)).expect("JSON");
--- a/lib/fleet/tests/test_membership.rs
+++ b/lib/fleet/tests/test_membership.rs
@@ -67,12 +67,12 @@
 fn view_state_of(records: &[MemberRecord]) -> ViewState {
     let entries = records.iter().enumerate().map(|(at, record)| {
         let key = FleetKey::Member(record.incarnation.vm.clone(), record.incarnation.role);
-        let revision = StoreRevision(at as u64 + 1);
+        let revision = StoreRevision::new(at as u64 + 1);
         let value = serde_json::to_vec(record).expect("records are JSON");
         (key.to_string(), StoredValue { revision, value })
     });
     let page = StoreListing {
-        revision: StoreRevision(records.len() as u64 + 1),
+        revision: StoreRevision::new(records.len() as u64 + 1),
         entries: entries.collect(),
         more_after: None,
     };
@@ -240,7 +240,7 @@
             return SwapOutcome::Conflict(self.stored.clone());
         }
         self.revision += 1;
-        let revision = StoreRevision(self.revision);
+        let revision = StoreRevision::new(self.revision);
         self.stored = Some(StoredValue { revision, value });
         SwapOutcome::Swapped(revision)
     }
@@ -312,7 +312,7 @@
     registration.handle_write(Err(StoreError::ReplyLost));
     assert_eq!(registration.step(), RegistrationStep::Read);
     registration.handle_read(Ok(key.stored.clone()));
-    let registered = RegistrationStep::Registered(StoreRevision(1));
+    let registered = RegistrationStep::Registered(StoreRevision::new(1));
     assert_eq!(registration.step(), registered);
 }
 
@@ -327,7 +327,7 @@
     let mut leaving = own;
     leaving.state = MemberState::Leaving;
     let stored = serde_json::to_vec(&leaving).expect("records are JSON");
-    key.swap(ExpectedVersion::At(StoreRevision(1)), stored);
+    key.swap(ExpectedVersion::At(StoreRevision::new(1)), stored);
     // The member learns that its VM is listed before it learns of the operator's change.
     registration.change(|record| record.listed_at = Some(1));
     while let RegistrationStep::Write { expected, value } = registration.step() {
--- a/lib/fleet/tests/test_view_state.rs
+++ b/lib/fleet/tests/test_view_state.rs
@@ -38,13 +38,13 @@
 
 impl FakeStore {
     fn revision(&self) -> StoreRevision {
-        StoreRevision(self.changes.len() as u64)
+        StoreRevision::new(self.changes.len() as u64)
     }
 
     fn write(&mut self, key: u64, value: Option<&str>) {
-        let revision = StoreRevision(self.changes.len() as u64 + 1);
+        let revision = StoreRevision::new(self.changes.len() as u64 + 1);
         let value = value.map(|text| {
-            text.replace("REVISION", &revision.0.to_string())
+            text.replace("REVISION", &revision.number.to_string())
                 .into_bytes()
         });
         self.changes.push(StoreChange {
@@ -80,7 +80,7 @@
     }
 
     fn watch(&self, after: StoreRevision) -> WatchBatch {
-        if after.0 < self.compacted {
+        if after.number < self.compacted {
             return WatchBatch::Compacted;
         }
         let newer = self.changes.iter().filter(|c| c.revision > after);
@@ -148,7 +148,7 @@
             let before = before.unwrap_or_default();
             assert!(revision >= before, "{key} went from {before} to {revision}");
             if let Some(record) = self.state.record(&key) {
-                let written = &store.changes[revision.0 as usize - 1];
+                let written = &store.changes[revision.number as usize - 1];
                 let json = String::from_utf8(record.to_json()).expect("JSON is UTF-8");
                 assert_eq!(written.key, key, "record belongs to another key");
                 assert!(json.contains(&format!("\"deadline_ms\":{revision},")));
@@ -194,7 +194,7 @@
             0..=2 => store.write(u.int_in_range(0..=KEYS - 1)?, Some(VALID)),
             3 => store.write(u.int_in_range(0..=KEYS - 1)?, None),
             4 => store.write(u.int_in_range(0..=KEYS - 1)?, Some(INVALID)),
-            5 => store.compacted = u.int_in_range(store.compacted..=store.revision().0)?,
+            5 => store.compacted = u.int_in_range(store.compacted..=store.revision().number)?,
             6 => processes[at] = Process::new(),
             7 | 8 => processes[at].list(&store, now),
             9 => {
@@ -272,8 +272,8 @@
     let old = synchronized_state(&store, now);
     store.write(0, None);
     let mut state = synchronized_state(&store, now);
-    let reply = old.reply_to(&keeper_id(1), StoreRevision(0), ViewScope::Whole, now);
-    state.apply_reply(StoreRevision(0), &reply, now);
+    let reply = old.reply_to(&keeper_id(1), StoreRevision::new(0), ViewScope::Whole, now);
+    state.apply_reply(StoreRevision::new(0), &reply, now);
     assert!(state.record(&key_name(0)).is_none());
 }
 
@@ -282,8 +282,9 @@
     let now = Instant::now();
     let mut state = ViewState::new();
     assert_eq!(state.view().freshness(now), ViewFreshness::Missing);
-    let empty = ViewState::new().reply_to(&keeper_id(1), StoreRevision(0), ViewScope::Whole, now);
-    state.apply_reply(StoreRevision(0), &empty, now);
+    let empty =
+        ViewState::new().reply_to(&keeper_id(1), StoreRevision::new(0), ViewScope::Whole, now);
+    state.apply_reply(StoreRevision::new(0), &empty, now);
     let refusal = state.view().freshness(now).refusal();
     assert_eq!(refusal, Some(ResultCode::ConfigMissing));
 }
@@ -291,7 +292,7 @@
 /// Creates a view state with settings that specify the given stale policy.
 fn state_with_policy(policy: &str, now: Instant) -> ViewState {
     let value = format!(r#"{{"stale_policy":"{policy}"}}"#).into_bytes();
-    let revision = StoreRevision(1);
+    let revision = StoreRevision::new(1);
     let page = StoreListing {
         revision,
         entries: vec![(
@@ -326,8 +327,13 @@
     let later = now + Duration::from_secs(5);
     let mut state = ViewState::new();
     state.apply_reply(
-        StoreRevision(0),
-        &peer.reply_to(&keeper_id(1), StoreRevision(0), ViewScope::Whole, later),
+        StoreRevision::new(0),
+        &peer.reply_to(
+            &keeper_id(1),
+            StoreRevision::new(0),
+            ViewScope::Whole,
+            later,
+        ),
         later,
     );
     assert!(state.age(later) >= Some(Duration::from_secs(5)));
--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -4,6 +4,7 @@
 //! Correctness does not depend on which VM is the keeper: each write is conditional on
 //! the revision that it replaces.
 
+mod era_entry;
 mod run_end;
 
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 use slog::info;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::ExpectedVersion;
+use snipegate_platform::StoreEra;
 use snipegate_platform::StoreError;
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
@@ -33,14 +35,18 @@
 use crate::budget_exchange::shard_of;
 use crate::budget_exchange::update_prepaid;
 use crate::budget_exchange::workspace_name;
-use crate::budget_record::BudgetShard;
 use crate::budget_record::GrantRequest;
+use crate::budget_shard::BudgetShard;
+use crate::budget_shard::ClosedTotals;
+use crate::era_marker::mark_era;
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::holding::BudgetHolding;
 use crate::holding::HoldingRole;
 use crate::holding::PlanTime;
 use crate::local_response::jitter;
+use crate::shard_writer::RegistrationAge;
+use crate::shard_writer::WriterLevel;
 use crate::store_task::StoreTask;
 use crate::token_request::answer_queue;
 use crate::token_request::queued_tokens;
@@ -85,6 +91,10 @@
     is_loaded: bool,
     last_write: Option<Instant>,
     last_rebalance: Option<Instant>,
+    /// How long this VM has been registered in the shard.
+    registration: RegistrationAge,
+    /// When this process first saw, in the present era, that VMs have yet to report.
+    unsettled_since: Option<Instant>,
 }
 
 /// Maintains the grants of all workspaces until the process ends.
@@ -108,7 +118,7 @@
 }
 
 async fn maintain_shard<S: ConfigStore>(gateway: Rc<Gateway>, store: Rc<S>, number: u64) {
-    let mut worker = ShardWorker::new(number);
+    let mut worker = ShardWorker::new(number, gateway.settings.max_copy_age);
     loop {
         match worker.run_pass(&gateway, &*store).await {
             Ok(PassOutcome::Idle) => {
@@ -135,14 +145,16 @@
 
 impl ShardWorker {
     /// Creates a worker that has not read its shard.
-    fn new(number: u64) -> Self {
+    fn new(number: u64, max_copy_age: Duration) -> Self {
         Self {
             number,
             shard: BudgetShard::default(),
-            revision: StoreRevision(0),
+            revision: StoreRevision::default(),
             is_loaded: false,
             last_write: None,
             last_rebalance: None,
+            registration: RegistrationAge::new(max_copy_age),
+            unsettled_since: None,
         }
     }
 
@@ -152,10 +164,18 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<PassOutcome, StoreError> {
+        if store.latest_era().is_none() {
+            self.registration.set_max_copy_age(Duration::ZERO);
+        } else {
+            self.registration
+                .set_max_copy_age(gateway.settings.max_copy_age);
+        }
+        self.enter_era(gateway);
         let keeper = remote_keeper(gateway, self.number, gateway.now());
         if let Some(keeper) = keeper {
             self.rebalance(gateway, keeper);
-        } else if !self.all_loaded(gateway) {
+        }
+        if self.needs_load(gateway, keeper.is_none()) {
             self.load(gateway, store).await?;
         }
         answer_queue(gateway);
@@ -177,9 +197,7 @@
         let time = plan_time(gateway);
         self.last_write = Some(time.now);
         let requests = self.plan_grant_requests(gateway, time);
-        if !requests.is_empty() {
-            self.write_grant_requests(gateway, store, &requests).await?;
-        }
+        self.write_grant_requests(gateway, store, &requests).await?;
         answer_queue(gateway);
         Ok(PassOutcome::Acted)
     }
@@ -237,15 +255,16 @@
         false
     }
 
-    /// Returns whether a request is waiting for a grant; `None` if no grant request is
-    /// due.
-    fn grant_urgency(&self, gateway: &Gateway, now: Instant) -> Option<bool> {
-        self.filter_map_holdings(gateway, now, |holding, role, queued, scarce| {
+    /// Returns whether a request is waiting for a grant; `None` if no write is due.
+    fn grant_urgency(&mut self, gateway: &Gateway, now: Instant) -> Option<bool> {
+        let is_era_work_due = self.is_era_work_due(gateway, now);
+        let needs = self.filter_map_holdings(gateway, now, |holding, role, queued, scarce| {
             holding.need(role, queued, scarce, now)
-        })
-        .into_iter()
-        .map(|need| need.urgent)
-        .reduce(|one, other| one || other)
+        });
+        let urgencies = needs.into_iter().map(|need| need.urgent);
+        urgencies
+            .chain(is_era_work_due.then_some(false))
+            .reduce(|one, other| one || other)
     }
 
     /// Plans the grant requests of all budgets. If at least one of them is written, the
@@ -301,6 +320,15 @@
             .collect()
     }
 
+    /// Returns whether the shard has to be read: by its keeper for new budgets too, and by a VM
+    /// that may be registered in it or has a grant to claim.
+    fn needs_load(&self, gateway: &Gateway, is_keeper: bool) -> bool {
+        match self.is_loaded {
+            true => is_keeper && !self.all_loaded(gateway),
+            false => is_keeper || self.has_era_duty(gateway),
+        }
+    }
+
     fn all_loaded(&self, gateway: &Gateway) -> bool {
         let holdings = gateway.holdings.borrow();
         holdings
@@ -315,13 +343,16 @@
         store: &S,
     ) -> Result<(), StoreError> {
         let key = self.key(gateway);
-        let stored = gateway
-            .call_store(StoreTask::Budgets, store.read(&key))
-            .await?;
-        self.apply_stored(gateway, stored)
+        let call = store.list(&key, None);
+        let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+        let era = listing.revision.era;
+        gateway.observe_era(era, StoreTask::Budgets)?;
+        let entry = listing.entries.into_iter().find(|(name, _)| *name == key);
+        self.apply_stored(gateway, era, entry.map(|(_, stored)| stored))
     }
 
-    /// Applies grant requests of this VM to the shard and writes it if it changed.
+    /// Applies grant requests of this VM to the shard, reports and registers this VM if that is
+    /// due, and writes the shard if it changed.
     async fn write_grant_requests<S: ConfigStore>(
         &mut self,
         gateway: &Gateway,
@@ -331,28 +362,43 @@
         if !self.is_loaded {
             self.load(gateway, store).await?;
         }
+        let era = self.revision.era;
+        if requests.iter().any(|request| request.era != era) {
+            return Err(StoreError::EraChanged);
+        }
         let mut shard = self.shard.clone();
+        let mut changed = self.begin_era(gateway, &mut shard);
         let prepaid = prepaid_by_hash(gateway);
-        let mut changed = false;
         for request in requests {
             let prepaid = prepaid.get(&request.workspace).copied().unwrap_or_default();
-            let record = shard.records.entry(request.workspace).or_default();
-            let closed_before = record.closed;
-            let reported = record.used();
-            changed |= record.apply(request, prepaid);
-            let newly_closed = record.closed.saturating_sub(closed_before);
-            if !newly_closed.is_zero() {
-                info!(gateway.log, "grants of an ended run count as used";
-                    "vm" => %gateway.settings.vm,
-                    "workspace" => workspace_name(gateway, request.workspace),
-                    "tokens" => newly_closed.0, "told_used" => reported.0,
-                    "revision" => self.revision.0);
-            }
+            let before = shard.totals_closed(request.workspace);
+            changed |= shard.apply(request, prepaid);
+            self.log_closed(gateway, request.workspace, before, &shard);
         }
-        if changed {
-            self.swap(gateway, store, shard).await?;
+        changed |= self.report_and_settle(gateway, &mut shard, &prepaid);
+        match changed {
+            true => self.swap(gateway, store, shard).await,
+            false => Ok(()),
         }
-        Ok(())
+    }
+
+    /// Logs grants of an ended process that a grant request counted as used.
+    fn log_closed(
+        &self,
+        gateway: &Gateway,
+        workspace: u64,
+        before: ClosedTotals,
+        shard: &BudgetShard,
+    ) {
+        let after = shard.totals_closed(workspace);
+        let newly_closed = after.closed.saturating_sub(before.closed);
+        if newly_closed.is_zero() {
+            return;
+        }
+        info!(gateway.log, "grants of an ended run count as used";
+            "vm" => %gateway.settings.vm, "workspace" => workspace_name(gateway, workspace),
+            "tokens" => newly_closed.0, "told_used" => before.used.0,
+            "revision" => %self.revision);
     }
 
     async fn swap<S: ConfigStore>(
@@ -365,15 +411,17 @@
             info!(gateway.log, "failed to encode budget records"; "error" => %error);
             StoreError::InvalidReply
         })?;
-        let expected = match self.revision {
-            StoreRevision(0) => ExpectedVersion::Absent,
-            revision => ExpectedVersion::At(revision),
+        let expected = match self.revision.number {
+            0 => ExpectedVersion::Absent,
+            _ => ExpectedVersion::At(self.revision),
         };
         let key = self.key(gateway);
-        let call = store.swap(&key, expected, bytes, None);
+        let conditions = mark_era(gateway, store, self.revision.era).await?;
+        let call = store.swap_if(&key, expected, bytes, &conditions);
         let result = gateway.call_store(StoreTask::Budgets, call).await;
         self.last_write = Some(gateway.now());
         let outcome = match &result {
+            Ok(SwapOutcome::Swapped(at)) if at.era != self.revision.era => "other_era",
             Ok(SwapOutcome::Swapped(_)) => "written",
             Ok(SwapOutcome::Conflict(_)) => "conflict",
             Err(error) if error.may_have_applied() => "unknown",
@@ -381,16 +429,27 @@
         };
         gateway.metrics.count_tagged("budget.write", outcome);
         info!(gateway.log, "budgets written"; "shard" => self.number, "outcome" => outcome,
-            "replaces" => self.revision.0);
+            "replaces" => %self.revision);
         match result? {
             SwapOutcome::Swapped(revision) => {
+                self.check_era(gateway, revision.era)?;
                 self.shard = shard;
                 self.revision = revision;
                 self.update_holdings(gateway);
                 Ok(())
             }
-            SwapOutcome::Conflict(stored) => {
-                self.apply_stored(gateway, stored)?;
+            SwapOutcome::Conflict(Some(stored)) => {
+                let era = stored.revision.era;
+                gateway.era_marker.set(None);
+                self.check_era(gateway, era)?;
+                self.apply_stored(gateway, era, Some(stored))?;
+                Err(StoreError::Unreachable)
+            }
+            SwapOutcome::Conflict(None) => {
+                // The answer does not tell its era, nor which condition failed.
+                self.is_loaded = false;
+                gateway.era_marker.set(None);
+                gateway.observe_era(store.latest_era().unwrap_or_default(), StoreTask::Budgets)?;
                 Err(StoreError::Unreachable)
             }
         }
@@ -400,16 +459,17 @@
     fn apply_stored(
         &mut self,
         gateway: &Gateway,
+        era: StoreEra,
         stored: Option<StoredValue>,
     ) -> Result<(), StoreError> {
         let (shard, revision) = match stored {
-            None => (BudgetShard::default(), StoreRevision(0)),
+            None => (BudgetShard::default(), StoreRevision::in_era(era, 0)),
             Some(stored) => match BudgetShard::decode(&stored.value) {
                 Ok(shard) => (shard, stored.revision),
                 Err(error) => {
                     // If the records cannot be decoded, no further grants are made.
                     info!(gateway.log, "failed to decode budget records"; "shard" => self.number,
-                        "revision" => stored.revision.0, "error" => %error);
+                        "revision" => %stored.revision, "error" => %error);
                     return Err(StoreError::InvalidReply);
                 }
             },
@@ -421,21 +481,34 @@
         Ok(())
     }
 
-    /// Updates this VM's holdings from the records.
-    fn update_holdings(&self, gateway: &Gateway) {
+    /// Updates this VM's holdings from the records, unless the store has lost writes that
+    /// the records would show.
+    fn update_holdings(&mut self, gateway: &Gateway) {
+        let era = self.revision.era;
+        if self.shard.era != era && !self.shard.writers.is_empty() {
+            return;
+        }
         let vm = stable_hash(gateway.settings.vm.as_str());
         let now = gateway.now();
+        let announced = self.shard.writer(vm).map(|writer| writer.announced);
+        let announced = announced.unwrap_or(WriterLevel::None);
+        self.registration.record(era, announced, now);
+        self.unsettled_since = match self.shard.is_unsettled() {
+            true => self.unsettled_since.or(Some(now)),
+            false => None,
+        };
+        // What the next write can grant.
+        let mut view_of = self.shard.clone();
+        self.register(gateway, &mut view_of, now);
         let mut holdings = gateway.holdings.borrow_mut();
         let own = holdings
             .iter_mut()
             .filter(|(workspace, _)| shard_of(workspace) == self.number);
         for (_, holding) in own {
-            let view = self.shard.view(
-                holding.workspace(),
-                self.revision.0,
-                vm,
-                gateway.incarnation,
-            );
+            let workspace = holding.workspace();
+            let incarnation = gateway.incarnation;
+            let prepaid = holding.prepaid();
+            let view = view_of.view(workspace, self.revision, vm, incarnation, prepaid);
             holding.set_view(view, now);
         }
         drop(holdings);
--- /dev/null
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -0,0 +1,194 @@
+//! What happens to a shard of the budget records when the store comes back from an older
+//! copy.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use slog::info;
+use slog::warn;
+use snipegate_platform::StoreEra;
+use snipegate_platform::StoreError;
+use snipegate_types::TokenCount;
+use snipegate_types::VmId;
+
+use super::ShardWorker;
+use crate::budget_exchange::remote_keeper;
+use crate::budget_exchange::shard_of;
+use crate::budget_shard::BudgetShard;
+use crate::budget_shard::EraReport;
+use crate::gateway::Gateway;
+use crate::gateway::duty_rendezvous_weight;
+use crate::gateway::stable_hash;
+use crate::shard_writer::WriterLevel;
+use crate::stage::VmStage;
+use crate::store_task::StoreTask;
+
+/// Number of VMs of a shard that may be granted whole budgets: the keeper, and the VM that
+/// takes over.
+const FULL_WRITERS: usize = 2;
+
+/// Number of VMs of a shard that may be granted tokens.
+const LIMITED_WRITERS: usize = 6;
+
+/// How long after it started serving a process does not register, because it may not have heard
+/// the other VMs.
+const REGISTER_DELAY: Duration = Duration::from_millis(600);
+
+/// How long the reports of VMs are awaited in a new era. A VM may be cut off for some seconds.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(6);
+
+impl ShardWorker {
+    /// Lets the holdings of the shard enter the store's era, if it is a new one.
+    pub(super) fn enter_era(&mut self, gateway: &Gateway) {
+        let era = gateway.known_era();
+        if self.is_loaded && self.revision.era == era {
+            return;
+        }
+        self.is_loaded = false;
+        self.unsettled_since = None;
+        let mut holdings = gateway.holdings.borrow_mut();
+        let own = holdings
+            .iter_mut()
+            .filter(|(workspace, _)| shard_of(workspace) == self.number);
+        for (_, holding) in own {
+            holding.enter_era(era);
+        }
+    }
+
+    /// Checks that an answer is from the era in which the shard was read. If not, the shard
+    /// has to be read again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is from another era.
+    pub(super) fn check_era(&mut self, gateway: &Gateway, era: StoreEra) -> Result<(), StoreError> {
+        gateway.observe_era(era, StoreTask::Budgets)?;
+        if era != self.revision.era {
+            self.is_loaded = false;
+            return Err(StoreError::EraChanged);
+        }
+        Ok(())
+    }
+
+    /// Returns whether this VM has to know the shard to report or register in it.
+    pub(super) fn has_era_duty(&self, gateway: &Gateway) -> bool {
+        let holdings = gateway.holdings.borrow();
+        let mut own = holdings
+            .iter()
+            .filter(|(workspace, _)| shard_of(workspace) == self.number);
+        own.any(|(_, holding)| holding.has_claim())
+            || self.registration.is_registered()
+            || (!self.registration.is_immediate()
+                && self.wanted_level(gateway, gateway.now()) > WriterLevel::None)
+    }
+
+    /// Returns whether this VM should report in the shard, register in it, or end the wait for
+    /// reports.
+    pub(super) fn is_era_work_due(&self, gateway: &Gateway, now: Instant) -> bool {
+        if !self.is_loaded {
+            return self.has_era_duty(gateway);
+        }
+        let vm = stable_hash(gateway.settings.vm.as_str());
+        self.shard.era != self.revision.era
+            || self.shard.awaits_report(vm).is_some()
+            || self.is_settling_due(gateway, &self.shard, now)
+            || (!self.registration.is_immediate()
+                && self.register(gateway, &mut self.shard.clone(), now))
+    }
+
+    /// Lets the shard enter the era in which it was read, and registers this VM; returns whether
+    /// that changes the shard.
+    pub(super) fn begin_era(&self, gateway: &Gateway, shard: &mut BudgetShard) -> bool {
+        let has_entered = shard.enter_era(self.revision.era);
+        if has_entered {
+            info!(gateway.log, "budget records enter era"; "shard" => self.number,
+                "before" => self.shard.era.0, "era" => shard.era.0,
+                "reports_awaited" => shard.unsettled.len(), "revision" => %self.revision);
+        }
+        has_entered | self.register(gateway, shard, gateway.now())
+    }
+
+    /// Reports what this VM holds, if the shard awaits it, and ends the wait for the reports of
+    /// others if it is due; returns whether that changes the shard.
+    pub(super) fn report_and_settle(
+        &self,
+        gateway: &Gateway,
+        shard: &mut BudgetShard,
+        prepaid: &IndexMap<u64, TokenCount>,
+    ) -> bool {
+        let vm = stable_hash(gateway.settings.vm.as_str());
+        let now = gateway.now();
+        let missing_since = shard.awaits_report(vm);
+        if let Some(since) = missing_since {
+            let report = EraReport {
+                vm,
+                incarnation: gateway.incarnation,
+                began: gateway.started_at,
+                is_complete: gateway.knows_grants_before(since),
+            };
+            shard.report(&report);
+            info!(gateway.log, "grants reported"; "shard" => self.number, "era" => shard.era.0,
+                "complete" => report.is_complete, "reports_awaited" => shard.unsettled.len());
+        }
+        let settles = self.is_settling_due(gateway, shard, now);
+        if settles {
+            for vm in &shard.unsettled {
+                warn!(gateway.log, "grants of a vm unknown"; "shard" => self.number,
+                    "era" => shard.era.0, "vm" => vm.vm, "level" => ?vm.level,
+                    "state" => ?vm.state);
+            }
+            gateway.metrics.count("budget.unknown_grants");
+            shard.settle(prepaid);
+        }
+        missing_since.is_some() || settles
+    }
+
+    /// Returns whether the wait for reports should end though some VMs can't tell what they may
+    /// hold.
+    fn is_settling_due(&self, gateway: &Gateway, shard: &BudgetShard, now: Instant) -> bool {
+        let has_waited = |since: Instant| now.saturating_duration_since(since) >= REPORT_TIMEOUT;
+        shard.is_unsettled()
+            && remote_keeper(gateway, self.number, now).is_none()
+            && (shard.has_all_reports() || self.unsettled_since.is_some_and(has_waited))
+    }
+
+    /// Registers this VM in the shard with the level that it should have; returns whether that
+    /// changes the shard.
+    pub(super) fn register(
+        &self,
+        gateway: &Gateway,
+        shard: &mut BudgetShard,
+        now: Instant,
+    ) -> bool {
+        let vm = stable_hash(gateway.settings.vm.as_str());
+        let wanted = self.wanted_level(gateway, now);
+        let mature = self.registration.mature(shard.era, now);
+        shard.register(vm, wanted, mature)
+    }
+
+    /// Returns the level that this VM should have: the full one for the VMs that are the keeper
+    /// or would be after it, and a limited one for some more.
+    fn wanted_level(&self, gateway: &Gateway, now: Instant) -> WriterLevel {
+        if self.registration.is_immediate() {
+            return WriterLevel::Full;
+        }
+        let is_new = |since: Instant| now.saturating_duration_since(since) < REGISTER_DELAY;
+        let is_leaving = gateway.stage.get() == VmStage::Leaving;
+        if is_leaving || gateway.serving_since.get().is_none_or(is_new) {
+            return WriterLevel::None;
+        }
+        let weight = |vm: &VmId| duty_rendezvous_weight(vm, self.number);
+        let own = weight(&gateway.settings.vm);
+        let peers = gateway.peers.borrow();
+        let others = peers.reaching_store(now);
+        let heavier = others.filter(|peer| weight(&peer.vm) > own).count();
+        if heavier < FULL_WRITERS {
+            WriterLevel::Full
+        } else if heavier < LIMITED_WRITERS {
+            WriterLevel::Limited
+        } else {
+            WriterLevel::None
+        }
+    }
+}
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -56,14 +56,16 @@
     let prefix = gateway.wire_format.layout().budget_prefix;
     let call = store.list(prefix, None);
     let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+    let era = listing.revision.era;
+    gateway.observe_era(era, StoreTask::Budgets)?;
     for (key, stored) in listing.entries {
         let number = key.strip_prefix(prefix).and_then(|text| text.parse().ok());
         let Some(number) = number else {
             info!(gateway.log, "ignoring unrecognized budget key"; "key" => key);
             continue;
         };
-        let mut worker = ShardWorker::new(number);
-        worker.apply_stored(gateway, Some(stored))?;
+        let mut worker = ShardWorker::new(number, gateway.settings.max_copy_age);
+        worker.apply_stored(gateway, era, Some(stored))?;
         worker.close_earlier_runs(gateway, store).await?;
     }
     Ok(())
@@ -73,7 +75,7 @@
 /// the store.
 pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
     for number in 0..SHARDS {
-        let mut worker = ShardWorker::new(number);
+        let mut worker = ShardWorker::new(number, gateway.settings.max_copy_age);
         if let Some(other) = remote_keeper(gateway, number, gateway.now()) {
             worker.send_free_tokens(gateway, other);
         }
@@ -100,7 +102,7 @@
             "granted" => balance.granted.0, "received" => balance.received.0,
             "given" => balance.given.0, "used" => balance.used.0,
             "reserved" => balance.reserved.0, "left" => holding.held().0,
-            "revision" => holding.revision());
+            "revision" => %holding.revision());
     }
 }
 
@@ -110,6 +112,10 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<(), StoreError> {
+        if self.shard.era != self.revision.era {
+            // The records don't show all grants; entering the era removes them.
+            return Ok(());
+        }
         let vm = stable_hash(gateway.settings.vm.as_str());
         let mut shard = self.shard.clone();
         let mut closed: Vec<(u64, TokenCount)> = Vec::new();
@@ -126,7 +132,7 @@
         for (workspace, returned) in closed {
             info!(gateway.log, "grants of an earlier run closed";
                 "workspace" => workspace_name(gateway, workspace),
-                "returned" => returned.0, "revision" => self.revision.0);
+                "returned" => returned.0, "revision" => %self.revision);
         }
         Ok(())
     }
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -1,11 +1,10 @@
 //! Budget records in the configuration store: how many tokens of each budget are
 //! granted to which VM.
 
-use indexmap::IndexMap;
-use rmp_serde::decode;
-use rmp_serde::encode;
 use serde::Deserialize;
 use serde::Serialize;
+use snipegate_platform::StoreEra;
+use snipegate_platform::StoreRevision;
 use snipegate_types::BootTimestamp;
 use snipegate_types::TokenCount;
 
@@ -66,6 +65,23 @@
     pub closed: TokenCount,
     /// Processes that may still spend their grant.
     pub holders: Vec<BudgetHolder>,
+    /// Processes of earlier eras of the store, with grants that may be outdated, as long as no
+    /// process of their VM has written in this era.
+    #[serde(default)]
+    pub former: Vec<BudgetHolder>,
+    /// Tokens that VMs may hold by grants that the store lost in this era. A process of the VM
+    /// that holds some claims them.
+    #[serde(default)]
+    pub unclaimed: Vec<UnclaimedTokens>,
+}
+
+/// Tokens that a VM may hold by grants that the store lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnclaimedTokens {
+    /// The VM, as a hash of its id.
+    pub vm: u64,
+    /// Number of tokens.
+    pub tokens: TokenCount,
 }
 
 /// A process's request to set the size of its grant.
@@ -77,8 +93,13 @@
     pub vm: u64,
     /// Incarnation of the VM's process.
     pub incarnation: u64,
+    /// Era of the store that the request is for; it is ignored in any other.
+    pub era: StoreEra,
     /// Sequence number; a request with a higher number replaces earlier ones.
     pub sequence: u64,
+    /// Tokens granted to the process in an earlier era, if the record of this era does not
+    /// show the process yet.
+    pub claimed: TokenCount,
     /// Total number of tokens that the process requests to hold.
     pub granted: TokenCount,
     /// Used tokens that the process accounts for.
@@ -91,17 +112,45 @@
     pub began: Option<BootTimestamp>,
 }
 
+/// Limits on a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantLimit {
+    /// Most tokens that may be taken in all.
+    pub total: TokenCount,
+    /// Most tokens that the process may be granted.
+    pub own: TokenCount,
+}
+
+impl GrantLimit {
+    /// Creates the limits of a VM that may be granted all of a budget.
+    pub fn whole(prepaid: TokenCount) -> Self {
+        Self {
+            total: prepaid,
+            own: prepaid,
+        }
+    }
+
+    /// Returns the tokens that can be granted where `taken` are taken, of them `own` by the
+    /// process itself.
+    pub fn grantable(self, taken: TokenCount, own: TokenCount) -> TokenCount {
+        let total = self.total.saturating_sub(taken);
+        total.min(self.own.saturating_sub(own))
+    }
+}
+
 /// Totals of a budget record over all VMs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetTotals {
     /// The workspace, as a hash of its id.
     pub workspace: u64,
     /// Store revision of the record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Tokens taken by all VMs.
     pub taken: TokenCount,
     /// Tokens known to be used.
     pub used: TokenCount,
+    /// Most tokens that may be taken now, where it is less than the size of the budget.
+    pub limit: TokenCount,
 }
 
 /// The parts of a budget record that one process needs.
@@ -120,10 +169,13 @@
 }
 
 impl BudgetRecord {
-    /// Returns the tokens of all current grants and of all ended processes.
+    /// Returns the tokens of all current grants, of all ended processes, and of grants that
+    /// the store may have lost.
     pub fn taken(&self) -> TokenCount {
-        let held: TokenCount = self.holders.iter().map(|holder| holder.granted).sum();
-        self.closed.saturating_add(held)
+        let holders = self.holders.iter().chain(&self.former);
+        let held: TokenCount = holders.map(|holder| holder.granted).sum();
+        let unclaimed: TokenCount = self.unclaimed.iter().map(|lost| lost.tokens).sum();
+        self.closed.saturating_add(unclaimed).saturating_add(held)
     }
 
     /// Returns the tokens that are known to be used.
@@ -132,12 +184,19 @@
     /// tokens from it also report their use, so the sum may be too high. It is capped
     /// at the tokens taken.
     pub fn used(&self) -> TokenCount {
-        let used: TokenCount = self.holders.iter().map(|holder| holder.used).sum();
+        let holders = self.holders.iter().chain(&self.former);
+        let used: TokenCount = holders.map(|holder| holder.used).sum();
         self.closed.saturating_add(used).min(self.taken())
     }
 
     /// Returns the view of the record for one process.
-    pub fn view(&self, workspace: u64, revision: u64, vm: u64, incarnation: u64) -> BudgetView {
+    pub fn view(
+        &self,
+        workspace: u64,
+        revision: StoreRevision,
+        vm: u64,
+        incarnation: u64,
+    ) -> BudgetView {
         let own = self.holder(vm, incarnation);
         BudgetView {
             totals: BudgetTotals {
@@ -145,6 +204,7 @@
                 revision,
                 taken: self.taken(),
                 used: self.used(),
+                limit: TokenCount(u64::MAX),
             },
             own_granted: own.map_or(TokenCount::ZERO, |own| own.granted),
             own_used: own.map_or(TokenCount::ZERO, |own| own.used),
@@ -153,19 +213,19 @@
         }
     }
 
-    /// Applies a grant request, limited by `prepaid`; returns whether the record
-    /// changed.
+    /// Applies a grant request; returns whether the record changed. The process is granted at
+    /// most `limit.own`, and all together at most `limit.total`, except for what it claims.
     ///
     /// A request that is not newer than the last applied one is ignored. So is a request
     /// that neither changes the grant nor allows faster spending while the budget has
     /// nothing left to grant, unless it reports enough new use to justify a write.
-    pub fn apply(&mut self, request: &GrantRequest, prepaid: TokenCount) -> bool {
+    pub fn apply(&mut self, request: &GrantRequest, limit: GrantLimit) -> bool {
         let own = self.holder(request.vm, request.incarnation).copied();
         if own.is_some_and(|own| own.sequence >= request.sequence) {
             return false;
         }
         let is_redundant = |own: BudgetHolder| {
-            let spare = prepaid.saturating_sub(self.taken());
+            let spare = limit.grantable(self.taken(), own.granted);
             let newly_used = request.used.saturating_sub(own.used);
             let ceiling = request.pace.map_or(own.granted, |dated| dated.pace.ceiling);
             let is_faster = ceiling.min(own.granted) > own.ceiling();
@@ -178,8 +238,12 @@
             return false;
         }
         self.close_earlier_runs(request.vm, request.incarnation, request.began);
-        let before = own.map_or(TokenCount::ZERO, |own| own.granted);
-        let spare = prepaid.saturating_sub(self.taken());
+        let taken = self.taken();
+        let before = match own {
+            Some(own) => own.granted,
+            None => self.take_claim(request),
+        };
+        let spare = limit.grantable(taken, before);
         let granted = request.granted.min(before.saturating_add(spare));
         self.holders.retain(|holder| holder.vm != request.vm);
         self.holders.push(BudgetHolder {
@@ -203,52 +267,55 @@
         began: Option<BootTimestamp>,
     ) -> bool {
         let is_earlier = |other: &BudgetHolder| other.vm == vm && other.incarnation != incarnation;
-        let earlier = self.holders.iter().filter(|other| is_earlier(other));
+        let all = self.holders.iter().chain(&self.former);
+        let earlier = all.filter(|other| is_earlier(other));
         let spent: TokenCount = earlier.map(|other| other.max_spent(began)).sum();
         self.closed = self.closed.saturating_add(spent);
-        let before = self.holders.len();
+        let before = self.holders.len() + self.former.len();
         self.holders.retain(|other| !is_earlier(other));
-        self.holders.len() < before
+        self.former.retain(|other| !is_earlier(other));
+        self.holders.len() + self.former.len() < before
     }
 
-    fn holder(&self, vm: u64, incarnation: u64) -> Option<&BudgetHolder> {
-        self.holders
-            .iter()
-            .find(|holder| holder.vm == vm && holder.incarnation == incarnation)
+    /// Removes what the record shows of the process in earlier eras, and returns the grant that
+    /// it claims from them.
+    fn take_claim(&mut self, request: &GrantRequest) -> TokenCount {
+        let is_own = |holder: &BudgetHolder| {
+            holder.vm == request.vm && holder.incarnation == request.incarnation
+        };
+        let shown = self.former.iter().find(|holder| is_own(holder));
+        let shown = shown.map_or(TokenCount::ZERO, |holder| holder.granted);
+        self.former.retain(|holder| !is_own(holder));
+        let lost = request.claimed.saturating_sub(shown);
+        let unclaimed = self.unclaimed.iter_mut();
+        for own in unclaimed.filter(|unclaimed| unclaimed.vm == request.vm) {
+            own.tokens = own.tokens.saturating_sub(lost);
+        }
+        request.claimed
     }
-}
 
-/// The records of several budgets, stored under one key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BudgetShard {
-    /// Budget records, keyed by the hash of the workspace id.
-    pub records: IndexMap<u64, BudgetRecord>,
-}
-
-impl BudgetShard {
-    /// Decodes the records from MessagePack.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the bytes are not valid budget records.
-    pub fn decode(bytes: &[u8]) -> Result<Self, decode::Error> {
-        rmp_serde::from_slice(bytes)
+    /// Removes what the record shows of a VM in earlier eras, after it has claimed all that it
+    /// holds.
+    pub fn forget_former(&mut self, vm: u64) {
+        self.former.retain(|holder| holder.vm != vm);
     }
 
-    /// Encodes the records as MessagePack.
-    ///
-    /// # Errors
-    ///
-    /// Fails only if memory cannot be allocated.
-    pub fn encode(&self) -> Result<Vec<u8>, encode::Error> {
-        rmp_serde::to_vec(self)
+    /// Turns the holders into former ones, whose grants may be outdated. What was not claimed
+    /// in earlier eras counts as used.
+    pub fn enter_era(&mut self) {
+        for lost in std::mem::take(&mut self.unclaimed) {
+            self.closed = self.closed.saturating_add(lost.tokens);
+        }
+        for holder in std::mem::take(&mut self.holders) {
+            self.former
+                .retain(|other| other.vm != holder.vm || other.incarnation != holder.incarnation);
+            self.former.push(holder);
+        }
     }
 
-    /// Returns the view of a workspace's budget for one process.
-    pub fn view(&self, workspace: u64, revision: u64, vm: u64, incarnation: u64) -> BudgetView {
-        match self.records.get(&workspace) {
-            Some(record) => record.view(workspace, revision, vm, incarnation),
-            None => BudgetRecord::default().view(workspace, revision, vm, incarnation),
-        }
+    fn holder(&self, vm: u64, incarnation: u64) -> Option<&BudgetHolder> {
+        self.holders
+            .iter()
+            .find(|holder| holder.vm == vm && holder.incarnation == incarnation)
     }
 }
--- a/lib/gateway/src/change_hint.rs
+++ b/lib/gateway/src/change_hint.rs
@@ -11,15 +11,15 @@
 
 /// Highest version or revision announced by another VM.
 #[derive(Debug, Default)]
-pub struct ChangeHint {
-    highest: Cell<u64>,
+pub struct ChangeHint<T: Copy> {
+    highest: Cell<T>,
     changed: Notify,
 }
 
-impl ChangeHint {
+impl<T: Copy + Ord> ChangeHint<T> {
     /// Records the version `highest` announced by another VM if it is higher than `known`,
     /// the one of this VM.
-    pub fn record(&self, highest: u64, known: u64) {
+    pub fn record(&self, highest: T, known: T) {
         if highest > known {
             self.highest.set(self.highest.get().max(highest));
             self.changed.notify_one();
@@ -27,7 +27,7 @@
     }
 
     /// Waits until another VM has been ahead of this one for `WATCH_DELAY_ALLOWANCE`.
-    pub async fn wait_until_behind(&self, known: impl Fn() -> u64) {
+    pub async fn wait_until_behind(&self, known: impl Fn() -> T) {
         loop {
             self.changed.notified().await;
             sleep(WATCH_DELAY_ALLOWANCE).await;
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -32,6 +32,7 @@
     let layout = gateway.wire_format.layout();
     let call = store.list(layout.config_prefix, None);
     let listing = gateway.call_store(StoreTask::Config, call).await?;
+    gateway.observe_era(listing.revision.era, StoreTask::Config)?;
     let stored = listing
         .entries
         .into_iter()
@@ -66,7 +67,7 @@
         Err(error) => {
             gateway.metrics.count("config.malformed");
             warn!(gateway.log, "failed to decode configuration"; "error" => error,
-                "revision" => stored.revision.0);
+                "revision" => %stored.revision);
             return;
         }
     };
@@ -79,7 +80,7 @@
         return;
     }
     info!(gateway.log, "configuration in force"; "version" => %config.version,
-        "before" => current.map_or(0, |version| version.0), "revision" => stored.revision.0);
+        "before" => current.map_or(0, |version| version.0), "revision" => %stored.revision);
     *gateway.config.borrow_mut() = Some(Rc::new(config));
     gateway.grant_notify.notify_one();
     gateway.gossip_notify.notify_one();
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -14,6 +14,8 @@
 use siphasher::sip::SipHasher13;
 use slog::Logger;
 use slog::info;
+use snipegate_platform::StoreEra;
+use snipegate_platform::StoreRevision;
 use snipegate_service::MetricRegistry;
 use snipegate_types::BootTimestamp;
 use snipegate_types::ByteCount;
@@ -28,6 +30,7 @@
 use crate::change_hint::ChangeHint;
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
+use crate::era_contacts::EraContacts;
 use crate::gossip::PeerMessage;
 use crate::gossip::PlacedPrompt;
 use crate::holding::BudgetHolding;
@@ -75,6 +78,8 @@
     pub caller_connections: usize,
     /// Memory limit of the process.
     pub memory: ByteCount,
+    /// Age of the oldest copy from which the configuration store may come back.
+    pub max_copy_age: Duration,
 }
 
 /// State shared by all tasks of a VM's front end.
@@ -127,6 +132,16 @@
     pub peers: RefCell<PeerTable>,
     /// Whether the configuration store answers.
     pub store_contact: Cell<StoreContact>,
+    /// Latest known era of the configuration store; `None` before its first answer.
+    pub store_era: Cell<Option<StoreEra>>,
+    /// Revision of the marker of the present era, if this process has written or read it.
+    pub era_marker: Cell<Option<StoreRevision>>,
+    /// When this process was created.
+    pub created_at: Instant,
+    /// When the store last answered in each era that this process has seen.
+    pub era_contacts: RefCell<EraContacts>,
+    /// Notified when the store has come back from an older copy.
+    pub era_changed: Notify,
     /// Limits retries while the store does not answer.
     pub store_gate: StoreGate,
     /// Notified when the store answers again after an outage.
@@ -171,9 +186,9 @@
     /// Notified when a budget record has changed.
     pub grant_changed: Notify,
     /// Newest configuration version announced by other VMs.
-    pub config_hint: ChangeHint,
+    pub config_hint: ChangeHint<u64>,
     /// Newest upstream revision announced by other VMs.
-    pub upstream_hint: ChangeHint,
+    pub upstream_hint: ChangeHint<StoreRevision>,
     /// Notified when idle caller connections should close.
     pub closing: Notify,
     /// Whether idle caller connections should close.
@@ -199,6 +214,7 @@
             boot: timestamp.boot.with_address(settings.gossip),
             ..timestamp
         });
+        let created_at = clock.now();
         Self {
             settings,
             incarnation: fastrand::u64(1..),
@@ -223,6 +239,11 @@
             peer_scarce_budgets: RefCell::default(),
             peers: RefCell::default(),
             store_contact: Cell::new(StoreContact::new()),
+            store_era: Cell::default(),
+            era_marker: Cell::default(),
+            created_at,
+            era_contacts: RefCell::default(),
+            era_changed: Notify::new(),
             store_gate: StoreGate::default(),
             store_regained: Notify::new(),
             stage: Cell::new(VmStage::Starting),
@@ -323,17 +344,17 @@
     /// Logs upstream changes and updates the connection pool and the load table.
     pub fn apply_upstream_changes(&self, changes: Vec<UpstreamChange>) {
         for change in changes {
-            let revision = self.upstreams.borrow().latest().0;
+            let revision = self.upstreams.borrow().latest();
             match change {
                 UpstreamChange::Appeared(entry) => {
                     info!(self.log, "upstream ready"; "upstream" => %entry.id,
                         "service" => &*entry.service, "address" => %entry.address,
-                        "revision" => revision);
+                        "revision" => %revision);
                     self.pool.borrow_mut().forget(&entry.id);
                     self.set_cache_capacity(&entry.id, &entry.service);
                 }
                 UpstreamChange::Left(id) => {
-                    info!(self.log, "upstream left"; "upstream" => %id, "revision" => revision);
+                    info!(self.log, "upstream left"; "upstream" => %id, "revision" => %revision);
                     self.pool.borrow_mut().forget(&id);
                     self.loads.borrow_mut().forget(&id);
                 }
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
+use snipegate_platform::StoreRevision;
 use snipegate_types::PartId;
 use snipegate_types::TokenCount;
 use snipegate_types::VmId;
@@ -86,7 +87,7 @@
     /// Configuration version in force at the sender.
     pub config: u64,
     /// Revision of the newest upstream change known to the sender.
-    pub upstreams: u64,
+    pub upstreams: StoreRevision,
     /// Whether the sender reaches the store.
     pub reaches_store: bool,
     /// Whether a store outage has just ended for the sender.
@@ -237,7 +238,7 @@
     GossipMessage {
         sender: gateway.own_record(),
         config: gateway.config_version(),
-        upstreams: gateway.upstreams.borrow().latest().0,
+        upstreams: gateway.upstreams.borrow().latest(),
         reaches_store: !gateway.store_contact.get().is_failing(),
         store_regained: gateway.store_contact.get().is_regained(now),
         loads,
@@ -342,7 +343,7 @@
     }
     let known = gateway.config_version();
     gateway.config_hint.record(message.config, known);
-    let known = gateway.upstreams.borrow().known_through().0;
+    let known = gateway.upstreams.borrow().known_through();
     gateway.upstream_hint.record(message.upstreams, known);
     if !message.scarce.is_empty() {
         let mut scarce = gateway.peer_scarce_budgets.borrow_mut();
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -19,6 +19,8 @@
 
 use std::time::Instant;
 
+use snipegate_platform::StoreEra;
+use snipegate_platform::StoreRevision;
 use snipegate_types::BootTimestamp;
 use snipegate_types::TokenCount;
 
@@ -91,6 +93,10 @@
     prepaid: TokenCount,
     /// Start time of this process.
     started_at: Option<BootTimestamp>,
+    /// Era of the store that grant requests are for.
+    era: StoreEra,
+    /// Grant from an earlier era that the record of this era does not show yet.
+    claim: Option<TokenCount>,
     view: Option<BudgetView>,
     /// When the newest applied grant request of this process was seen in the record.
     applied_at: Instant,
@@ -139,6 +145,8 @@
             incarnation,
             prepaid,
             started_at: None,
+            era: StoreEra::default(),
+            claim: None,
             view: None,
             applied_at: now,
             totals: None,
@@ -176,13 +184,37 @@
         self.prepaid = prepaid;
     }
 
+    /// Records that the store has entered an era, in which it may have lost recent writes.
+    ///
+    /// This process keeps what it is certain to hold, and claims it in the record. No write of
+    /// an earlier era can take effect any more.
+    pub fn enter_era(&mut self, era: StoreEra) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let allowance = self.allowance();
+        self.pending = None;
+        self.claim = Some(allowance.granted).filter(|claim| !claim.is_zero());
+        self.applied_at = allowance.since;
+        self.view = self.claim.map(|claim| BudgetView {
+            own_granted: claim,
+            own_pace: allowance.pace,
+            ..BudgetView::default()
+        });
+    }
+
     /// Applies a view of the record, unless a newer one is known.
     pub fn set_view(&mut self, view: BudgetView, now: Instant) {
+        self.enter_era(view.totals.revision.era);
         self.set_totals(view.totals);
         let known = self.view.unwrap_or_default();
-        if known.totals.revision > view.totals.revision {
+        let is_older = known.totals.revision > view.totals.revision;
+        let is_unclaimed = self.claim.is_some() && view.own_sequence == 0;
+        if is_older || is_unclaimed || view.totals.revision.era != self.era {
             return;
         }
+        self.claim = None;
         if known.own_sequence != view.own_sequence {
             self.applied_at = now;
         }
@@ -195,10 +227,16 @@
 
     /// Applies the record's totals as reported by another VM, unless newer ones are
     /// known.
-    pub fn set_totals(&mut self, totals: BudgetTotals) {
-        if totals.revision >= self.revision() {
-            self.totals = Some(totals);
+    pub fn set_totals(&mut self, mut totals: BudgetTotals) {
+        if totals.revision < self.revision() {
+            return;
+        }
+        if let Some(known) = self.totals
+            && known.revision == totals.revision
+        {
+            totals.limit = totals.limit.max(known.limit);
         }
+        self.totals = Some(totals);
     }
 
     /// Returns whether this VM has read the record.
@@ -206,14 +244,19 @@
         self.view.is_some()
     }
 
+    /// Returns whether this process holds a grant of an earlier era that it has to claim.
+    pub fn has_claim(&self) -> bool {
+        self.claim.is_some()
+    }
+
     /// Returns the newest known totals over all VMs.
     pub fn totals(&self) -> Option<BudgetTotals> {
         self.totals
     }
 
     /// Returns the newest known revision of the record.
-    pub fn revision(&self) -> u64 {
-        self.totals.map_or(0, |totals| totals.revision)
+    pub fn revision(&self) -> StoreRevision {
+        self.totals.unwrap_or_default().revision
     }
 
     /// Returns the size of the budget.
@@ -227,7 +270,7 @@
     }
 
     /// Returns the grant of this process according to the record.
-    fn recorded_grant(&self) -> TokenCount {
+    pub fn recorded_grant(&self) -> TokenCount {
         self.view.unwrap_or_default().own_granted
     }
 
@@ -322,6 +365,12 @@
             .saturating_sub(self.totals.unwrap_or_default().taken)
     }
 
+    /// Returns the tokens that can be granted now, according to the newest known totals.
+    fn grantable(&self) -> TokenCount {
+        let totals = self.totals.unwrap_or_default();
+        self.prepaid.min(totals.limit).saturating_sub(totals.taken)
+    }
+
     /// Records the demand of a request that arrived at this VM.
     pub fn record_request(&mut self, cost: TokenCount, now: Instant) {
         self.unreported_demand = self.unreported_demand.saturating_add(cost);
@@ -369,7 +418,7 @@
         }
         let missing = self.shortfall(cost, now);
         let held_back = self.held().saturating_sub(self.free(now));
-        match missing <= self.unassigned().saturating_add(held_back) {
+        match missing <= self.grantable().saturating_add(held_back) {
             true => HoldingRefusal::NeedsGrant,
             false => HoldingRefusal::HeldElsewhere,
         }
@@ -455,7 +504,9 @@
             workspace: self.workspace,
             vm: self.vm,
             incarnation: self.incarnation,
+            era: self.era,
             sequence: self.sequence,
+            claimed: self.claim.unwrap_or_default(),
             granted,
             used: self.last_reported_use,
             pace,
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -99,7 +99,7 @@
             let granted = self.granted().saturating_add(missing);
             return Some(GrantNeed { granted, urgent });
         }
-        if self.has_pending_return() {
+        if self.has_pending_return() || self.has_claim() {
             let granted = self.granted();
             let urgent = false;
             return Some(GrantNeed { granted, urgent });
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -27,6 +27,9 @@
 /// Interval between lease renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Time over which the VMs register again after the store came back from an older copy.
+const RETURN_SPREAD: Duration = Duration::from_millis(800);
+
 /// Longest time that one watch of VM records waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -50,26 +53,44 @@
     }
 }
 
+/// Registers this VM and renews its lease. Returns when the VM has to register again, because
+/// the store came back from a copy that may lack the record or know another VM's lease by the
+/// same id.
 async fn register_and_renew<S: ConfigStore>(
     gateway: &Gateway,
     store: &S,
 ) -> Result<(), StoreError> {
     let call = store.create_lease(RECORD_TTL);
     let lease = gateway.call_store(StoreTask::VmLease, call).await?;
+    observe_lease_era(gateway, store)?;
+    let era = gateway.known_era();
     write_record(gateway, store, Some(lease)).await?;
     loop {
         if !gateway.store_contact.get().is_failing() {
-            sleep(RENEWAL_INTERVAL).await;
+            tokio::select! {
+                () = sleep(RENEWAL_INTERVAL) => {}
+                () = gateway.era_changed.notified() => {}
+            }
+        }
+        if gateway.known_era() != era {
+            sleep(RETURN_SPREAD.mul_f64(fastrand::f64())).await;
+            return Ok(());
         }
         let call = store.renew_lease(lease);
         match gateway.call_store(StoreTask::VmLease, call).await {
-            Ok(()) => {}
+            Ok(()) => observe_lease_era(gateway, store)?,
             Err(StoreError::LeaseExpired) => return Err(StoreError::LeaseExpired),
             Err(_) => gateway.wait_for_store().await,
         }
     }
 }
 
+/// Records the era of an answer to a call for the lease.
+fn observe_lease_era<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
+    let era = store.latest_era().unwrap_or_default();
+    gateway.observe_era(era, StoreTask::VmLease)
+}
+
 async fn write_record<S: ConfigStore>(
     gateway: &Gateway,
     store: &S,
@@ -116,6 +137,7 @@
     let mut page = gateway.call_store(StoreTask::VmRecords, call).await?;
     let listed = page.revision;
     loop {
+        gateway.observe_era(page.revision.era, StoreTask::VmRecords)?;
         records.extend(page.entries.iter().filter_map(|(key, stored)| {
             other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
         }));
@@ -125,7 +147,8 @@
         let call = store.list(prefix, Some(&last));
         page = gateway.call_store(StoreTask::VmRecords, call).await?;
     }
-    gateway.peers.borrow_mut().replace_listed(records);
+    let now = gateway.now();
+    gateway.peers.borrow_mut().replace_listed(records, now);
     let mut watch = StoreWatch::new(gateway, store, StoreTask::VmRecords, prefix, listed);
     loop {
         let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, pending()).await?
@@ -139,10 +162,11 @@
             };
             let record = change.value.as_deref().map(|v| decode_record(gateway, v));
             info!(gateway.log, "vm record changed"; "vm" => %vm,
-                "present" => record.is_some(), "revision" => change.revision.0);
+                "present" => record.is_some(), "revision" => %change.revision);
+            let now = gateway.now();
             let mut peers = gateway.peers.borrow_mut();
             match record {
-                Some(Some(record)) => peers.put_listed(record),
+                Some(Some(record)) => peers.put_listed(record, now),
                 Some(None) => {}
                 None => peers.remove_listed(&vm),
             }
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -63,12 +63,13 @@
 }
 
 impl PeerTable {
-    /// Applies a VM record read from the store.
-    pub fn put_listed(&mut self, record: VmRecord) {
+    /// Applies a VM record read from the store. It may be older than what the VM itself
+    /// announces.
+    pub fn put_listed(&mut self, record: VmRecord, now: Instant) {
         match self.peers.get_mut(&record.vm) {
             Some(peer) => {
-                let newer = record.incarnation != peer.record.incarnation;
-                if newer || record.stage == VmStage::Leaving || peer.last_heard.is_none() {
+                let is_same_run = record.incarnation == peer.record.incarnation;
+                if peer.is_silent(now) || (is_same_run && record.stage == VmStage::Leaving) {
                     peer.record = record;
                 }
                 peer.listed = true;
@@ -94,12 +95,12 @@
     }
 
     /// Applies a full listing of the VM records in the store.
-    pub fn replace_listed(&mut self, records: Vec<VmRecord>) {
+    pub fn replace_listed(&mut self, records: Vec<VmRecord>, now: Instant) {
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
         for record in records {
-            self.put_listed(record);
+            self.put_listed(record, now);
         }
     }
 
--- a/lib/gateway/src/quarantine_task.rs
+++ b/lib/gateway/src/quarantine_task.rs
@@ -91,6 +91,7 @@
     let key = gateway.wire_format.layout().quarantine_key;
     let call = store.list(key, None);
     let listing = gateway.call_store(StoreTask::Quarantine, call).await?;
+    gateway.observe_era(listing.revision.era, StoreTask::Quarantine)?;
     let entry = listing.entries.into_iter().find(|(name, _)| name == key);
     apply_stored(gateway, stored, entry.map(|(_, value)| value));
     gateway.parts.is_quarantine_known.set(true);
@@ -124,7 +125,7 @@
 fn decode_records(gateway: &Gateway, value: &StoredValue) -> Vec<QuarantineRecord> {
     rmp_serde::from_slice(&value.value).unwrap_or_else(|error| {
         warn!(gateway.log, "failed to decode quarantine"; "error" => %error,
-            "revision" => value.revision.0);
+            "revision" => %value.revision);
         Vec::new()
     })
 }
@@ -179,7 +180,7 @@
     match gateway.call_store(StoreTask::Quarantine, call).await? {
         SwapOutcome::Swapped(revision) => {
             info!(gateway.log, "quarantine written"; "records" => records.len(),
-                "revision" => revision.0);
+                "revision" => %revision);
             *stored.borrow_mut() = StoredQuarantine {
                 records,
                 revision: Some(revision),
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -248,7 +248,7 @@
             "running" => choice.running, "expected_ms" => choice.expected.as_millis() as u64,
             "rate" => rate.map(|rate| rate.0), "share" => share.map(|share| share.0),
             "send" => self.sends + 1, "parts" => self.format_parts(),
-            "upstreams_revision" => self.gateway.upstreams.borrow().latest().0,
+            "upstreams_revision" => %self.gateway.upstreams.borrow().latest(),
             "config" => self.admission.config.version.0);
     }
 
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -257,7 +257,7 @@
             "taken" => totals.taken.0, "used" => totals.used.0, "request" => &*metadata.attempt_id,
             "workspace" => %workspace, "reason" => ?refusal, "cost" => cost.0,
             "free" => holding.free(now).0, "held" => holding.held().0,
-            "unassigned" => holding.unassigned().0, "revision" => holding.revision(),
+            "unassigned" => holding.unassigned().0, "revision" => %holding.revision(),
             "store_lost" => store_lost);
     });
     if !store_lost && refusal != HoldingRefusal::NeedsGrant {
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -3,6 +3,8 @@
 use std::time::Instant;
 
 use slog::info;
+use slog::warn;
+use snipegate_platform::StoreEra;
 use snipegate_platform::StoreError;
 
 use crate::gateway::Gateway;
@@ -54,6 +56,52 @@
         self.store_contact.set(contact);
     }
 
+    /// Returns the latest known era of the store.
+    pub fn known_era(&self) -> StoreEra {
+        self.store_era.get().unwrap_or_default()
+    }
+
+    /// Records the era of an answer to a call of `task`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is from an earlier era than the known one.
+    pub fn observe_era(&self, era: StoreEra, task: StoreTask) -> Result<(), StoreError> {
+        let known = self.store_era.get();
+        if known.is_some_and(|known| known > era) {
+            self.metrics.count("store.outdated_answer");
+            info!(self.log, "answer of an earlier era"; "task" => %task, "era" => era.0,
+                "known" => self.known_era().0);
+            return Err(StoreError::EraChanged);
+        }
+        self.era_contacts.borrow_mut().record(era, self.now());
+        if known == Some(era) {
+            return Ok(());
+        }
+        self.store_era.set(Some(era));
+        let Some(before) = known else {
+            info!(self.log, "store era known"; "task" => %task, "era" => era.0);
+            return Ok(());
+        };
+        self.metrics.count("store.era_changed");
+        warn!(self.log, "store came back from an older copy"; "task" => %task,
+            "before" => before.0, "era" => era.0,
+            "lost_ms" => self.store_contact.get().failing_for(self.now()).as_millis() as u64);
+        self.upstreams.borrow_mut().enter_era(self.now());
+        self.era_changed.notify_waiters();
+        self.grant_notify.notify_one();
+        Ok(())
+    }
+
+    /// Returns whether this process knows all grants of its VM that the store had forgotten when
+    /// `era` began.
+    pub fn knows_grants_before(&self, era: StoreEra) -> bool {
+        let max_copy_age = self.settings.max_copy_age;
+        self.era_contacts
+            .borrow()
+            .knows_grants_before(era, self.created_at, max_copy_age)
+    }
+
     /// Waits until a failed call should be retried.
     pub async fn wait_for_store(&self) {
         let failing = self.store_contact.get().failing_for(self.now());
@@ -69,5 +117,6 @@
         StoreError::ValueTooLarge { .. } => "value_too_large",
         StoreError::LeaseExpired => "lease_lapsed",
         StoreError::InvalidReply => "bad_reply",
+        StoreError::EraChanged => "other_era",
     }
 }
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -42,6 +42,8 @@
     Overdue,
     /// An outage ended, during which the store may have lost the watch.
     StoreRegained,
+    /// The store came back from an older copy, so that its changes don't follow those known.
+    EraChanged,
 }
 
 /// Result of waiting for changes.
@@ -95,6 +97,10 @@
         peer_ahead: impl Future<Output = ()>,
     ) -> Result<WatchOutcome, StoreError> {
         let began = self.gateway.now();
+        if self.gateway.known_era() != self.after.era {
+            self.log_end(WatchEnd::EraChanged, began);
+            return Ok(WatchOutcome::Relist);
+        }
         let wait = match self.is_short_watcher() {
             true => SHORT_WATCH_WAIT.min(wait),
             false => wait,
@@ -103,6 +109,10 @@
         let end = tokio::select! {
             batch = self.gateway.call_store(self.task, watch) => {
                 match batch.inspect_err(|error| self.log_failure(error, began))? {
+                    WatchBatch::Changes { revision, .. } if revision.era != self.after.era => {
+                        self.gateway.observe_era(revision.era, self.task)?;
+                        WatchEnd::EraChanged
+                    }
                     WatchBatch::Changes { revision, changes } => {
                         self.after = self.after.max(revision);
                         return Ok(WatchOutcome::Changes(changes));
@@ -113,10 +123,13 @@
             () = peer_ahead => WatchEnd::PeerAhead,
             () = self.wait_until_overdue() => WatchEnd::Overdue,
             () = self.gateway.store_regained.notified() => WatchEnd::StoreRegained,
+            () = self.gateway.era_changed.notified() => WatchEnd::EraChanged,
         };
         self.log_end(end, began);
         Ok(match end {
-            WatchEnd::Compacted | WatchEnd::PeerAhead => WatchOutcome::Relist,
+            WatchEnd::Compacted | WatchEnd::PeerAhead | WatchEnd::EraChanged => {
+                WatchOutcome::Relist
+            }
             WatchEnd::Overdue | WatchEnd::StoreRegained => WatchOutcome::Changes(Vec::new()),
         })
     }
@@ -147,14 +160,14 @@
         let reason: &'static str = end.into();
         gateway.metrics.count_tagged("store.watch_ended", reason);
         info!(gateway.log, "store watch ended"; "task" => %self.task, "reason" => %end,
-            "waited_ms" => self.waited_ms(began), "after" => self.after.0);
+            "waited_ms" => self.waited_ms(began), "after" => %self.after);
     }
 
     fn log_failure(&self, error: &StoreError, began: Instant) {
         let gateway = self.gateway;
         gateway.metrics.count_tagged("store.watch_ended", "failed");
         info!(gateway.log, "store watch failed"; "task" => %self.task, "error" => %error,
-            "waited_ms" => self.waited_ms(began), "after" => self.after.0);
+            "waited_ms" => self.waited_ms(began), "after" => %self.after);
     }
 
     fn waited_ms(&self, began: Instant) -> u64 {
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -20,6 +20,12 @@
 /// How long after a store outage a missing entry counts as expired rather than withdrawn.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(2);
 
+/// How long after the store came back from an older copy it may list upstreams that had gone.
+const RETURN_PERIOD: Duration = Duration::from_secs(2);
+
+/// How long a removal is remembered. It is longer than a copy of the store is old.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(30);
+
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -80,7 +86,13 @@
     latest: StoreRevision,
     known_through: StoreRevision,
     store_recovered_at: Option<Instant>,
+    /// When the store last came back from an older copy.
+    era_began_at: Option<Instant>,
     departures: DepartureLog,
+    /// Runs that were removed from the store, with the time.
+    removals: IndexMap<(UpstreamId, Option<u64>), Instant>,
+    /// Entries of removed runs that an older copy of the store listed again, with their revision.
+    withheld: IndexMap<UpstreamId, (UpstreamEntry, StoreRevision)>,
 }
 
 impl UpstreamTable {
@@ -104,12 +116,57 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Records that the store came back from an older copy. It may list upstreams as ready that
+    /// leave or have gone, and lack ready ones until they write again.
+    pub fn enter_era(&mut self, now: Instant) {
+        self.era_began_at = Some(now);
+        self.record_store_recovery(now);
+    }
+
+    /// Applies withheld entries that are still listed some time after the return of the store.
+    pub fn release_withheld(&mut self, now: Instant) -> Vec<UpstreamChange> {
+        if self.has_just_returned(now) {
+            return Vec::new();
+        }
+        let withheld = std::mem::take(&mut self.withheld);
+        withheld
+            .into_iter()
+            .filter_map(|(id, (entry, revision))| self.apply_entry(&id, Some(entry), revision))
+            .collect()
+    }
+
+    fn has_just_returned(&self, now: Instant) -> bool {
+        self.era_began_at
+            .is_some_and(|at| now.saturating_duration_since(at) < RETURN_PERIOD)
+    }
+
     /// Applies a written entry; `None` stands for an entry that could not be decoded.
+    ///
+    /// Right after the store came back from an older copy, the entry of a run that was removed
+    /// before is withheld.
     pub fn put(
         &mut self,
         id: &UpstreamId,
         entry: Option<UpstreamEntry>,
         revision: StoreRevision,
+        now: Instant,
+    ) -> Option<UpstreamChange> {
+        self.withheld.shift_remove(id);
+        if let Some(entry) = &entry
+            && self.has_just_returned(now)
+            && self.removals.contains_key(&(id.clone(), entry.started_ms))
+        {
+            self.withheld.insert(id.clone(), (entry.clone(), revision));
+            return None;
+        }
+        self.apply_entry(id, entry, revision)
+    }
+
+    fn apply_entry(
+        &mut self,
+        id: &UpstreamId,
+        entry: Option<UpstreamEntry>,
+        revision: StoreRevision,
     ) -> Option<UpstreamChange> {
         self.latest = self.latest.max(revision);
         let known = self.known.get(id);
@@ -124,6 +181,10 @@
         if self.departures.contains(&entry) {
             entry.phase = UpstreamPhase::Draining;
         }
+        if entry.phase == UpstreamPhase::Draining && entry.started_ms.is_some() {
+            // An older copy of the store may list the run as ready again.
+            self.departures.record(&entry);
+        }
         let is_same_run = |before: &UpstreamEntry| before.started_ms == entry.started_ms;
         let back_off_until = known
             .filter(|known| is_same_run(&known.entry))
@@ -183,6 +244,7 @@
         let after_outage = self
             .store_recovered_at
             .is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_PERIOD);
+        self.withheld.shift_remove(id);
         let known = self.known.get_mut(id)?;
         if known.revision > revision {
             return None;
@@ -191,6 +253,10 @@
             known.expired_at.get_or_insert(now);
             return None;
         }
+        let run = (id.clone(), known.entry.started_ms);
+        self.removals
+            .retain(|_, at| now.saturating_duration_since(*at) < REMOVAL_MEMORY);
+        self.removals.insert(run, now);
         self.known.shift_remove(id);
         self.ids.shift_remove(&upstream_code(id));
         Some(UpstreamChange::Left(id.clone()))
@@ -211,7 +277,7 @@
             .collect();
         let mut changes: Vec<UpstreamChange> = listed
             .into_iter()
-            .filter_map(|(id, entry, at)| self.put(&id, entry, at))
+            .filter_map(|(id, entry, at)| self.put(&id, entry, at, now))
             .collect();
         changes.extend(
             missing
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -46,7 +46,7 @@
     let prefix = gateway.wire_format.layout().upstream_prefix;
     let mut watch = StoreWatch::new(gateway, store, StoreTask::Upstreams, prefix, listed);
     loop {
-        let known = || gateway.upstreams.borrow().known_through().0;
+        let known = || gateway.upstreams.borrow().known_through();
         let peer_ahead = gateway.upstream_hint.wait_until_behind(known);
         let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, peer_ahead).await?
         else {
@@ -63,7 +63,7 @@
             applied.extend(match &change.value {
                 Some(value) => {
                     let entry = decode_entry(gateway, &id, value);
-                    table.put(&id, entry, change.revision)
+                    table.put(&id, entry, change.revision, now)
                 }
                 None => {
                     table.record_removal(change.revision);
@@ -95,7 +95,11 @@
     loop {
         let call = store.list(prefix, after.as_deref());
         let listing = gateway.call_store(StoreTask::Upstreams, call).await?;
+        gateway.observe_era(listing.revision.era, StoreTask::Upstreams)?;
         let revision = *first_revision.get_or_insert(listing.revision);
+        if revision.era != listing.revision.era {
+            return Err(StoreError::EraChanged);
+        }
         for (key, stored) in listing.entries {
             if let Some(id) = upstream_id(gateway, prefix, &key) {
                 let entry = decode_entry(gateway, &id, &stored.value);
@@ -140,12 +144,14 @@
     }
 }
 
-/// Removes expired entries periodically, independently of changes in the store.
+/// Removes expired entries and applies withheld ones periodically, independently of changes in
+/// the store.
 async fn drop_expired_periodically(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_CHECK_INTERVAL).await;
         let now = gateway.now();
-        let changes = gateway.upstreams.borrow_mut().drop_expired(now);
+        let mut changes = gateway.upstreams.borrow_mut().drop_expired(now);
+        changes.extend(gateway.upstreams.borrow_mut().release_withheld(now));
         gateway.apply_upstream_changes(changes);
     }
 }
--- a/lib/gateway/src/wire_format.rs
+++ b/lib/gateway/src/wire_format.rs
@@ -49,6 +49,8 @@
     pub vm_prefix: &'static str,
     /// The prefix of the budgets' records.
     pub budget_prefix: &'static str,
+    /// The prefix of the markers of the store's eras; the rest of a key is the era.
+    pub era_prefix: &'static str,
     /// The key of the quarantine of prompt parts.
     pub quarantine_key: &'static str,
 }
--- a/lib/gateway/tests/test_holding.rs
+++ b/lib/gateway/tests/test_holding.rs
@@ -12,11 +12,13 @@
 use snipegate_gateway::BudgetHolding;
 use snipegate_gateway::BudgetRecord;
 use snipegate_gateway::DuplicateFilter;
+use snipegate_gateway::GrantLimit;
 use snipegate_gateway::GrantRequest;
 use snipegate_gateway::HoldingRefusal;
 use snipegate_gateway::HoldingRole;
 use snipegate_gateway::PlanTime;
 use snipegate_gateway::TokenTransfer;
+use snipegate_platform::StoreRevision;
 use snipegate_types::BootId;
 use snipegate_types::BootTimestamp;
 use snipegate_types::TokenCount;
@@ -101,7 +103,7 @@
     /// Applies a grant request and writes the record.
     fn write(&mut self, request: &GrantRequest, delivery: u8) {
         let mut record = self.record.clone();
-        if !record.apply(request, TokenCount(self.size.prepaid)) {
+        if !record.apply(request, GrantLimit::whole(TokenCount(self.size.prepaid))) {
             return;
         }
         self.write_record(record, delivery);
@@ -204,9 +206,12 @@
     }
 
     fn load_view(&mut self, store: &TestStore, now: Instant) {
-        let view = store
-            .record
-            .view(1, store.revision, self.vm, self.incarnation);
+        let view = store.record.view(
+            1,
+            StoreRevision::new(store.revision),
+            self.vm,
+            self.incarnation,
+        );
         self.holding.set_view(view, now);
     }
 }
@@ -527,12 +532,12 @@
             for (vm, holding) in holdings.iter_mut().enumerate() {
                 holding.record_demand(TokenCount(PREPAID / 44 / keepers), now);
                 let vm = vm as u64;
-                holding.set_view(record.view(1, revision, vm, vm), now);
+                holding.set_view(record.view(1, StoreRevision::new(revision), vm, vm), now);
                 let role = HoldingRole::Keeper;
                 if let Some(request) =
                     holding.plan_request(role, TokenCount::ZERO, false, plan_at(now))
                 {
-                    record.apply(&request, TokenCount(PREPAID));
+                    record.apply(&request, GrantLimit::whole(TokenCount(PREPAID)));
                 }
             }
         }
@@ -595,13 +600,13 @@
             let wish = holdings[at].prefetch_tokens(now);
             let keeper = &mut holdings[0];
             keeper.record_demand(missing, now);
-            keeper.set_view(record.view(1, revision, 0, 0), now);
+            keeper.set_view(record.view(1, StoreRevision::new(revision), 0, 0), now);
             let boot = timestamp(now - start);
             let time = PlanTime { now, boot };
             if let Some(request) = keeper.plan_request(HoldingRole::Keeper, missing, false, time) {
-                writes += u64::from(record.apply(&request, TokenCount(PREPAID)));
+                writes += u64::from(record.apply(&request, GrantLimit::whole(TokenCount(PREPAID))));
                 revision += 1;
-                keeper.set_view(record.view(1, revision, 0, 0), now);
+                keeper.set_view(record.view(1, StoreRevision::new(revision), 0, 0), now);
             }
             let given = keeper.withdraw(missing, wish, now);
             holdings[at].receive(given);
@@ -653,9 +658,18 @@
             false,
             time.plan(boot),
         ) {
-            assert!(store.record.apply(&request, TokenCount(PREPAID)));
+            assert!(
+                store
+                    .record
+                    .apply(&request, GrantLimit::whole(TokenCount(PREPAID)))
+            );
             store.revision += 1;
-            holding.set_view(store.record.view(1, store.revision, 1, 1), now);
+            holding.set_view(
+                store
+                    .record
+                    .view(1, StoreRevision::new(store.revision), 1, 1),
+                now,
+            );
         }
         if served || holding.reserve(cost, now).is_ok() {
             holding.settle(cost, cost);
@@ -699,7 +713,10 @@
     const OWN_DEMAND: TokenCount = TokenCount(100_000);
     let mut now = Instant::now();
     let mut holding = BudgetHolding::new(1, 1, 1, TokenCount(PREPAID), now);
-    holding.set_view(BudgetRecord::default().view(1, 1, 1, 1), now);
+    holding.set_view(
+        BudgetRecord::default().view(1, StoreRevision::new(1), 1, 1),
+        now,
+    );
     // A tenth of the total demand of a million tokens per second is this VM's own.
     for _ in 0..5 {
         now += Duration::from_secs(1);
--- a/lib/gateway/tests/test_lost_returns.rs
+++ b/lib/gateway/tests/test_lost_returns.rs
@@ -7,9 +7,11 @@
 
 use snipegate_gateway::BudgetHolding;
 use snipegate_gateway::BudgetRecord;
+use snipegate_gateway::GrantLimit;
 use snipegate_gateway::GrantRequest;
 use snipegate_gateway::HoldingRole;
 use snipegate_gateway::PlanTime;
+use snipegate_platform::StoreRevision;
 use snipegate_types::TokenCount;
 
 const PREPAID: TokenCount = TokenCount(10_000_000);
@@ -56,9 +58,9 @@
         let Some(request) = self.plan(role) else {
             return false;
         };
-        self.record.apply(&request, PREPAID);
+        self.record.apply(&request, GrantLimit::whole(PREPAID));
         self.revision += 1;
-        let view = self.record.view(1, self.revision, 1, 1);
+        let view = self.record.view(1, StoreRevision::new(self.revision), 1, 1);
         self.holding.set_view(view, self.now);
         true
     }
@@ -106,6 +108,6 @@
     let _ = budget.holding.plan_return(budget.time());
     assert!(budget.holding.has_spare_grant());
     let request = budget.holding.plan_return(budget.time());
-    assert!(budget.record.apply(&request, PREPAID));
+    assert!(budget.record.apply(&request, GrantLimit::whole(PREPAID)));
     assert_eq!(budget.record.taken().0, budget.used);
 }
--- a/lib/gateway/tests/test_tables.rs
+++ b/lib/gateway/tests/test_tables.rs
@@ -39,11 +39,14 @@
     let id: UpstreamId = "a".parse().expect("a name");
     let ready = entry("a", UpstreamPhase::Ready);
     let draining = entry("a", UpstreamPhase::Draining);
-    table.put(&id, Some(ready.clone()), StoreRevision(5));
-    let change = table.put(&id, Some(draining), StoreRevision(9));
+    table.put(&id, Some(ready.clone()), StoreRevision::new(5), now);
+    let change = table.put(&id, Some(draining), StoreRevision::new(9), now);
     assert_eq!(change, Some(UpstreamChange::Left(id.clone())));
-    assert_eq!(table.put(&id, Some(ready), StoreRevision(6)), None);
-    assert_eq!(table.remove(&id, StoreRevision(7), now), None);
+    assert_eq!(
+        table.put(&id, Some(ready), StoreRevision::new(6), now),
+        None
+    );
+    assert_eq!(table.remove(&id, StoreRevision::new(7), now), None);
     assert_eq!(ready_count(&table), 0);
     assert!(table.get(&id).is_some());
 }
@@ -51,13 +54,15 @@
 #[test]
 fn undecodable_entry_removes_the_upstream() {
     let mut table = UpstreamTable::default();
+    let now = Instant::now();
     let id: UpstreamId = "a".parse().expect("a name");
     table.put(
         &id,
         Some(entry("a", UpstreamPhase::Ready)),
-        StoreRevision(5),
+        StoreRevision::new(5),
+        now,
     );
-    table.put(&id, None, StoreRevision(6));
+    table.put(&id, None, StoreRevision::new(6), now);
     assert_eq!(ready_count(&table), 0);
 }
 
@@ -69,10 +74,15 @@
     table.put(
         &id,
         Some(entry("a", UpstreamPhase::Ready)),
-        StoreRevision(5),
+        StoreRevision::new(5),
+        now,
     );
     table.record_store_recovery(now);
-    assert!(table.replace(Vec::new(), StoreRevision(9), now).is_empty());
+    assert!(
+        table
+            .replace(Vec::new(), StoreRevision::new(9), now)
+            .is_empty()
+    );
     assert_eq!(ready_count(&table), 1);
     let later = now + Duration::from_secs(2);
     assert_eq!(table.drop_expired(later), [UpstreamChange::Left(id)]);
@@ -87,9 +97,10 @@
     table.put(
         &id,
         Some(entry("a", UpstreamPhase::Ready)),
-        StoreRevision(5),
+        StoreRevision::new(5),
+        now,
     );
-    table.remove(&id, StoreRevision(6), now);
+    table.remove(&id, StoreRevision::new(6), now);
     assert_eq!(ready_count(&table), 0);
 }
 
@@ -110,7 +121,7 @@
     let mut table = PeerTable::default();
     let now = Instant::now();
     for name in ["a", "bb", "ccc"] {
-        table.put_listed(vm(name, VmStage::Serving));
+        table.put_listed(vm(name, VmStage::Serving), now);
     }
     assert_eq!(table.serving(now).len(), 3);
     table.apply_gossip(vm("a", VmStage::Serving), true, now);
@@ -126,7 +137,7 @@
     let now = Instant::now();
     table.apply_gossip(vm("a", VmStage::Serving), true, now);
     table.apply_gossip(vm("bb", VmStage::Serving), true, now);
-    table.put_listed(vm("bb", VmStage::Leaving));
+    table.put_listed(vm("bb", VmStage::Leaving), now);
     let own = vm("ccc", VmStage::Serving);
     let addresses = table.addresses(Some(&own), Some("z1"), now);
     assert_eq!(addresses.len(), 2);
--- a/lib/gateway/tests/test_token_tally.rs
+++ b/lib/gateway/tests/test_token_tally.rs
@@ -11,6 +11,7 @@
 use snipegate_gateway::BudgetTotals;
 use snipegate_gateway::BudgetView;
 use snipegate_gateway::TokenTally;
+use snipegate_platform::StoreRevision;
 use snipegate_types::TokenCount;
 
 const WORKSPACE: u64 = 7;
@@ -149,9 +150,10 @@
     let view = BudgetView {
         totals: BudgetTotals {
             workspace: WORKSPACE,
-            revision: 1,
+            revision: StoreRevision::new(1),
             taken: TokenCount(1000),
             used: TokenCount::ZERO,
+            limit: TokenCount(1000),
         },
         own_granted: TokenCount(1000),
         ..BudgetView::default()
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -15,19 +15,82 @@
 /// A key, which consists of path segments joined by `/`.
 pub type StoreKey = String;
 
-/// A position in the store's total order of changes. Every write has its own.
+/// How often the store has come back from an older copy of its content. A store that never
+/// does is always in the first era, 0.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct StoreRevision(pub u64);
+pub struct StoreEra(pub u64);
 
-impl fmt::Display for StoreRevision {
+impl fmt::Display for StoreEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
     }
 }
 
+/// A position in the store's total order of changes. Every write has its own.
+///
+/// A store that comes back from an older copy gives numbers out again, so numbers are
+/// comparable only within an era. Any position of a later era is newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(from = "EncodedRevision", into = "EncodedRevision")]
+pub struct StoreRevision {
+    /// The era that the number belongs to.
+    pub era: StoreEra,
+    /// The store's revision number.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Creates a position in the first era.
+    pub fn new(number: u64) -> Self {
+        Self::in_era(StoreEra::default(), number)
+    }
+
+    /// Creates a position.
+    pub fn in_era(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            StoreEra(0) => write!(f, "{}", self.number),
+            era => write!(f, "{era}.{}", self.number),
+        }
+    }
+}
+
+/// Encoding of a position; that of the first era is the number alone.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum EncodedRevision {
+    Number(u64),
+    InEra(StoreEra, u64),
+}
+
+impl From<EncodedRevision> for StoreRevision {
+    fn from(encoded: EncodedRevision) -> Self {
+        match encoded {
+            EncodedRevision::Number(number) => Self::new(number),
+            EncodedRevision::InEra(era, number) => Self::in_era(era, number),
+        }
+    }
+}
+
+impl From<StoreRevision> for EncodedRevision {
+    fn from(revision: StoreRevision) -> Self {
+        match revision.era {
+            StoreEra(0) => Self::Number(revision.number),
+            era => Self::InEra(era, revision.number),
+        }
+    }
+}
+
 /// Identifies a lease. Keys bound to a lease are removed when it expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -58,6 +121,15 @@
     At(StoreRevision),
 }
 
+/// A condition of a write on another key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyCondition {
+    /// The key.
+    pub key: StoreKey,
+    /// The state that it must be in.
+    pub expected: ExpectedVersion,
+}
+
 /// The result of a compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SwapOutcome {
@@ -132,12 +204,18 @@
     LeaseExpired,
     /// The reply of the store is invalid.
     InvalidReply,
+    /// The answer is from another era than the one expected: the store has come back from an
+    /// older copy. A write may have taken effect.
+    EraChanged,
 }
 
 impl StoreError {
     /// Returns whether a write that failed with this error may have taken effect.
     pub fn may_have_applied(&self) -> bool {
-        matches!(self, StoreError::ReplyLost | StoreError::InvalidReply)
+        matches!(
+            self,
+            StoreError::ReplyLost | StoreError::InvalidReply | StoreError::EraChanged
+        )
     }
 }
 
@@ -159,6 +237,7 @@
             }
             StoreError::LeaseExpired => write!(f, "lease does not exist or has expired"),
             StoreError::InvalidReply => write!(f, "invalid reply of the configuration store"),
+            StoreError::EraChanged => write!(f, "reply of another era of the configuration store"),
         }
     }
 }
@@ -169,6 +248,12 @@
 ///
 /// Every call counts towards the store's rate limit. A pending watch counts as one.
 pub trait ConfigStore {
+    /// Returns the latest era that an answer of the store named; `None` if no answer named one.
+    /// Such a store never comes back from an older copy.
+    fn latest_era(&self) -> Option<StoreEra> {
+        None
+    }
+
     /// Reads one key.
     fn read(&self, key: &str) -> impl Future<Output = Result<Option<StoredValue>, StoreError>>;
 
@@ -190,6 +275,20 @@
         lease: Option<LeaseId>,
     ) -> impl Future<Output = Result<SwapOutcome, StoreError>>;
 
+    /// Writes `value` without a lease if the key is in the `expected` state and all `conditions`
+    /// hold. The outcome of a conflict does not tell what did not hold.
+    ///
+    /// A store that never comes back from an older copy may ignore the conditions.
+    fn swap_if(
+        &self,
+        key: &str,
+        expected: ExpectedVersion,
+        value: Vec<u8>,
+        _conditions: &[KeyCondition],
+    ) -> impl Future<Output = Result<SwapOutcome, StoreError>> {
+        self.swap(key, expected, value, None)
+    }
+
     /// Removes the key if it is in the `expected` state.
     fn remove(
         &self,
--- a/lib/platform/src/store_core.rs
+++ b/lib/platform/src/store_core.rs
@@ -246,7 +246,7 @@
 
     /// Assigns the next revision to a change and retains the change for watches.
     fn record_change(&mut self, key: StoreKey, value: Option<Vec<u8>>) -> StoreRevision {
-        self.revision = StoreRevision(self.revision.0 + 1);
+        self.revision = StoreRevision::new(self.revision.number + 1);
         self.changes.push_back(StoreChange {
             key,
             revision: self.revision,
--- a/testing/fleet/src/fleet.rs
+++ b/testing/fleet/src/fleet.rs
@@ -326,7 +326,7 @@
             };
             self.recorder.record(EventKind::ConfigSeen {
                 process: status.keeper.to_string(),
-                revision: status.revision.0,
+                revision: status.revision.number,
                 serving: false,
             });
         }
--- a/testing/fleet/src/operator.rs
+++ b/testing/fleet/src/operator.rs
@@ -92,7 +92,10 @@
         let value = serde_json::to_vec(record).expect("record can be serialized");
         let key = key.to_string();
         let outcome = self.store.swap(&key, expected, value, None).await?;
-        if let SwapOutcome::Swapped(StoreRevision(revision)) = outcome {
+        if let SwapOutcome::Swapped(StoreRevision {
+            number: revision, ..
+        }) = outcome
+        {
             self.recorder.record(EventKind::ConfigAccepted { revision });
         }
         Ok(outcome)
--- a/testing/platform/src/state.rs
+++ b/testing/platform/src/state.rs
@@ -158,7 +158,7 @@
     pub fn counts(&self) -> CountReport {
         let inner = self.lock();
         CountReport {
-            revision: inner.core.revision().0,
+            revision: inner.core.revision().number,
             calls: inner.core.call_counts().collect(),
             fates: inner
                 .fates
--- a/testing/platform/tests/test_platform.rs
+++ b/testing/platform/tests/test_platform.rs
@@ -83,7 +83,7 @@
 
     let lease = store.create_lease(Duration::from_millis(1)).await.unwrap();
     store
-        .watch("none/", StoreRevision(4), Duration::from_millis(50))
+        .watch("none/", StoreRevision::new(4), Duration::from_millis(50))
         .await
         .unwrap();
     assert_eq!(
