gateway: a refusal without an id on a reused connection proves nothing

Callers were told "not run, try again" for a request that an upstream was running, and its tokens were released: the upstream wrote the refusal of an earlier request once more on the kept connection, without an id.

Cause: an answer without an id was taken to be about the request that waited, whatever the connection had carried before. Class: "not run" that was not shown for this very request.

Change: such a refusal ends the attempt as one that may have run, with a counter (upstream.unnamed_refusal) and the reason unnamed_refusal in the log. On a new connection there is no earlier request that it could be about.

--- a/lib/gateway/src/attempt.rs
+++ b/lib/gateway/src/attempt.rs
@@ -76,6 +76,8 @@
     Broken,
     /// The response is malformed or lacks its signature.
     Malformed,
+    /// A refusal on a reused connection does not name the request, and may be about another.
+    UnnamedRefusal,
     /// No response head came in time.
     Silent,
     /// The response exceeds the size limit or the memory left for response buffers.
@@ -220,7 +222,7 @@
     forward_metadata: &ForwardMetadata<'_>,
     before_send: impl FnOnce(),
 ) -> Result<UpstreamResponse, SendFailure> {
-    let mut connection = open_connection(gateway, entry, request.is_retryable).await?;
+    let (mut connection, is_reused) = open_connection(gateway, entry, request.is_retryable).await?;
     let head = gateway
         .wire_format
         .forward_head(request.head, forward_metadata);
@@ -242,6 +244,10 @@
             .attempt_id
             .as_deref()
             .is_none_or(|id| id == &*request.metadata.attempt_id);
+        if metadata.not_run && metadata.attempt_id.is_none() && (is_reused || strays > 0) {
+            gateway.metrics.count("upstream.unnamed_refusal");
+            return Err(SendFailure::UnnamedRefusal);
+        }
         if matches {
             record_advertised_rate(gateway, entry, request, &metadata, sent_at);
             let clean = sent_whole && strays == 0 && !head.will_close();
@@ -328,11 +334,12 @@
     }
 }
 
+/// Returns a connection to an upstream, and whether it has carried an earlier request.
 async fn open_connection(
     gateway: &Gateway,
     entry: &UpstreamEntry,
     is_retryable: bool,
-) -> Result<HttpConnection, SendFailure> {
+) -> Result<(HttpConnection, bool), SendFailure> {
     let max_idle = if is_retryable {
         RETRYABLE_MAX_IDLE
     } else {
@@ -342,9 +349,10 @@
     let kept = gateway.pool.borrow_mut().take(&entry.id, max_idle, now);
     if let Some(connection) = kept {
         gateway.metrics.count("upstream.connection_reused");
-        return Ok(connection);
+        return Ok((connection, true));
     }
     gateway.metrics.count("upstream.connection_opened");
     let stream = connect(entry.address, CONNECT_TIMEOUT, UNACKED_DATA_TIMEOUT).await?;
-    Ok(HttpConnection::new(stream, entry.address, gateway.now()))
+    let connection = HttpConnection::new(stream, entry.address, gateway.now());
+    Ok((connection, false))
 }
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -63,6 +63,7 @@
         SendFailure::ConnectTimedOut
         | SendFailure::ConnectRefused
         | SendFailure::NothingSent
+        | SendFailure::UnnamedRefusal
         | SendFailure::Silent
         | SendFailure::TooLarge => false,
     }
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -285,10 +285,21 @@
         RunnerScript::Fail => {
             write_response(stream, signed_head(state, request, 500), b"failed").await
         }
-        RunnerScript::Refuse => write_response(stream, refusal_head(state), b"").await,
+        RunnerScript::Status(status) => {
+            let body: &[u8] = match status {
+                204 => b"",
+                _ => b"an error",
+            };
+            write_response(stream, signed_head(state, request, status), body).await
+        }
+        RunnerScript::EarlierRefusalFirst => {
+            let _ = write_response(stream, unnamed_refusal_head(state), b"").await;
+            write_response(stream, head, body).await
+        }
+        RunnerScript::Refuse => write_response(stream, refusal_head(state, request), b"").await,
         RunnerScript::RefuseWithRetryAfter(pause) => {
             let seconds = format!("{:.3}", pause.as_secs_f64());
-            let head = with_field(refusal_head(state), "Retry-After", &seconds);
+            let head = with_field(refusal_head(state, request), "Retry-After", &seconds);
             write_response(stream, head, b"").await
         }
         RunnerScript::Leaving => {
@@ -297,26 +308,24 @@
         RunnerScript::LeavingRefusal => {
             write_response(
                 stream,
-                with_field(refusal_head(state), LEAVING_FIELD, "1"),
+                with_field(refusal_head(state, request), LEAVING_FIELD, "1"),
                 b"",
             )
             .await
         }
         RunnerScript::LeavingMisdirected => {
-            let head = with_field(ResponseHead::new(421, "Misdirected"), LEAVING_FIELD, "1");
+            let head = with_field(misdirected_head(request), LEAVING_FIELD, "1");
             write_response(stream, head, b"").await
         }
         RunnerScript::InvalidHints => {
             let head = with_field(
-                with_field(refusal_head(state), LEAVING_FIELD, "0"),
+                with_field(refusal_head(state, request), LEAVING_FIELD, "0"),
                 "Retry-After",
                 "soon",
             );
             write_response(stream, head, b"").await
         }
-        RunnerScript::Misdirected => {
-            write_response(stream, ResponseHead::new(421, "Misdirected"), b"").await
-        }
+        RunnerScript::Misdirected => write_response(stream, misdirected_head(request), b"").await,
         RunnerScript::Close => false,
         RunnerScript::Reset => {
             let _ = stream.set_zero_linger();
@@ -390,7 +399,7 @@
             Some(chunked(signed_head(state, request, 200))),
             filler_chunk(),
         ),
-        EndlessPart::Refusal => (Some(chunked(refusal_head(state))), filler_chunk()),
+        EndlessPart::Refusal => (Some(chunked(unnamed_refusal_head(state))), filler_chunk()),
         EndlessPart::Stray => (Some(chunked(stray)), filler_chunk()),
         EndlessPart::Events => (
             Some(stream_head(state, request)),
@@ -477,11 +486,25 @@
     write_all(stream, &out).await.is_ok()
 }
 
-fn refusal_head(state: &State) -> ResponseHead {
+fn refusal_head(state: &State, request: &RequestHead) -> ResponseHead {
+    with_id(unnamed_refusal_head(state), request)
+}
+
+/// Returns a refusal that does not tell which request it is for.
+fn unnamed_refusal_head(state: &State) -> ResponseHead {
     let head = ResponseHead::new(503, "Service Unavailable");
     with_rate(state, with_field(head, "X-Not-Executed", "1"))
 }
 
+fn misdirected_head(request: &RequestHead) -> ResponseHead {
+    with_id(ResponseHead::new(421, "Misdirected"), request)
+}
+
+fn with_id(head: ResponseHead, request: &RequestHead) -> ResponseHead {
+    let id = request.headers.get("X-Attempt-Id").unwrap_or_default();
+    with_field(head, "X-Attempt-Id", id)
+}
+
 /// Adds the rate limit that the runner advertises, if it has one.
 fn with_rate(state: &State, head: ResponseHead) -> ResponseHead {
     match state.advertised_rate.get() {
@@ -496,9 +519,7 @@
 }
 
 fn signed_head(state: &State, request: &RequestHead, status: u16) -> ResponseHead {
-    let mut head = ResponseHead::new(status, "Answer");
-    let id = request.headers.get("X-Attempt-Id").unwrap_or_default();
-    head.headers.push("X-Attempt-Id", id);
+    let mut head = with_id(ResponseHead::new(status, "Answer"), request);
     head.headers.push("X-Server-Seal", "seal");
     with_rate(state, head)
 }
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -41,6 +41,11 @@
     Truncate,
     /// It responds with 500.
     Fail,
+    /// It sends a signed response with this status.
+    Status(u16),
+    /// It sends a refusal without an id, as it did for an earlier request, and then runs the
+    /// request and responds.
+    EarlierRefusalFirst,
     /// It responds with 503 and marks the request as not run.
     Refuse,
     /// Like `Refuse`, with this duration in `Retry-After`.
