gateway: nothing but events follows in a stream that has begun

A stream had begun and broke off; the next upstream answered 302, 400, 404 or 409. Callers found the whole head and text of that answer in the middle of their stream; with 204 the stream ended as if it were complete.

Cause: an answer that is no stream was written as a response of its own, whether or not the response to the caller had begun. Class: an answer that is passed on without regard to what the caller already has.

Change: where the response has begun, an attempt that does not answer 200 counts as broken; the stream goes on elsewhere or breaks off. Memory that a broken attempt had reserved is freed before the next one.

--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -45,6 +45,9 @@
 /// upstream could be tried after it.
 const RETRYABLE_WAIT_FRACTION: f64 = 0.45;
 
+/// Status of a response that continues a stream.
+const RESUMED_STATUS: u16 = 200;
+
 /// Class of the least urgent generations.
 const LEAST_URGENT_CLASS: u8 = 9;
 
@@ -187,6 +190,7 @@
             self.current = Some(entry.id.clone());
             self.attempt_events = 0;
             self.first_event_at = None;
+            self.memory.clear();
             let outcome = self.send_once(caller, &entry, &choice).await?;
             self.current = None;
             self.record_outcome(&entry.id, &outcome);
@@ -285,6 +289,11 @@
                 false => SendOutcome::NotRun,
             });
         }
+        let has_begun = caller.state() != ResponseState::NotStarted;
+        if has_begun && response.head.status != RESUMED_STATUS {
+            // The caller is within a stream, in which only events may follow.
+            return Ok(SendOutcome::Broken(SendFailure::Malformed));
+        }
         if self.admission.route.retry_safety.is_stream() && response.head.is_success() {
             return self
                 .relay_stream(caller, entry, choice, &load_guard, response)
