soak: the store comes back from an older copy

Up to two times in a run the store is copied and comes back from the copy 0.2 to 2.5 s later, beside all other faults, drawn from the seed apart from them.

--- a/testing/soak/src/edges.rs
+++ b/testing/soak/src/edges.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use snipegate_testing_fleet::ChildProcess;
 
@@ -16,6 +17,9 @@
 const DIRECTORY_PORT: u16 = 7003;
 const GOSSIP_PORT: u16 = 7100;
 
+/// Age of the oldest copy from which the store comes back: more than the longest fault.
+const MAX_COPY_AGE: Duration = Duration::from_secs(3);
+
 /// A VM whose process can be started, paused, stopped and killed.
 pub struct EdgeVm {
     name: String,
@@ -77,7 +81,13 @@
         self.start_count += 1;
         let log = File::create(self.directory.join(format!("{}.log", self.start_count)))?;
         let settings = self.settings_path().display().to_string();
-        let args = ["--settings".to_owned(), settings];
+        let copy_age = MAX_COPY_AGE.as_millis().to_string();
+        let args = [
+            "--settings".to_owned(),
+            settings,
+            "--max-copy-age-ms".to_owned(),
+            copy_age,
+        ];
         let process = ChildProcess::start_logged(&self.name, "snipegate-edge", &args, log);
         self.process = Some(process);
         Ok(())
--- a/testing/soak/src/plan.rs
+++ b/testing/soak/src/plan.rs
@@ -35,6 +35,12 @@
 /// other faults unchanged.
 const RATE_LIMIT_SEED_MASK: u64 = 0x7261_7465;
 
+/// Mixed into the seed for the returns of the store from an older copy.
+const STORE_RETURN_SEED_MASK: u64 = 0x7265_7475;
+
+/// Maximum number of these returns.
+const MAX_STORE_RETURNS: usize = 2;
+
 /// Mixed into the seed for the faults while prompts crash upstreams.
 const CRASH_PHASE_SEED_MASK: u64 = 0x6372_6173;
 
@@ -58,6 +64,8 @@
     StoreReset(usize),
     /// The store has a fault until the end.
     Store(StoreFault),
+    /// The store is copied, and comes back from the copy at the end.
+    StoreReturn,
     /// The callers' connections to a VM are reset.
     CallerReset(usize),
     /// The callers' link to a VM has a fault until the end.
@@ -141,6 +149,7 @@
             })
             .collect();
         faults.extend(draw_rate_limits(seed, upstreams, duration));
+        faults.extend(draw_store_returns(seed, duration));
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
     }
@@ -193,6 +202,24 @@
     planned
 }
 
+/// Draws the returns of the store from an older copy.
+fn draw_store_returns(seed: u64, duration: Duration) -> Vec<PlannedFault> {
+    let mut rng = Rng::with_seed(seed ^ STORE_RETURN_SEED_MASK);
+    let count = rng.usize(..=MAX_STORE_RETURNS);
+    let (shortest, longest) = FAULT_DURATIONS;
+    (0..count)
+        .map(|_| {
+            let at = duration.mul_f64(rng.f64());
+            let age = shortest + (longest - shortest).mul_f64(rng.f64());
+            PlannedFault {
+                at,
+                until: (at + age).min(duration),
+                fault: SoakFault::StoreReturn,
+            }
+        })
+        .collect()
+}
+
 fn draw_fault(rng: &mut Rng, vms: usize, upstreams: usize) -> SoakFault {
     let vm = rng.usize(..vms);
     let upstream = rng.usize(..upstreams);
--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -19,6 +20,7 @@
 use snipegate_standin_site::RunnerScript;
 use snipegate_standin_site::StandinRunner;
 use snipegate_standin_site::StandinStore;
+use snipegate_standin_site::StoreCopy;
 use snipegate_standin_site::StoreFault;
 use snipegate_standin_site::started_runner_entry;
 use snipegate_types::RequestRate;
@@ -101,6 +103,8 @@
     version: Cell<u64>,
     /// VMs whose process is stopping, with the time of the request.
     pending_stops: RefCell<Vec<(usize, Instant)>>,
+    /// Copies from which the store will come back, in that order.
+    store_copies: RefCell<VecDeque<StoreCopy>>,
     /// Upstreams that are draining, once for each drain that has not ended.
     active_drains: RefCell<Vec<usize>>,
     record: RefCell<SoakRecord>,
@@ -194,6 +198,7 @@
             edges: RefCell::new(edges),
             version: Cell::new(FIRST_VERSION - 1),
             pending_stops: RefCell::default(),
+            store_copies: RefCell::default(),
             active_drains: RefCell::default(),
             record: RefCell::new(SoakRecord {
                 prepaid: PREPAID_TOKENS,
@@ -257,6 +262,10 @@
                 }
                 self.store.set_fault(fault);
             }
+            SoakFault::StoreReturn => {
+                let mut copies = self.store_copies.borrow_mut();
+                copies.push_back(self.store.copy());
+            }
             SoakFault::CallerReset(vm) => self.caller_links[vm].reset(),
             SoakFault::CallerLink(vm, fault) => self.caller_links[vm].set_fault(fault),
             SoakFault::UpstreamLink(upstream, fault) => {
@@ -298,6 +307,11 @@
             SoakFault::Pause(vm) => edges[vm].set_paused(false),
             SoakFault::StoreLink(vm, _) => self.store_links[vm].set_fault(LinkFault::None),
             SoakFault::Store(_) => self.store.set_fault(StoreFault::None),
+            SoakFault::StoreReturn => {
+                if let Some(copy) = self.store_copies.borrow_mut().pop_front() {
+                    self.store.rewind(&copy);
+                }
+            }
             SoakFault::CallerLink(vm, _) => self.caller_links[vm].set_fault(LinkFault::None),
             SoakFault::UpstreamLink(upstream, _) => {
                 self.runner_links[upstream].set_fault(LinkFault::None);
