--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -6,6 +6,7 @@
 
 mod era_entry;
 mod run_end;
+mod shard_access;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,12 +15,8 @@
 use slog::debug;
 use slog::info;
 use snipegate_platform::ConfigStore;
-use snipegate_platform::ExpectedVersion;
-use snipegate_platform::StoreEra;
 use snipegate_platform::StoreError;
 use snipegate_platform::StoreRevision;
-use snipegate_platform::StoredValue;
-use snipegate_platform::SwapOutcome;
 use snipegate_types::TokenCount;
 use snipegate_types::WorkspaceId;
 use tokio::task::spawn_local;
@@ -38,16 +35,12 @@
 use crate::budget_record::GrantRequest;
 use crate::budget_shard::BudgetShard;
 use crate::budget_shard::ClosedTotals;
-use crate::era_marker::mark_era;
 use crate::gateway::Gateway;
-use crate::gateway::stable_hash;
 use crate::holding::BudgetHolding;
 use crate::holding::HoldingRole;
 use crate::holding::PlanTime;
 use crate::local_response::jitter;
 use crate::shard_writer::RegistrationAge;
-use crate::shard_writer::WriterLevel;
-use crate::store_task::StoreTask;
 use crate::token_request::answer_queue;
 use crate::token_request::queued_tokens;
 use crate::token_request::report_use;
@@ -337,20 +330,6 @@
             .all(|(_, holding)| holding.is_loaded())
     }
 
-    async fn load<S: ConfigStore>(
-        &mut self,
-        gateway: &Gateway,
-        store: &S,
-    ) -> Result<(), StoreError> {
-        let key = self.key(gateway);
-        let call = store.list(&key, None);
-        let listing = gateway.call_store(StoreTask::Budgets, call).await?;
-        let era = listing.revision.era;
-        gateway.observe_era(era, StoreTask::Budgets)?;
-        let entry = listing.entries.into_iter().find(|(name, _)| *name == key);
-        self.apply_stored(gateway, era, entry.map(|(_, stored)| stored))
-    }
-
     /// Applies grant requests of this VM to the shard, reports and registers this VM if that is
     /// due, and writes the shard if it changed.
     async fn write_grant_requests<S: ConfigStore>(
@@ -400,125 +379,6 @@
             "tokens" => newly_closed.0, "told_used" => before.used.0,
             "revision" => %self.revision);
     }
-
-    async fn swap<S: ConfigStore>(
-        &mut self,
-        gateway: &Gateway,
-        store: &S,
-        shard: BudgetShard,
-    ) -> Result<(), StoreError> {
-        let bytes = shard.encode().map_err(|error| {
-            info!(gateway.log, "failed to encode budget records"; "error" => %error);
-            StoreError::InvalidReply
-        })?;
-        let expected = match self.revision.number {
-            0 => ExpectedVersion::Absent,
-            _ => ExpectedVersion::At(self.revision),
-        };
-        let key = self.key(gateway);
-        let conditions = mark_era(gateway, store, self.revision.era).await?;
-        let call = store.swap_if(&key, expected, bytes, &conditions);
-        let result = gateway.call_store(StoreTask::Budgets, call).await;
-        self.last_write = Some(gateway.now());
-        let outcome = match &result {
-            Ok(SwapOutcome::Swapped(at)) if at.era != self.revision.era => "other_era",
-            Ok(SwapOutcome::Swapped(_)) => "written",
-            Ok(SwapOutcome::Conflict(_)) => "conflict",
-            Err(error) if error.may_have_applied() => "unknown",
-            Err(_) => "not_written",
-        };
-        gateway.metrics.count_tagged("budget.write", outcome);
-        info!(gateway.log, "budgets written"; "shard" => self.number, "outcome" => outcome,
-            "replaces" => %self.revision);
-        match result? {
-            SwapOutcome::Swapped(revision) => {
-                self.check_era(gateway, revision.era)?;
-                self.shard = shard;
-                self.revision = revision;
-                self.update_holdings(gateway);
-                Ok(())
-            }
-            SwapOutcome::Conflict(Some(stored)) => {
-                let era = stored.revision.era;
-                gateway.era_marker.set(None);
-                self.check_era(gateway, era)?;
-                self.apply_stored(gateway, era, Some(stored))?;
-                Err(StoreError::Unreachable)
-            }
-            SwapOutcome::Conflict(None) => {
-                // The answer does not tell its era, nor which condition failed.
-                self.is_loaded = false;
-                gateway.era_marker.set(None);
-                gateway.observe_era(store.latest_era().unwrap_or_default(), StoreTask::Budgets)?;
-                Err(StoreError::Unreachable)
-            }
-        }
-    }
-
-    /// Replaces the local copy of the shard with the stored one.
-    fn apply_stored(
-        &mut self,
-        gateway: &Gateway,
-        era: StoreEra,
-        stored: Option<StoredValue>,
-    ) -> Result<(), StoreError> {
-        let (shard, revision) = match stored {
-            None => (BudgetShard::default(), StoreRevision::in_era(era, 0)),
-            Some(stored) => match BudgetShard::decode(&stored.value) {
-                Ok(shard) => (shard, stored.revision),
-                Err(error) => {
-                    // If the records cannot be decoded, no further grants are made.
-                    info!(gateway.log, "failed to decode budget records"; "shard" => self.number,
-                        "revision" => %stored.revision, "error" => %error);
-                    return Err(StoreError::InvalidReply);
-                }
-            },
-        };
-        self.shard = shard;
-        self.revision = revision;
-        self.is_loaded = true;
-        self.update_holdings(gateway);
-        Ok(())
-    }
-
-    /// Updates this VM's holdings from the records, unless the store has lost writes that
-    /// the records would show.
-    fn update_holdings(&mut self, gateway: &Gateway) {
-        let era = self.revision.era;
-        if self.shard.era != era && !self.shard.writers.is_empty() {
-            return;
-        }
-        let vm = stable_hash(gateway.settings.vm.as_str());
-        let now = gateway.now();
-        let announced = self.shard.writer(vm).map(|writer| writer.announced);
-        let announced = announced.unwrap_or(WriterLevel::None);
-        self.registration.record(era, announced, now);
-        self.unsettled_since = match self.shard.is_unsettled() {
-            true => self.unsettled_since.or(Some(now)),
-            false => None,
-        };
-        // What the next write can grant.
-        let mut view_of = self.shard.clone();
-        self.register(gateway, &mut view_of, now);
-        let mut holdings = gateway.holdings.borrow_mut();
-        let own = holdings
-            .iter_mut()
-            .filter(|(workspace, _)| shard_of(workspace) == self.number);
-        for (_, holding) in own {
-            let workspace = holding.workspace();
-            let incarnation = gateway.incarnation;
-            let prepaid = holding.prepaid();
-            let view = view_of.view(workspace, self.revision, vm, incarnation, prepaid);
-            holding.set_view(view, now);
-        }
-        drop(holdings);
-        gateway.grant_changed.notify_waiters();
-    }
-
-    fn key(&self, gateway: &Gateway) -> String {
-        let prefix = gateway.wire_format.layout().budget_prefix;
-        format!("{prefix}{}", self.number)
-    }
 }
 
 /// Returns the time at which to plan grant requests. The boot clock is read first,
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -15,7 +15,9 @@
 
 mod allowance;
 mod balance;
+mod era_claim;
 mod grant_size;
+mod request_plan;
 
 use std::time::Instant;
 
@@ -27,10 +29,7 @@
 use self::allowance::Allowance;
 use crate::budget_record::BudgetTotals;
 use crate::budget_record::BudgetView;
-use crate::budget_record::GrantRequest;
 use crate::demand::DemandMeter;
-use crate::spending_pace::DatedPace;
-use crate::spending_pace::SpendingPace;
 
 /// Fraction of the free tokens that may be transferred beyond the receiver's immediate
 /// need.
@@ -184,26 +183,6 @@
         self.prepaid = prepaid;
     }
 
-    /// Records that the store has entered an era, in which it may have lost recent writes.
-    ///
-    /// This process keeps what it is certain to hold, and claims it in the record. No write of
-    /// an earlier era can take effect any more.
-    pub fn enter_era(&mut self, era: StoreEra) {
-        if era <= self.era {
-            return;
-        }
-        self.era = era;
-        let allowance = self.allowance();
-        self.pending = None;
-        self.claim = Some(allowance.granted).filter(|claim| !claim.is_zero());
-        self.applied_at = allowance.since;
-        self.view = self.claim.map(|claim| BudgetView {
-            own_granted: claim,
-            own_pace: allowance.pace,
-            ..BudgetView::default()
-        });
-    }
-
     /// Applies a view of the record, unless a newer one is known.
     pub fn set_view(&mut self, view: BudgetView, now: Instant) {
         self.enter_era(view.totals.revision.era);
@@ -244,11 +223,6 @@
         self.view.is_some()
     }
 
-    /// Returns whether this process holds a grant of an earlier era that it has to claim.
-    pub fn has_claim(&self) -> bool {
-        self.claim.is_some()
-    }
-
     /// Returns the newest known totals over all VMs.
     pub fn totals(&self) -> Option<BudgetTotals> {
         self.totals
@@ -431,28 +405,6 @@
         self.settled_reserved = self.settled_reserved.saturating_add(reserved);
     }
 
-    /// Returns a grant request if the grant or its pace should change.
-    pub fn plan_request(
-        &mut self,
-        role: HoldingRole,
-        queued: TokenCount,
-        scarce: bool,
-        time: PlanTime,
-    ) -> Option<GrantRequest> {
-        let need = self.need(role, queued, scarce, time.now)?;
-        let pace = self.pace(queued, time.now);
-        Some(self.new_request(need.granted, pace, time))
-    }
-
-    /// Returns a grant request that renews the pace and keeps the size of the grant.
-    pub fn plan_pace(&mut self, time: PlanTime) -> Option<GrantRequest> {
-        if self.granted().is_zero() {
-            return None;
-        }
-        let pace = self.pace(TokenCount::ZERO, time.now);
-        Some(self.new_request(self.granted(), pace, time))
-    }
-
     /// Returns whether part of the grant can be returned, or is being returned without
     /// a confirmation yet.
     pub fn has_spare_grant(&self) -> bool {
@@ -470,50 +422,6 @@
         self.unreported_use() >= MIN_RETURN
     }
 
-    /// Returns a grant request that returns all tokens not in use.
-    pub fn plan_return(&mut self, time: PlanTime) -> GrantRequest {
-        let pace = self.pace(TokenCount::ZERO, time.now);
-        self.new_request(self.min_grant(), pace, time)
-    }
-
-    /// Creates a grant request. From now on this process spends no more than the
-    /// request allows, whether or not it is applied.
-    fn new_request(
-        &mut self,
-        granted: TokenCount,
-        pace: SpendingPace,
-        time: PlanTime,
-    ) -> GrantRequest {
-        self.sequence += 1;
-        self.last_reported_use = self.accounted_use();
-        self.largest_waiting = TokenCount::ZERO;
-        let pace = time.boot.map(|set_at| DatedPace { pace, set_at });
-        let allowance = Allowance {
-            granted,
-            pace: pace.map(|dated| dated.pace),
-            since: time.now,
-        };
-        self.pending = Some(PendingGrantRequest {
-            sequence: self.sequence,
-            allowance: match self.pending {
-                Some(pending) => pending.allowance.intersect(allowance),
-                None => allowance,
-            },
-        });
-        GrantRequest {
-            workspace: self.workspace,
-            vm: self.vm,
-            incarnation: self.incarnation,
-            era: self.era,
-            sequence: self.sequence,
-            claimed: self.claim.unwrap_or_default(),
-            granted,
-            used: self.last_reported_use,
-            pace,
-            began: self.started_at,
-        }
-    }
-
     /// Returns the use that this process accounts for in the record.
     fn accounted_use(&self) -> TokenCount {
         self.used
--- a/lib/gateway/tests/test_store_return.rs
+++ b/lib/gateway/tests/test_store_return.rs
@@ -401,3 +401,18 @@
         assert!(found.is_some(), "{fault:?} was not found");
     }
 }
+
+#[test]
+fn records_of_a_build_without_eras_keep_their_grants() {
+    // The records by workspace, each as closed tokens and holders.
+    type OldHolder = (u64, u64, u64, u64, u64, Option<()>);
+    type OldShard = (IndexMap<u64, (u64, Vec<OldHolder>)>,);
+    let holder: OldHolder = (7, 8, 3, 400, 100, None);
+    let old: OldShard = (IndexMap::from([(WORKSPACE, (50, vec![holder]))]),);
+    let bytes = rmp_serde::to_vec(&old).expect("records should encode");
+    let mut shard = BudgetShard::decode(&bytes).expect("records should decode");
+    assert!(shard.enter_era(StoreEra(1)));
+    assert!(!shard.is_unsettled());
+    let taken = shard.records[&WORKSPACE].taken();
+    assert_eq!(taken, TokenCount(450));
+}
