gateway, docs: a late answer leaves more room before a process counts as there before a copy

The time of the last answer of an era is that of its arrival, and with calls for leases that of any answer; two such delays of at most a second each may add up. Found by reading.

--- a/lib/gateway/src/era_contacts.rs
+++ b/lib/gateway/src/era_contacts.rs
@@ -7,7 +7,7 @@
 use snipegate_platform::StoreEra;
 
 /// Maximum time from the store's execution of a call to the arrival of its answer.
-const MAX_ANSWER_DELAY: Duration = Duration::from_secs(1);
+const MAX_ANSWER_DELAY: Duration = Duration::from_secs(2);
 
 /// Maximum number of eras that are remembered.
 const MAX_ERAS: usize = 64;
