gateway: tests of upstreams and VM records after a return of the store

A run that the store said to be draining, or removed, and an outdated VM record, as an older copy shows them. Written after the change, not seen failing before it: the functions take a time or an era that they did not have then.

--- a/lib/gateway/tests/test_tables.rs
+++ b/lib/gateway/tests/test_tables.rs
@@ -14,6 +14,7 @@
 use snipegate_gateway::UpstreamTable;
 use snipegate_gateway::VmRecord;
 use snipegate_gateway::VmStage;
+use snipegate_platform::StoreEra;
 use snipegate_platform::StoreRevision;
 use snipegate_types::UpstreamId;
 
@@ -199,3 +200,84 @@
     let batch = splitter.push(stream).expect("events are complete");
     assert_eq!(batch.events, 2);
 }
+
+/// Returns a position after the store came back from an older copy.
+fn after_return(number: u64) -> StoreRevision {
+    StoreRevision::in_era(StoreEra(1), number)
+}
+
+fn started_entry(name: &str, phase: UpstreamPhase) -> UpstreamEntry {
+    UpstreamEntry {
+        started_ms: Some(1_000),
+        ..entry(name, phase)
+    }
+}
+
+#[test]
+fn draining_run_stays_away_though_an_older_copy_lists_it_as_ready() {
+    let mut table = UpstreamTable::default();
+    let now = Instant::now();
+    let id: UpstreamId = "a".parse().expect("a name");
+    let ready = started_entry("a", UpstreamPhase::Ready);
+    table.put(&id, Some(ready.clone()), StoreRevision::new(5), now);
+    let draining = started_entry("a", UpstreamPhase::Draining);
+    table.put(&id, Some(draining), StoreRevision::new(9), now);
+    table.enter_era(now);
+    let listed = vec![(id.clone(), Some(ready.clone()), after_return(5))];
+    table.replace(listed, after_return(8), now);
+    assert_eq!(ready_count(&table), 0);
+    // A later run under the same id is another one.
+    let restarted = UpstreamEntry {
+        started_ms: Some(2_000),
+        ..ready
+    };
+    table.put(&id, Some(restarted), after_return(10), now);
+    assert_eq!(ready_count(&table), 1);
+}
+
+#[test]
+fn removed_run_in_an_older_copy_is_used_only_if_it_stays_listed() {
+    let mut table = UpstreamTable::default();
+    let now = Instant::now();
+    for name in ["a", "b"] {
+        let id: UpstreamId = name.parse().expect("a name");
+        let ready = started_entry(name, UpstreamPhase::Ready);
+        table.put(&id, Some(ready), StoreRevision::new(5), now);
+        table.remove(&id, StoreRevision::new(9), now);
+    }
+    table.enter_era(now);
+    for name in ["a", "b"] {
+        let id: UpstreamId = name.parse().expect("a name");
+        let ready = started_entry(name, UpstreamPhase::Ready);
+        table.put(&id, Some(ready), after_return(5), now);
+    }
+    assert_eq!(ready_count(&table), 0);
+    let removed: UpstreamId = "a".parse().expect("a name");
+    table.remove(&removed, after_return(9), now);
+    assert!(table.release_withheld(now).is_empty());
+    let later = now + Duration::from_secs(3);
+    assert_eq!(table.release_withheld(later).len(), 1);
+    assert_eq!(ready_count(&table), 1);
+}
+
+#[test]
+fn outdated_record_of_the_store_does_not_replace_what_a_vm_announces() {
+    let mut table = PeerTable::default();
+    let now = Instant::now();
+    let announced = VmRecord {
+        incarnation: 2,
+        ..vm("a", VmStage::Serving)
+    };
+    table.apply_gossip(announced, true, now);
+    let outdated = VmRecord {
+        incarnation: 1,
+        ..vm("a", VmStage::Leaving)
+    };
+    table.put_listed(outdated, now);
+    let serving: Vec<u64> = table
+        .serving(now)
+        .iter()
+        .map(|record| record.incarnation)
+        .collect();
+    assert_eq!(serving, [2]);
+}
