gateway: logs tell which request an upstream crashed under

Bookings and reads have no parts, so the logs could not tell one request that comes again from load. A digest of method, path, workspace and body is in 'upstream chosen', and 'upstream probed' comes for all services, with the digests of the unanswered requests. What is refused does not change, but crashes of plain upstreams now count among those that a part is weighed against.

--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -41,6 +41,7 @@
 use crate::refusal::Refusal;
 use crate::relay::CallerRequest;
 use crate::relay::Relay;
+use crate::request_digest::digest_request;
 use crate::request_guards::ActiveRequestGuard;
 use crate::request_guards::Reservation;
 use crate::reserve::reserve;
@@ -346,7 +347,9 @@
         Ok(reservation) => reservation,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
-    let mut relay = Relay::new(gateway, request, &admission, service, reservation.as_ref());
+    let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
+    let reservation = reservation.as_ref();
+    let mut relay = Relay::new(gateway, request, &admission, service, digest, reservation);
     relay.is_trial = is_trial;
     relay.run(caller).await
 }
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -14,6 +14,7 @@
 use snipegate_http1::ConnectError;
 use snipegate_http1::connect;
 use snipegate_types::PartId;
+use snipegate_types::RequestDigest;
 use strum::Display;
 use strum::IntoStaticStr;
 use tokio::task::spawn_local;
@@ -33,6 +34,9 @@
 /// Timeout of the connection attempt.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Maximum number of requests in a log line.
+const MAX_LOGGED_REQUESTS: usize = 16;
+
 /// What a connection attempt says of an upstream to which a connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -50,9 +54,21 @@
 pub struct BrokenRequests {
     at: Instant,
     requests: usize,
+    /// Those whose answer had not begun.
+    unanswered: Vec<RequestDigest>,
+    /// Shared parts of their prompts.
     parts: HashSet<PartId>,
 }
 
+/// A request that broke off before its answer began.
+#[derive(Clone, Copy, Debug)]
+pub struct UnansweredRequest<'a> {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Shared parts of its prompt, if it has one.
+    pub parts: &'a [PromptPart],
+}
+
 /// Broken requests by the run of the upstream, while its probe is pending.
 pub type PendingProbes = IndexMap<UpstreamRun, BrokenRequests>;
 
@@ -69,24 +85,31 @@
     }
 }
 
-/// Looks into a request that broke off. `parts` are the shared parts of its prompt if its
-/// answer had not begun.
-pub fn record_broken_request(gateway: &Rc<Gateway>, entry: &UpstreamEntry, parts: &[PromptPart]) {
+/// Looks into a request that broke off at an upstream. `unanswered` is the request if its answer
+/// had not begun.
+pub fn record_broken_request(
+    gateway: &Rc<Gateway>,
+    entry: &UpstreamEntry,
+    unanswered: Option<UnansweredRequest<'_>>,
+) {
     let run = UpstreamRun::of(entry);
-    let ids = parts.iter().map(|part| part.id);
     let mut pending = gateway.parts.pending_probes.borrow_mut();
-    if let Some(broken) = pending.get_mut(&run) {
-        broken.requests += 1;
-        broken.parts.extend(ids);
-        return;
+    let broken = pending.entry(run).or_insert_with(|| {
+        spawn_local(probe_upstream(Rc::clone(gateway), entry.clone()));
+        BrokenRequests {
+            at: gateway.now(),
+            requests: 0,
+            unanswered: Vec::new(),
+            parts: HashSet::new(),
+        }
+    });
+    broken.requests += 1;
+    if let Some(request) = unanswered {
+        broken.unanswered.push(request.digest);
+        broken
+            .parts
+            .extend(request.parts.iter().map(|part| part.id));
     }
-    let broken = BrokenRequests {
-        at: gateway.now(),
-        requests: 1,
-        parts: ids.collect(),
-    };
-    pending.insert(run, broken);
-    spawn_local(probe_upstream(Rc::clone(gateway), entry.clone()));
 }
 
 async fn probe_upstream(gateway: Rc<Gateway>, entry: UpstreamEntry) {
@@ -108,9 +131,16 @@
     let age = gateway.now().saturating_duration_since(broken.at);
     info!(gateway.log, "upstream probed"; "upstream" => %entry.id, "result" => %result,
         "requests" => broken.requests, "parts" => broken.parts.len(),
+        "unanswered" => format_digests(&broken.unanswered),
         "broken_ms_ago" => age.as_millis() as u64, "started_ms" => entry.started_ms);
     if result == ProbeResult::Ended {
         let parts = broken.parts.into_iter().collect();
         record_crash(&gateway, &entry, broken.at, parts);
     }
 }
+
+fn format_digests(digests: &[RequestDigest]) -> String {
+    let logged = digests.iter().take(MAX_LOGGED_REQUESTS);
+    let texts: Vec<String> = logged.map(RequestDigest::to_string).collect();
+    texts.join(",")
+}
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use slog::info;
 use snipegate_http1::RequestHead;
 use snipegate_http1::ResponseHead;
+use snipegate_types::RequestDigest;
 use snipegate_types::UpstreamId;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
@@ -99,6 +100,7 @@
     request: &'a CallerRequest,
     admission: &'a Admission,
     service: ServiceName,
+    digest: RequestDigest,
     reservation: Option<&'a Reservation>,
     tried: Vec<UpstreamId>,
     /// The upstream of the attempt in progress.
@@ -127,6 +129,7 @@
         request: &'a CallerRequest,
         admission: &'a Admission,
         service: ServiceName,
+        digest: RequestDigest,
         reservation: Option<&'a Reservation>,
     ) -> Self {
         Self {
@@ -134,6 +137,7 @@
             request,
             admission,
             service,
+            digest,
             reservation,
             tried: Vec::new(),
             current: None,
@@ -251,7 +255,7 @@
             "ahead" => choice.queued_tokens,
             "running" => choice.running, "expected_ms" => choice.expected.as_millis() as u64,
             "rate" => rate.map(|rate| rate.0), "share" => share.map(|share| share.0),
-            "send" => self.sends + 1, "parts" => self.format_parts(),
+            "send" => self.sends + 1, "digest" => %self.digest, "parts" => self.format_parts(),
             "upstreams_revision" => %self.gateway.upstreams.borrow().latest(),
             "config" => self.admission.config.version.0);
     }
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -15,11 +15,13 @@
 use crate::caller::CallerDisconnected;
 use crate::caller::CallerWriter;
 use crate::caller::ResponseState;
+use crate::crash_probe::UnansweredRequest;
 use crate::crash_probe::may_be_crash;
 use crate::crash_probe::record_broken_request;
 use crate::local_response::jitter;
 use crate::local_response::refuse;
 use crate::local_response::strip_hop_by_hop_fields;
+use crate::metadata::PromptShape;
 use crate::part_guard::record_prompt_answer;
 use crate::part_guard::refuse_parts;
 use crate::placement::PlacementChoice;
@@ -78,21 +80,23 @@
         }
     }
 
-    /// Looks into a prompt that broke off. If its answer had not begun, it may have crashed
+    /// Looks into a request that broke off. If its answer had not begun, it may have crashed
     /// the upstream.
     pub(super) fn record_broken(&self, entry: &UpstreamEntry, outcome: &SendOutcome) {
-        let (Some(prompt), SendOutcome::Broken(failure)) = (&self.request.metadata.prompt, outcome)
-        else {
+        let SendOutcome::Broken(failure) = outcome else {
             return;
         };
         if !may_be_crash(*failure) {
             return;
         }
-        let suspected = match self.attempt_events < EVENTS_OF_SOUND_ANSWER {
-            true => prompt.shared_parts(),
-            false => &[],
-        };
-        record_broken_request(self.gateway, entry, suspected);
+        let unanswered = (self.attempt_events < EVENTS_OF_SOUND_ANSWER).then(|| {
+            let prompt = self.request.metadata.prompt.as_ref();
+            UnansweredRequest {
+                digest: self.digest,
+                parts: prompt.map_or(&[], PromptShape::shared_parts),
+            }
+        });
+        record_broken_request(self.gateway, entry, unanswered);
     }
 
     /// Returns the refusal of a prompt whose parts crash upstreams.
--- a/lib/types/src/lib.rs
+++ b/lib/types/src/lib.rs
@@ -6,6 +6,7 @@
 mod id;
 mod part;
 mod place;
+mod request_digest;
 mod result_code;
 mod size;
 
@@ -30,6 +31,7 @@
 pub use place::ProcessRole;
 pub use place::RegionName;
 pub use place::VmId;
+pub use request_digest::RequestDigest;
 pub use result_code::ResultCode;
 pub use result_code::RunState;
 pub use size::ByteCount;
