--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -19,7 +19,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::runner_script::CrashingPart;
+use crate::runner_script::CrashTrigger;
 use crate::runner_script::EndlessPart;
 use crate::runner_script::RunnerScript;
 use crate::server::read_body;
@@ -58,7 +58,7 @@
     advertised_rate: Cell<Option<RequestRate>>,
     requests: RefCell<Vec<RecordedRequest>>,
     aborted_count: Cell<u64>,
-    crashing_part: RefCell<Option<CrashingPart>>,
+    crash_trigger: RefCell<Option<CrashTrigger>>,
     crashes: RefCell<Vec<Instant>>,
     /// How long the runner is down after its last crash.
     downtime: Cell<Duration>,
@@ -85,7 +85,7 @@
             advertised_rate: Cell::new(None),
             requests: RefCell::default(),
             aborted_count: Cell::new(0),
-            crashing_part: RefCell::default(),
+            crash_trigger: RefCell::default(),
             crashes: RefCell::default(),
             downtime: Cell::default(),
             crashed: Notify::new(),
@@ -112,10 +112,10 @@
         self.state.advertised_rate.set(rate);
     }
 
-    /// Sets the prompt part that crashes the runner, if any: all its connections close, and it
-    /// accepts none while it is down.
-    pub fn set_crashing_part(&self, part: Option<CrashingPart>) {
-        *self.state.crashing_part.borrow_mut() = part;
+    /// Sets what crashes the runner, if anything: all its connections close, and it accepts
+    /// none while it is down.
+    pub fn set_crash_trigger(&self, trigger: Option<CrashTrigger>) {
+        *self.state.crash_trigger.borrow_mut() = trigger;
     }
 
     /// Crashes the runner for `downtime`.
@@ -231,7 +231,7 @@
         let responds_early = state.script.get() == RunnerScript::EarlyResponse;
         if responds_early {
             state.record_request(&head, Vec::new());
-            if !respond(&state, &stream, &head).await {
+            if !respond(&state, &stream, &head, b"").await {
                 return;
             }
         }
@@ -239,8 +239,8 @@
             return;
         };
         if !responds_early {
-            state.record_request(&head, body);
-            if !respond(&state, &stream, &head).await {
+            state.record_request(&head, body.clone());
+            if !respond(&state, &stream, &head, &body).await {
                 return;
             }
         }
@@ -248,11 +248,16 @@
 }
 
 /// Responds as scripted. Returns whether the connection stays open.
-async fn respond(state: &State, stream: &TcpStream, request: &RequestHead) -> bool {
-    let part = state.crashing_part.borrow().clone();
-    if let Some(part) = part.filter(|part| part.is_in(request)) {
-        sleep(part.delay).await;
-        state.crash(part.downtime);
+async fn respond(
+    state: &State,
+    stream: &TcpStream,
+    request: &RequestHead,
+    request_body: &[u8],
+) -> bool {
+    let trigger = state.crash_trigger.borrow().clone();
+    if let Some(trigger) = trigger.filter(|trigger| trigger.cause.is_in(request, request_body)) {
+        sleep(trigger.delay).await;
+        state.crash(trigger.downtime);
         return false;
     }
     let body = b"the answer";
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -84,23 +84,39 @@
     Endless(EndlessPart),
 }
 
-/// A prompt part that crashes a runner.
+/// What in a request crashes a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashingPart {
-    /// Id of the part, as it is sent. It has no effect as the last part of a prompt.
-    pub id: String,
-    /// Time until a runner begins to answer a request with the part, and crashes.
-    pub delay: Duration,
-    /// How long a runner is down after a crash.
-    pub downtime: Duration,
+pub enum CrashCause {
+    /// A prompt part with this id, as it is sent. It has no effect as the last part of a prompt.
+    Part(String),
+    /// A request with this target and body.
+    Request(String, Vec<u8>),
 }
 
-impl CrashingPart {
-    /// Returns whether a request has the part in its prompt, and not as its last part.
-    pub fn is_in(&self, request: &RequestHead) -> bool {
-        let parts = request.headers.get(PROMPT_PARTS_FIELD).unwrap_or_default();
-        let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
-        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
-        ids.any(|id| id == self.id)
+impl CrashCause {
+    /// Returns whether a request with this head and body crashes a runner.
+    pub fn is_in(&self, head: &RequestHead, body: &[u8]) -> bool {
+        match self {
+            CrashCause::Part(id) => has_shared_part(head, id),
+            CrashCause::Request(target, crashing) => *head.target == **target && body == crashing,
+        }
     }
 }
+
+fn has_shared_part(head: &RequestHead, id: &str) -> bool {
+    let parts = head.headers.get(PROMPT_PARTS_FIELD).unwrap_or_default();
+    let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
+    let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.any(|other| other == id)
+}
+
+/// How a runner crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashTrigger {
+    /// What makes it crash.
+    pub cause: CrashCause,
+    /// Time until a runner begins to answer such a request, and crashes.
+    pub delay: Duration,
+    /// How long a runner is down after a crash.
+    pub downtime: Duration,
+}
--- a/testing/soak/src/run/crash_phase.rs
+++ b/testing/soak/src/run/crash_phase.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use snipegate_standin_site::CrashingPart;
+use snipegate_standin_site::CrashCause;
+use snipegate_standin_site::CrashTrigger;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -36,8 +37,8 @@
         let plan = draw_crash_phase(seed, vms, CRASH_PHASE);
         let until = Instant::now() + CRASH_PHASE;
         for runner in &self.runners {
-            runner.set_crashing_part(Some(CrashingPart {
-                id: CRASHING_PART.to_owned(),
+            runner.set_crash_trigger(Some(CrashTrigger {
+                cause: CrashCause::Part(CRASHING_PART.to_owned()),
                 delay: CRASH_DELAY,
                 downtime: CRASH_DOWNTIME,
             }));
