--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -31,17 +31,20 @@
 use crate::caller::CallerWriter;
 use crate::caller::ResponseState;
 use crate::config::CallerLimits;
+use crate::feature_guard::claim_due_trial;
+use crate::feature_guard::refuse_features;
 use crate::gateway::Gateway;
 use crate::local_response::jitter;
 use crate::local_response::pick_service;
 use crate::local_response::refuse;
 use crate::metadata::RequestMetadata;
-use crate::part_guard::claim_due_trial;
-use crate::part_guard::refuse_parts;
 use crate::refusal::Refusal;
 use crate::relay::CallerRequest;
 use crate::relay::Relay;
+use crate::relay::RelayFeatures;
 use crate::request_digest::digest_request;
+use crate::request_feature::RequestFeature;
+use crate::request_feature::request_features;
 use crate::request_guards::ActiveRequestGuard;
 use crate::request_guards::Reservation;
 use crate::reserve::reserve;
@@ -339,7 +342,8 @@
         let refusal = Refusal::retryable(ResultCode::NoUpstream, jitter(STARTING_RETRY_AFTER));
         return refuse_unsent(gateway, request, caller, &refusal).await;
     };
-    let is_trial = match check_parts(gateway, request).await {
+    let features = request_features(request.metadata.prompt.as_ref());
+    let is_trial = match check_features(gateway, request, &features).await {
         Ok(is_trial) => is_trial,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
@@ -349,22 +353,27 @@
     };
     let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
     let reservation = reservation.as_ref();
-    let mut relay = Relay::new(gateway, request, &admission, service, digest, reservation);
-    relay.is_trial = is_trial;
+    let features = RelayFeatures {
+        digest,
+        features: &features,
+        is_trial,
+    };
+    let mut relay = Relay::new(gateway, request, &admission, service, features, reservation);
     relay.run(caller).await
 }
 
-/// Refuses a prompt whose parts crash upstreams; returns whether it is sent as the trial of
-/// such parts.
-async fn check_parts(gateway: &Gateway, request: &CallerRequest) -> Result<bool, Refusal> {
-    let Some(prompt) = &request.metadata.prompt else {
-        return Ok(false);
-    };
+/// Refuses a request whose features crash upstreams; returns whether it is sent as the trial of
+/// such features.
+async fn check_features(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    features: &[RequestFeature],
+) -> Result<bool, Refusal> {
     let id = &request.metadata.attempt_id;
-    if claim_due_trial(gateway, id, prompt).await {
+    if claim_due_trial(gateway, id, features).await {
         return Ok(true);
     }
-    match refuse_parts(gateway, id, prompt) {
+    match refuse_features(gateway, id, features) {
         Some(refusal) => Err(refusal),
         None => Ok(false),
     }
--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -1,37 +1,37 @@
-//! Decides which prompt parts the known crashes put the blame on.
+//! Decides which features the known crashes put the blame on.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use snipegate_types::PartId;
 
 use crate::crash_evidence::UpstreamRun;
-use crate::part_set::PartSet;
+use crate::feature_set::FeatureSet;
+use crate::request_feature::RequestFeature;
 
-/// Crashes after which a part is blamed that was never answered and is at half or more of all
+/// Crashes after which a feature is blamed that was never answered and is at half or more of all
 /// recent crashes.
 const MIN_CRASHES_TO_BLAME: usize = 3;
 
-/// Crashes after which a part is blamed that is in one refused set of several parts already, in
-/// other company. Only crashes after the set was refused count: the part may be in the set by
+/// Crashes after which a feature is blamed that is in one refused set of several features already, in
+/// other company. Only crashes after the set was refused count: the feature may be in the set by
 /// chance.
 const CRASHES_IN_OTHER_COMPANY: usize = 2;
 
-/// Crashes after which a part is blamed that is in two or more such sets. It is blamed alone
+/// Crashes after which a feature is blamed that is in two or more such sets. It is blamed alone
 /// then.
 const CRASHES_IN_FURTHER_COMPANY: usize = 1;
 
-/// Crashes after which a part is blamed in any case. It is the number that a fleet may see
-/// before it has to know the part.
+/// Crashes after which a feature is blamed in any case. It is the number that a fleet may see
+/// before it has to know the feature.
 const MAX_CRASHES_TO_BLAME: usize = 5;
 
-/// Crashes are recent to a part's crashes up to this time before its first one.
+/// Crashes are recent to a feature's crashes up to this time before its first one.
 const RECENT_PERIOD: Duration = Duration::from_secs(10);
 
-/// Crashes within this time are one group, which counts once. A part has to be at half or
+/// Crashes within this time are one group, which counts once. A feature has to be at half or
 /// more of a group: a single cause, such as the loss of a rack, may end many upstreams, with
-/// any part at some of them.
+/// any feature at some of them.
 const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
 
 /// Crashes by the run that ended, with the time at which the first report puts them.
@@ -42,42 +42,42 @@
 pub enum EvidenceView {
     /// Those of half or more of the fleet.
     Fleet,
-    /// Those of a smaller part, so answers may be missing that clear a part.
+    /// Those of a smaller feature, so answers may be missing that clear a feature.
     Minority,
 }
 
-/// A set of parts that is refused already.
+/// A set of features that is refused already.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RefusedParts {
-    /// The parts.
-    pub parts: PartSet,
+pub struct RefusedFeatures {
+    /// The features.
+    pub features: FeatureSet,
     /// When this VM learned that they are refused.
     pub since: Instant,
 }
 
-/// A set of parts that is blamed.
+/// A set of features that is blamed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BlamedParts {
-    /// The parts; a prompt is affected if it has all of them.
-    pub parts: PartSet,
+pub struct BlamedFeatures {
+    /// The features; a request is affected if it has all of them.
+    pub features: FeatureSet,
     /// Number of crashes that they explain.
     pub crashes: usize,
 }
 
-/// Finds the sets of parts that explain the crashes.
+/// Finds the sets of features that explain the crashes.
 ///
-/// `suspects` holds the crashes since the last answer to each part, `is_new` tells whether a
-/// part was never answered, and `refused` are the sets that are refused already. Parts that
-/// are at nearly the same crashes can't be told apart: a prompt is blamed only if it has all
-/// of them. A crash that a set explains does not count against further parts, which the
-/// prompts may have had beside it.
+/// `suspects` holds the crashes since the last answer to each feature, `is_new` tells whether a
+/// feature was never answered, and `refused` are the sets that are refused already. Features that
+/// are at nearly the same crashes can't be told apart: a request is blamed only if it has all
+/// of them. A crash that a set explains does not count against further features, which the
+/// requests may have had beside it.
 pub fn find_blamed(
     crashes: &CrashTimes,
-    suspects: &IndexMap<PartId, CrashTimes>,
-    is_new: impl Fn(PartId) -> bool,
-    refused: &[RefusedParts],
+    suspects: &IndexMap<RequestFeature, CrashTimes>,
+    is_new: impl Fn(RequestFeature) -> bool,
+    refused: &[RefusedFeatures],
     view: EvidenceView,
-) -> Vec<BlamedParts> {
+) -> Vec<BlamedFeatures> {
     let mut blamed = Vec::new();
     if crashes.len() < MIN_CRASHES_TO_BLAME && refused.is_empty() {
         return blamed;
@@ -88,12 +88,12 @@
         refused,
     };
     for set in refused {
-        let explained = open.crashes_of_all(&set.parts);
+        let explained = open.crashes_of_all(&set.features);
         open.remove(&explained);
     }
-    while let Some((parts, explained)) = open.most_blamed(&is_new, view) {
-        blamed.push(BlamedParts {
-            parts,
+    while let Some((features, explained)) = open.most_blamed(&is_new, view) {
+        blamed.push(BlamedFeatures {
+            features,
             crashes: explained.len(),
         });
         open.remove(&explained);
@@ -101,69 +101,69 @@
     blamed
 }
 
-/// Crashes that no blamed part explains.
+/// Crashes that no blamed feature explains.
 struct OpenCrashes<'a> {
     crashes: CrashTimes,
-    suspects: IndexMap<PartId, CrashTimes>,
-    refused: &'a [RefusedParts],
+    suspects: IndexMap<RequestFeature, CrashTimes>,
+    refused: &'a [RefusedFeatures],
 }
 
-/// The refused sets of several parts that a part is in.
+/// The refused sets of several features that a feature is in.
 struct RefusedCompany {
     sets: usize,
     /// When this VM learned of the last of them.
     since: Instant,
 }
 
-/// A part with enough crashes to be blamed.
+/// A feature with enough crashes to be blamed.
 struct Candidate {
-    part: PartId,
+    feature: RequestFeature,
     /// Whether it was never answered.
     is_new: bool,
     /// Number of groups of crashes that speak against it.
     count: usize,
     /// These crashes.
     crashes: CrashTimes,
-    /// Whether it is blamed without the parts beside it.
+    /// Whether it is blamed without the features beside it.
     is_alone: bool,
 }
 
 impl OpenCrashes<'_> {
-    /// Returns the crashes that all parts of a set are at.
-    fn crashes_of_all(&self, parts: &PartSet) -> CrashTimes {
-        let of_part = |part| self.suspects.get(part);
+    /// Returns the crashes that all features of a set are at.
+    fn crashes_of_all(&self, features: &FeatureSet) -> CrashTimes {
+        let of_part = |feature| self.suspects.get(feature);
         let mut common = self.crashes.clone();
         common.retain(|run, _| {
-            let is_at = |part| of_part(part).is_some_and(|crashes| crashes.contains_key(run));
-            parts.parts().iter().all(is_at)
+            let is_at = |feature| of_part(feature).is_some_and(|crashes| crashes.contains_key(run));
+            features.features().iter().all(is_at)
         });
         common
     }
 
-    /// Returns the part with the most crashes, if these are enough, together with those that
-    /// can't be told apart from it, and the crashes. A part that was never answered goes
+    /// Returns the feature with the most crashes, if these are enough, together with those that
+    /// can't be told apart from it, and the crashes. A feature that was never answered goes
     /// first.
     fn most_blamed(
         &self,
-        is_new: &impl Fn(PartId) -> bool,
+        is_new: &impl Fn(RequestFeature) -> bool,
         view: EvidenceView,
-    ) -> Option<(PartSet, CrashTimes)> {
+    ) -> Option<(FeatureSet, CrashTimes)> {
         let groups = group_crashes(&self.crashes);
-        let candidates = self.suspects.iter().filter_map(|(part, crashes)| {
-            self.candidate(*part, crashes, &groups, is_new(*part), view)
+        let candidates = self.suspects.iter().filter_map(|(feature, crashes)| {
+            self.candidate(*feature, crashes, &groups, is_new(*feature), view)
         });
         let top = candidates.max_by_key(|candidate| (candidate.is_new, candidate.count))?;
-        let parts = match top.is_alone {
-            true => vec![top.part],
-            false => self.parts_beside(&top, is_new),
+        let features = match top.is_alone {
+            true => vec![top.feature],
+            false => self.features_beside(&top, is_new),
         };
-        Some((PartSet::new(parts), top.crashes))
+        Some((FeatureSet::new(features), top.crashes))
     }
 
-    /// Returns a part as a candidate if it has enough crashes.
+    /// Returns a feature as a candidate if it has enough crashes.
     fn candidate(
         &self,
-        part: PartId,
+        feature: RequestFeature,
         crashes: &CrashTimes,
         groups: &[Vec<UpstreamRun>],
         is_new: bool,
@@ -171,14 +171,14 @@
     ) -> Option<Candidate> {
         let may_be_early = is_new && view == EvidenceView::Fleet;
         let candidate = |count, crashes: CrashTimes, is_alone| Candidate {
-            part,
+            feature,
             is_new,
             count,
             crashes,
             is_alone,
         };
         let count = count_groups(groups, crashes);
-        if may_be_early && let Some(company) = self.refused_company(part) {
+        if may_be_early && let Some(company) = self.refused_company(feature) {
             let mut later = crashes.clone();
             later.retain(|_, at| *at > company.since);
             let later_count = count_groups(groups, &later);
@@ -198,22 +198,26 @@
         (count >= needed).then(|| candidate(count, crashes.clone(), false))
     }
 
-    /// Returns the parts that can't be told apart from a candidate, including its own.
-    fn parts_beside(&self, top: &Candidate, is_new: &impl Fn(PartId) -> bool) -> Vec<PartId> {
-        let may_be_cause = |(part, other): &(&PartId, &CrashTimes)| {
+    /// Returns the features that can't be told apart from a candidate, including its own.
+    fn features_beside(
+        &self,
+        top: &Candidate,
+        is_new: &impl Fn(RequestFeature) -> bool,
+    ) -> Vec<RequestFeature> {
+        let may_be_cause = |(feature, other): &(&RequestFeature, &CrashTimes)| {
             let is_shared = |run: &&UpstreamRun| other.contains_key(*run);
             let shared = top.crashes.keys().filter(is_shared).count();
-            is_new(**part) >= top.is_new && 3 * shared >= 2 * top.crashes.len()
+            is_new(**feature) >= top.is_new && 3 * shared >= 2 * top.crashes.len()
         };
-        let parts = self.suspects.iter().filter(may_be_cause);
-        parts.map(|(part, _)| *part).collect()
+        let features = self.suspects.iter().filter(may_be_cause);
+        features.map(|(feature, _)| *feature).collect()
     }
 
-    /// Returns the refused sets of several parts that a part is in; `None` if there is none.
-    fn refused_company(&self, part: PartId) -> Option<RefusedCompany> {
-        let has_part = |set: &&RefusedParts| {
-            let parts = set.parts.parts();
-            parts.len() > 1 && parts.contains(&part)
+    /// Returns the refused sets of several features that a feature is in; `None` if there is none.
+    fn refused_company(&self, feature: RequestFeature) -> Option<RefusedCompany> {
+        let has_part = |set: &&RefusedFeatures| {
+            let features = set.features.features();
+            features.len() > 1 && features.contains(&feature)
         };
         let sets = self.refused.iter().filter(has_part);
         let since = sets.clone().map(|set| set.since).max()?;
@@ -223,8 +227,8 @@
         })
     }
 
-    /// Returns the number of crashes after which a part is blamed that was never answered.
-    /// Where many upstreams crash for other reasons, a rare part is at some of the crashes by
+    /// Returns the number of crashes after which a feature is blamed that was never answered.
+    /// Where many upstreams crash for other reasons, a rare feature is at some of the crashes by
     /// chance, and it takes more.
     fn crashes_to_blame(&self, crashes: &CrashTimes) -> usize {
         let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -1,8 +1,8 @@
-//! Crashes of upstreams and the prompt parts that may have caused them.
+//! Crashes of upstreams and the features that may have caused them.
 //!
-//! When an upstream crashes, each VM reports the parts of those requests that it had sent
+//! When an upstream crashes, each VM reports the features of those requests that it had sent
 //! there and that were not being answered yet: one of them may have caused the crash. An
-//! answer that begins after the crash clears its parts.
+//! answer that begins after the crash clears its features.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -11,15 +11,15 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
-use snipegate_types::PartId;
 
-use crate::answered_parts::AnsweredParts;
-use crate::crash_blame::BlamedParts;
+use crate::answered_features::AnsweredFeatures;
+use crate::crash_blame::BlamedFeatures;
 use crate::crash_blame::CrashTimes;
 use crate::crash_blame::EvidenceView;
-use crate::crash_blame::RefusedParts;
+use crate::crash_blame::RefusedFeatures;
 use crate::crash_blame::find_blamed;
 use crate::gossip::ANNOUNCE_PERIOD;
+use crate::request_feature::RequestFeature;
 use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
@@ -32,24 +32,24 @@
 /// How long a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(600);
 
-/// Maximum number of suspected parts.
+/// Maximum number of suspected features.
 const MAX_SUSPECTS: usize = 1024;
 
-/// Maximum number of crashes that are remembered for one part.
-const MAX_CRASHES_PER_PART: usize = 32;
+/// Maximum number of crashes that are remembered for one feature.
+const MAX_CRASHES_PER_FEATURE: usize = 32;
 
 /// Maximum number of own reports that are remembered.
 const MAX_OWN_REPORTS: usize = 64;
 
-/// Maximum number of parts in one report.
-const MAX_REPORTED_PARTS: usize = 48;
+/// Maximum number of features in one report.
+const MAX_REPORTED_FEATURES: usize = 48;
 
 /// Maximum number of reports in one message.
 const MAX_ANNOUNCED_REPORTS: usize = 8;
 
-/// Number of parts in a message after which no further report is added. A VM relays the
+/// Number of features in a message after which no further report is added. A VM relays the
 /// messages of many others, over a link that may be slow.
-const MAX_ANNOUNCED_PARTS: usize = 96;
+const MAX_ANNOUNCED_FEATURES: usize = 96;
 
 /// Maximum number of answers in one message.
 const MAX_ANNOUNCED_ANSWERS: usize = 32;
@@ -83,16 +83,16 @@
     pub run: UpstreamRun,
     /// Age of the crash in milliseconds.
     pub age_ms: u64,
-    /// Parts of the VM's requests that were not being answered yet, without the last part of
+    /// Features of the VM's requests that were not being answered yet, without the last feature of
     /// each.
-    pub parts: Vec<PartId>,
+    pub features: Vec<RequestFeature>,
 }
 
-/// A part that was answered, sent to VMs that may suspect it.
+/// A feature that was answered, sent to VMs that may suspect it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PartAnswer {
-    /// The part.
-    pub part: PartId,
+pub struct FeatureAnswer {
+    /// The feature.
+    pub feature: RequestFeature,
     /// Age of the last known answer in milliseconds.
     pub age_ms: u64,
 }
@@ -102,7 +102,7 @@
 struct OwnReport {
     run: UpstreamRun,
     at: Instant,
-    parts: Vec<PartId>,
+    features: Vec<RequestFeature>,
     announce_until: Instant,
     /// Number of messages that included it.
     sent: u32,
@@ -111,16 +111,16 @@
 /// Crashes and answers that are known, of all VMs.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
-    /// All crashes, also those that left no prompt unanswered.
+    /// All crashes, also those that left no request unanswered.
     crashes: CrashTimes,
-    /// For each suspected part, the crashes since its last answer. The last part to become
+    /// For each suspected feature, the crashes since its last answer. The last feature to become
     /// suspected is at the end.
-    suspects: IndexMap<PartId, CrashTimes>,
-    answered: AnsweredParts,
+    suspects: IndexMap<RequestFeature, CrashTimes>,
+    answered: AnsweredFeatures,
     own_reports: Vec<OwnReport>,
-    /// Suspected parts of which this VM knows an answer, with the time until which other VMs
+    /// Suspected features of which this VM knows an answer, with the time until which other VMs
     /// are told.
-    cleared: IndexMap<PartId, Instant>,
+    cleared: IndexMap<RequestFeature, Instant>,
 }
 
 impl CrashEvidence {
@@ -129,58 +129,68 @@
         &mut self,
         run: UpstreamRun,
         at: Instant,
-        mut parts: Vec<PartId>,
+        mut features: Vec<RequestFeature>,
         now: Instant,
     ) {
-        parts.sort();
-        parts.dedup();
-        // The most suspected parts first: those never answered, then by known crashes.
-        parts.sort_by_key(|part| {
-            let crashes = self.suspects.get(part).map_or(0, IndexMap::len);
-            (self.answered.last(*part), Reverse(crashes))
+        features.sort();
+        features.dedup();
+        // The most suspected features first: those never answered, then by known crashes.
+        features.sort_by_key(|feature| {
+            let crashes = self.suspects.get(feature).map_or(0, IndexMap::len);
+            (self.answered.last(*feature), Reverse(crashes))
         });
-        parts.truncate(MAX_REPORTED_PARTS);
-        self.record_crash(run, at, &parts, now);
+        features.truncate(MAX_REPORTED_FEATURES);
+        self.record_crash(run, at, &features, now);
         if self.own_reports.len() >= MAX_OWN_REPORTS {
             self.own_reports.remove(0);
         }
         self.own_reports.push(OwnReport {
             run,
             at,
-            parts,
+            features,
             announce_until: now + ANNOUNCE_PERIOD,
             sent: 0,
         });
     }
 
-    /// Applies another VM's report, and prepares to tell the others of suspected parts that
+    /// Applies another VM's report, and prepares to tell the others of suspected features that
     /// this VM knows to be answered.
     pub fn apply_report(&mut self, report: &CrashReport, now: Instant) {
         let Some(at) = now.checked_sub(Duration::from_millis(report.age_ms)) else {
             return;
         };
-        self.record_crash(report.run, at, &report.parts, now);
-        for part in report.parts.iter().take(MAX_REPORTED_PARTS) {
-            if self.answered.last(*part).is_some() {
-                self.announce_answer(*part, now);
+        self.record_crash(report.run, at, &report.features, now);
+        for feature in report.features.iter().take(MAX_REPORTED_FEATURES) {
+            if self.answered.last(*feature).is_some() {
+                self.announce_answer(*feature, now);
             }
         }
     }
 
-    fn record_crash(&mut self, run: UpstreamRun, at: Instant, parts: &[PartId], now: Instant) {
+    fn record_crash(
+        &mut self,
+        run: UpstreamRun,
+        at: Instant,
+        features: &[RequestFeature],
+        now: Instant,
+    ) {
         self.drop_old_crashes(now);
         let Some(at) = self.reconcile_crash(run, at) else {
             return;
         };
-        for part in parts.iter().take(MAX_REPORTED_PARTS) {
-            if self.answered.last(*part).is_some_and(|answer| answer >= at) {
+        for feature in features.iter().take(MAX_REPORTED_FEATURES) {
+            if self
+                .answered
+                .last(*feature)
+                .is_some_and(|answer| answer >= at)
+            {
                 continue;
             }
-            if !self.suspects.contains_key(part) && self.suspects.len() >= MAX_SUSPECTS {
+            if !self.suspects.contains_key(feature) && self.suspects.len() >= MAX_SUSPECTS {
                 self.suspects.shift_remove_index(0);
             }
-            let crashes = self.suspects.entry(*part).or_default();
-            if crashes.len() < MAX_CRASHES_PER_PART {
+            let crashes = self.suspects.entry(*feature).or_default();
+            if crashes.len() < MAX_CRASHES_PER_FEATURE {
                 crashes.entry(run).or_insert(at);
             }
         }
@@ -218,62 +228,67 @@
         });
     }
 
-    /// Records that an answer to a prompt with this part began at `at`, as this VM saw.
-    /// Returns whether it clears the part of a crash.
-    pub fn record_own_answer(&mut self, part: PartId, at: Instant, now: Instant) -> bool {
-        self.answered.record(part, at);
-        let cleared = self.clear(part, at);
+    /// Records that an answer to a request with this feature began at `at`, as this VM saw.
+    /// Returns whether it clears the feature of a crash.
+    pub fn record_own_answer(
+        &mut self,
+        feature: RequestFeature,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.answered.record(feature, at);
+        let cleared = self.clear(feature, at);
         if cleared {
-            self.announce_answer(part, now);
+            self.announce_answer(feature, now);
         }
         cleared
     }
 
-    /// Applies an answer that another VM knows of. Returns whether it clears the part of a
+    /// Applies an answer that another VM knows of. Returns whether it clears the feature of a
     /// crash.
-    pub fn apply_answer(&mut self, answer: &PartAnswer, now: Instant) -> bool {
+    pub fn apply_answer(&mut self, answer: &FeatureAnswer, now: Instant) -> bool {
         let Some(at) = now.checked_sub(Duration::from_millis(answer.age_ms)) else {
             return false;
         };
-        if self.answered.record(answer.part, at) {
+        if self.answered.record(answer.feature, at) {
             // The other VM tells what this one would tell.
-            self.cleared.swap_remove(&answer.part);
+            self.cleared.swap_remove(&answer.feature);
         }
-        self.clear(answer.part, at)
+        self.clear(answer.feature, at)
     }
 
-    /// Records that a set of parts was released: an answer to a prompt with all of them is
+    /// Records that a set of features was released: an answer to a request with all of them is
     /// known.
-    pub fn record_release(&mut self, parts: &[PartId], now: Instant) {
-        for part in parts {
-            self.answered.record(*part, now);
-            self.clear(*part, now);
+    pub fn record_release(&mut self, features: &[RequestFeature], now: Instant) {
+        for feature in features {
+            self.answered.record(*feature, now);
+            self.clear(*feature, now);
         }
     }
 
-    /// Removes the crashes of a part up to an answer.
-    fn clear(&mut self, part: PartId, at: Instant) -> bool {
-        let Some(crashes) = self.suspects.get_mut(&part) else {
+    /// Removes the crashes of a feature up to an answer.
+    fn clear(&mut self, feature: RequestFeature, at: Instant) -> bool {
+        let Some(crashes) = self.suspects.get_mut(&feature) else {
             return false;
         };
         let before = crashes.len();
         crashes.retain(|_, crash| *crash > at);
         let cleared = crashes.len() < before;
         if crashes.is_empty() {
-            self.suspects.shift_remove(&part);
+            self.suspects.shift_remove(&feature);
         }
         cleared
     }
 
-    fn announce_answer(&mut self, part: PartId, now: Instant) {
+    fn announce_answer(&mut self, feature: RequestFeature, now: Instant) {
         if self.cleared.len() >= MAX_SUSPECTS {
             self.cleared.shift_remove_index(0);
         }
-        self.cleared.insert(part, now + ANNOUNCE_PERIOD);
+        self.cleared.insert(feature, now + ANNOUNCE_PERIOD);
     }
 
     /// Announces recent own reports again, for example for a VM that may know none, if their
-    /// parts are still suspected.
+    /// features are still suspected.
     pub fn announce_again(&mut self, now: Instant) {
         let mut reports = std::mem::take(&mut self.own_reports);
         for report in &mut reports {
@@ -286,7 +301,7 @@
     }
 
     /// Returns the own reports for a message: those sent least often first, and of these the
-    /// newest. Parts that were answered since are left out: a VM that knows no answers would
+    /// newest. Features that were answered since are left out: a VM that knows no answers would
     /// suspect them.
     pub fn report_announcements(&mut self, now: Instant) -> Vec<CrashReport> {
         let is_announced = |report: &OwnReport| now < report.announce_until;
@@ -298,56 +313,61 @@
             (report.sent, Reverse(report.at))
         });
         let mut reports = Vec::new();
-        let mut parts = 0;
+        let mut features = 0;
         for index in order.into_iter().take(MAX_ANNOUNCED_REPORTS) {
-            if parts >= MAX_ANNOUNCED_PARTS {
+            if features >= MAX_ANNOUNCED_FEATURES {
                 break;
             }
             self.own_reports[index].sent += 1;
             let report = &self.own_reports[index];
             let suspected = self.still_suspected(report);
-            parts += suspected.len();
+            features += suspected.len();
             reports.push(CrashReport {
                 run: report.run,
                 age_ms: age_ms(report.at, now),
-                parts: suspected,
+                features: suspected,
             });
         }
         reports
     }
 
-    fn still_suspected(&self, report: &OwnReport) -> Vec<PartId> {
-        let is_suspected = |part: &&PartId| {
-            let crashes = self.suspects.get(*part);
+    fn still_suspected(&self, report: &OwnReport) -> Vec<RequestFeature> {
+        let is_suspected = |feature: &&RequestFeature| {
+            let crashes = self.suspects.get(*feature);
             crashes.is_some_and(|crashes| crashes.contains_key(&report.run))
         };
-        report.parts.iter().filter(is_suspected).copied().collect()
+        report
+            .features
+            .iter()
+            .filter(is_suspected)
+            .copied()
+            .collect()
     }
 
     /// Returns the answers for a message, the newest first.
-    pub fn answer_announcements(&mut self, now: Instant) -> Vec<PartAnswer> {
+    pub fn answer_announcements(&mut self, now: Instant) -> Vec<FeatureAnswer> {
         self.cleared.retain(|_, until| now < *until);
-        let parts = self.cleared.keys().rev().take(MAX_ANNOUNCED_ANSWERS);
-        parts
-            .filter_map(|part| {
-                let at = self.answered.last(*part)?;
-                Some(PartAnswer {
-                    part: *part,
+        let features = self.cleared.keys().rev().take(MAX_ANNOUNCED_ANSWERS);
+        features
+            .filter_map(|feature| {
+                let at = self.answered.last(*feature)?;
+                Some(FeatureAnswer {
+                    feature: *feature,
                     age_ms: age_ms(at, now),
                 })
             })
             .collect()
     }
 
-    /// Returns the number of suspected parts.
+    /// Returns the number of suspected features.
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Returns the sets of parts that the known crashes put the blame on, beside those that are
+    /// Returns the sets of features that the known crashes put the blame on, beside those that are
     /// refused already.
-    pub fn blamed(&self, refused: &[RefusedParts], view: EvidenceView) -> Vec<BlamedParts> {
-        let is_new = |part: PartId| self.answered.last(part).is_none();
+    pub fn blamed(&self, refused: &[RefusedFeatures], view: EvidenceView) -> Vec<BlamedFeatures> {
+        let is_new = |feature: RequestFeature| self.answered.last(feature).is_none();
         find_blamed(&self.crashes, &self.suspects, is_new, refused, view)
     }
 }
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -3,17 +3,16 @@
 //! A broken connection alone may have many causes. A crashed upstream refuses new
 //! connections, so one connection attempt tells the cases apart.
 
-use std::collections::HashSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use slog::info;
 use snipegate_http1::ConnectError;
 use snipegate_http1::connect;
-use snipegate_types::PartId;
 use snipegate_types::RequestDigest;
 use strum::Display;
 use strum::IntoStaticStr;
@@ -22,9 +21,9 @@
 
 use crate::attempt::SendFailure;
 use crate::crash_evidence::UpstreamRun;
+use crate::feature_guard::record_crash;
 use crate::gateway::Gateway;
-use crate::metadata::PromptPart;
-use crate::part_guard::record_crash;
+use crate::request_feature::RequestFeature;
 use crate::upstream::UpstreamEntry;
 
 /// Delay before the connection attempt, in which the other connections to a crashed upstream
@@ -56,8 +55,8 @@
     requests: usize,
     /// Those whose answer had not begun.
     unanswered: Vec<RequestDigest>,
-    /// Shared parts of their prompts.
-    parts: HashSet<PartId>,
+    /// Their features.
+    features: IndexSet<RequestFeature>,
 }
 
 /// A request that broke off before its answer began.
@@ -65,8 +64,8 @@
 pub struct UnansweredRequest<'a> {
     /// The request.
     pub digest: RequestDigest,
-    /// Shared parts of its prompt, if it has one.
-    pub parts: &'a [PromptPart],
+    /// Its features.
+    pub features: &'a [RequestFeature],
 }
 
 /// Broken requests by the run of the upstream, while its probe is pending.
@@ -93,22 +92,20 @@
     unanswered: Option<UnansweredRequest<'_>>,
 ) {
     let run = UpstreamRun::of(entry);
-    let mut pending = gateway.parts.pending_probes.borrow_mut();
+    let mut pending = gateway.crash_features.pending_probes.borrow_mut();
     let broken = pending.entry(run).or_insert_with(|| {
         spawn_local(probe_upstream(Rc::clone(gateway), entry.clone()));
         BrokenRequests {
             at: gateway.now(),
             requests: 0,
             unanswered: Vec::new(),
-            parts: HashSet::new(),
+            features: IndexSet::new(),
         }
     });
     broken.requests += 1;
     if let Some(request) = unanswered {
         broken.unanswered.push(request.digest);
-        broken
-            .parts
-            .extend(request.parts.iter().map(|part| part.id));
+        broken.features.extend(request.features);
     }
 }
 
@@ -122,7 +119,11 @@
         Err(_) => ProbeResult::Unknown,
     };
     let run = UpstreamRun::of(&entry);
-    let pending = gateway.parts.pending_probes.borrow_mut().swap_remove(&run);
+    let pending = gateway
+        .crash_features
+        .pending_probes
+        .borrow_mut()
+        .swap_remove(&run);
     let Some(broken) = pending else {
         return;
     };
@@ -130,12 +131,12 @@
     gateway.metrics.count_tagged("upstream.probed", label);
     let age = gateway.now().saturating_duration_since(broken.at);
     info!(gateway.log, "upstream probed"; "upstream" => %entry.id, "result" => %result,
-        "requests" => broken.requests, "parts" => broken.parts.len(),
+        "requests" => broken.requests, "features" => broken.features.len(),
         "unanswered" => format_digests(&broken.unanswered),
         "broken_ms_ago" => age.as_millis() as u64, "started_ms" => entry.started_ms);
     if result == ProbeResult::Ended {
-        let parts = broken.parts.into_iter().collect();
-        record_crash(&gateway, &entry, broken.at, parts);
+        let features = broken.features.into_iter().collect();
+        record_crash(&gateway, &entry, broken.at, features);
     }
 }
 
--- a/lib/gateway/src/part_table.rs
+++ b/lib/gateway/src/feature_table.rs
@@ -1,6 +1,6 @@
-//! Decides which prompt parts a VM refuses, from its own and other VMs' news.
+//! Decides which features a VM refuses, from its own and other VMs' news.
 //!
-//! All VMs exchange what they notice, and each comes to the same conclusion. A set of parts
+//! All VMs exchange what they notice, and each comes to the same conclusion. A set of features
 //! that the crashes put the blame on is refused at once. After a time in which other VMs can
 //! tell of an answer to it, it is quarantined, which all VMs and the store keep.
 
@@ -9,127 +9,126 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use snipegate_types::PartId;
 use snipegate_types::VmId;
 
-use crate::crash_blame::BlamedParts;
+use crate::crash_blame::BlamedFeatures;
 use crate::crash_blame::EvidenceView;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::CrashReport;
-use crate::crash_evidence::PartAnswer;
+use crate::crash_evidence::FeatureAnswer;
 use crate::crash_evidence::UpstreamRun;
-use crate::metadata::PromptPart;
-use crate::part_set::PartSet;
+use crate::feature_set::FeatureSet;
 use crate::quarantine::ActiveQuarantine;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineState;
 use crate::quarantine::QuarantineTable;
+use crate::request_feature::RequestFeature;
 
-/// What a VM tells the others of prompt parts that crash upstreams.
+/// What a VM tells the others of features that crash upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PartNews {
+pub struct FeatureNews {
     /// The sender.
     pub sender: VmId,
     /// Crashes that the sender noticed.
     pub crashes: Vec<CrashReport>,
-    /// Suspected parts of which the sender knows an answer.
-    pub answers: Vec<PartAnswer>,
+    /// Suspected features of which the sender knows an answer.
+    pub answers: Vec<FeatureAnswer>,
     /// Changes of the quarantine.
     pub quarantine: Vec<QuarantineRecord>,
 }
 
 /// Change of what a VM refuses.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PartChange {
-    /// A set of parts is blamed and refused.
-    Blamed(BlamedParts),
-    /// A set of parts is no longer blamed.
-    Cleared(PartSet),
-    /// A set of parts was blamed, for this many crashes, until the time for answers was over.
+pub enum FeatureChange {
+    /// A set of features is blamed and refused.
+    Blamed(BlamedFeatures),
+    /// A set of features is no longer blamed.
+    Cleared(FeatureSet),
+    /// A set of features was blamed, for this many crashes, until the time for answers was over.
     Quarantined(QuarantineRecord, usize),
     /// A record of another VM or of the store is newer than the known one.
     Merged(QuarantineRecord),
-    /// A quarantined set of parts was answered.
+    /// A quarantined set of features was answered.
     Released(QuarantineRecord),
 }
 
-impl PartChange {
+impl FeatureChange {
     /// Returns the record of a set whose quarantine changed.
     pub fn record(&self) -> Option<&QuarantineRecord> {
         match self {
-            PartChange::Blamed(_) | PartChange::Cleared(_) => None,
-            PartChange::Quarantined(record, _)
-            | PartChange::Merged(record)
-            | PartChange::Released(record) => Some(record),
+            FeatureChange::Blamed(_) | FeatureChange::Cleared(_) => None,
+            FeatureChange::Quarantined(record, _)
+            | FeatureChange::Merged(record)
+            | FeatureChange::Released(record) => Some(record),
         }
     }
 }
 
-/// A set of parts that is blamed and not quarantined yet.
+/// A set of features that is blamed and not quarantined yet.
 #[derive(Clone, Debug)]
 struct BlamedSet {
-    blamed: BlamedParts,
+    blamed: BlamedFeatures,
     quarantine_at: Instant,
 }
 
-/// What a VM knows of prompt parts that crash upstreams.
+/// What a VM knows of features that crash upstreams.
 #[derive(Debug, Default)]
-pub struct PartTable {
+pub struct FeatureTable {
     evidence: CrashEvidence,
     blamed: Vec<BlamedSet>,
     quarantine: QuarantineTable,
 }
 
-impl PartTable {
-    /// Returns the set of a prompt's shared parts that is refused, if any, and when a prompt
+impl FeatureTable {
+    /// Returns the set of a request's features that is refused, if any, and when a request
     /// with it may be sent at the earliest.
-    pub fn refused(&self, parts: &[PromptPart]) -> Option<(PartSet, Instant)> {
-        if let Some(active) = self.quarantine.find(parts) {
-            return Some((active.record.parts, active.trial_at));
+    pub fn refused(&self, features: &[RequestFeature]) -> Option<(FeatureSet, Instant)> {
+        if let Some(active) = self.quarantine.find(features) {
+            return Some((active.record.features, active.trial_at));
         }
-        let is_affected = |set: &&BlamedSet| set.blamed.parts.is_within(parts);
+        let is_affected = |set: &&BlamedSet| set.blamed.features.is_within(features);
         let set = self.blamed.iter().find(is_affected)?;
-        Some((set.blamed.parts.clone(), set.quarantine_at))
+        Some((set.blamed.features.clone(), set.quarantine_at))
     }
 
-    /// Returns the quarantine of a prompt's shared parts if its trial is due.
-    pub fn due_trial(&self, parts: &[PromptPart], now: Instant) -> Option<ActiveQuarantine> {
-        let active = self.quarantine.find(parts)?;
+    /// Returns the quarantine of a request's features if its trial is due.
+    pub fn due_trial(&self, features: &[RequestFeature], now: Instant) -> Option<ActiveQuarantine> {
+        let active = self.quarantine.find(features)?;
         (active.trial_at <= now).then_some(active)
     }
 
-    /// Records an upstream's crash that this VM noticed. `parts` are the shared parts of the
-    /// requests that it had not begun to answer.
+    /// Records an upstream's crash that this VM noticed. `features` are those of the requests
+    /// that it had not begun to answer.
     pub fn record_crash(
         &mut self,
         run: UpstreamRun,
         at: Instant,
-        parts: Vec<PartId>,
+        features: Vec<RequestFeature>,
         now: Instant,
     ) {
-        self.evidence.record_own_crash(run, at, parts, now);
+        self.evidence.record_own_crash(run, at, features, now);
     }
 
-    /// Records that the answer to a prompt with these shared parts began at `at`. Returns
+    /// Records that the answer to a request with these features began at `at`. Returns
     /// the changes, and whether the other VMs are to be told.
     pub fn record_answer(
         &mut self,
-        parts: &[PromptPart],
+        features: &[RequestFeature],
         at: Instant,
         now: Instant,
-    ) -> (Vec<PartChange>, bool) {
+    ) -> (Vec<FeatureChange>, bool) {
         let mut cleared = false;
-        for part in parts {
-            cleared |= self.evidence.record_own_answer(part.id, at, now);
+        for feature in features {
+            cleared |= self.evidence.record_own_answer(*feature, at, now);
         }
-        let released = self.quarantine.release(parts, at, now);
+        let released = self.quarantine.release(features, at, now);
         let is_news = cleared || !released.is_empty();
-        let changes = released.into_iter().map(PartChange::Released).collect();
+        let changes = released.into_iter().map(FeatureChange::Released).collect();
         (changes, is_news)
     }
 
     /// Applies another VM's news.
-    pub fn apply_news(&mut self, news: PartNews, now: Instant) -> Vec<PartChange> {
+    pub fn apply_news(&mut self, news: FeatureNews, now: Instant) -> Vec<FeatureChange> {
         for answer in &news.answers {
             self.evidence.apply_answer(answer, now);
         }
@@ -140,16 +139,17 @@
     }
 
     /// Merges records of another VM or of the store.
-    pub fn merge(&mut self, records: Vec<QuarantineRecord>, now: Instant) -> Vec<PartChange> {
+    pub fn merge(&mut self, records: Vec<QuarantineRecord>, now: Instant) -> Vec<FeatureChange> {
         let mut changes = Vec::new();
         for record in records {
             if !self.quarantine.merge(record.clone(), now) {
                 continue;
             }
             if record.state == QuarantineState::Released {
-                self.evidence.record_release(record.parts.parts(), now);
+                self.evidence
+                    .record_release(record.features.features(), now);
             }
-            changes.push(PartChange::Merged(record));
+            changes.push(FeatureChange::Merged(record));
         }
         changes
     }
@@ -161,23 +161,23 @@
         objection_time: Duration,
         view: EvidenceView,
         now: Instant,
-    ) -> Vec<PartChange> {
+    ) -> Vec<FeatureChange> {
         let mut changes = Vec::new();
         let blamed_now = self.evidence.blamed(&self.quarantine.refused(), view);
         self.blamed.retain(|set| {
-            let parts = &set.blamed.parts;
-            let stays = blamed_now.iter().any(|blamed| blamed.parts == *parts);
-            if !stays && !self.quarantine.covers(parts) {
-                changes.push(PartChange::Cleared(parts.clone()));
+            let features = &set.blamed.features;
+            let stays = blamed_now.iter().any(|blamed| blamed.features == *features);
+            if !stays && !self.quarantine.covers(features) {
+                changes.push(FeatureChange::Cleared(features.clone()));
             }
             stays
         });
         for blamed in blamed_now {
-            let is_same = |set: &&mut BlamedSet| set.blamed.parts == blamed.parts;
+            let is_same = |set: &&mut BlamedSet| set.blamed.features == blamed.features;
             if let Some(known) = self.blamed.iter_mut().find(is_same) {
                 known.blamed = blamed;
-            } else if !self.quarantine.covers(&blamed.parts) {
-                changes.push(PartChange::Blamed(blamed.clone()));
+            } else if !self.quarantine.covers(&blamed.features) {
+                changes.push(FeatureChange::Blamed(blamed.clone()));
                 self.blamed.push(BlamedSet {
                     blamed,
                     quarantine_at: now + objection_time,
@@ -188,13 +188,13 @@
         changes
     }
 
-    fn quarantine_due(&mut self, now: Instant) -> Vec<PartChange> {
+    fn quarantine_due(&mut self, now: Instant) -> Vec<FeatureChange> {
         let is_due = |set: &mut BlamedSet| set.quarantine_at <= now;
         let due: Vec<BlamedSet> = self.blamed.extract_if(.., is_due).collect();
         due.into_iter()
             .filter_map(|set| {
-                let record = self.quarantine.impose(&set.blamed.parts, now)?;
-                Some(PartChange::Quarantined(record, set.blamed.crashes))
+                let record = self.quarantine.impose(&set.blamed.features, now)?;
+                Some(FeatureChange::Quarantined(record, set.blamed.crashes))
             })
             .collect()
     }
@@ -204,7 +204,7 @@
         self.blamed.iter().map(|set| set.quarantine_at).min()
     }
 
-    /// Returns the number of suspected parts.
+    /// Returns the number of suspected features.
     pub fn suspect_count(&self) -> usize {
         self.evidence.suspect_count()
     }
@@ -226,8 +226,8 @@
     }
 
     /// Returns the news of the VM `sender` for a message; `None` if there is none.
-    pub fn news(&mut self, sender: &VmId, now: Instant) -> Option<PartNews> {
-        let news = PartNews {
+    pub fn news(&mut self, sender: &VmId, now: Instant) -> Option<FeatureNews> {
+        let news = FeatureNews {
             sender: sender.clone(),
             crashes: self.evidence.report_announcements(now),
             answers: self.evidence.answer_announcements(now),
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -31,11 +31,11 @@
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
 use crate::era_contacts::EraContacts;
+use crate::feature_guard::FeatureGuard;
 use crate::gossip::PeerMessage;
 use crate::gossip::PlacedPrompt;
 use crate::holding::BudgetHolding;
 use crate::load::LoadTable;
-use crate::part_guard::PartGuard;
 use crate::peers::PeerTable;
 use crate::peers::VmRecord;
 use crate::pool::ConnectionPool;
@@ -110,8 +110,8 @@
     pub retry_schedules: RefCell<IndexMap<ServiceName, RetrySchedule>>,
     /// Whether the upstreams have been listed at least once.
     pub upstreams_known: Cell<bool>,
-    /// Prompt parts that crash upstreams.
-    pub parts: PartGuard,
+    /// Features of requests that crash upstreams.
+    pub crash_features: FeatureGuard,
     /// Outstanding work at the upstreams.
     pub loads: RefCell<LoadTable>,
     /// Prompts placed since the last gossip message, to be announced in the next.
@@ -228,7 +228,7 @@
             rates: RefCell::new(rates),
             retry_schedules: RefCell::default(),
             upstreams_known: Cell::new(false),
-            parts: PartGuard::default(),
+            crash_features: FeatureGuard::default(),
             loads: RefCell::default(),
             placed: RefCell::default(),
             response_memory,
@@ -323,11 +323,11 @@
     }
 
     /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
-    /// quarantined prompt parts are known.
+    /// the quarantined features are known.
     pub fn update_stage(&self) {
         let known = self.config.borrow().is_some()
             && self.upstreams_known.get()
-            && self.parts.is_quarantine_known.get();
+            && self.crash_features.is_quarantine_known.get();
         if known && self.stage.get() == VmStage::Starting {
             self.serving_since.set(Some(self.now()));
             self.set_stage(VmStage::Serving);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -22,12 +22,12 @@
 
 use crate::budget_exchange::report_remaining;
 use crate::budget_exchange::scarce_budgets;
+use crate::feature_guard::apply_feature_news;
+use crate::feature_table::FeatureNews;
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
-use crate::part_guard::apply_part_news;
-use crate::part_table::PartNews;
 use crate::peers::VmRecord;
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
@@ -123,10 +123,12 @@
     Transfer(TokenTransfer),
     /// Acknowledges the transfer with this number.
     TransferTaken(u64),
-    /// News of prompt parts that crash upstreams.
-    PartNews(Box<PartNews>),
-    /// Like `PartNews`, to be relayed to the other VMs of the receiver's data centre.
-    RelayPartNews(Box<PartNews>),
+    /// News of features that crash upstreams.
+    #[serde(rename = "PartNews")]
+    FeatureNews(Box<FeatureNews>),
+    /// Like `FeatureNews`, to be relayed to the other VMs of the receiver's data centre.
+    #[serde(rename = "RelayPartNews")]
+    RelayFeatureNews(Box<FeatureNews>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -190,11 +192,11 @@
         &targets.relays,
     );
     let vm = &gateway.settings.vm;
-    let news = gateway.parts.table.borrow_mut().news(vm, now);
+    let news = gateway.crash_features.table.borrow_mut().news(vm, now);
     if let Some(news) = news.map(Box::new) {
-        let direct = PeerMessage::PartNews(news.clone());
+        let direct = PeerMessage::FeatureNews(news.clone());
         send_to(gateway, socket, &direct, &targets.direct);
-        let relayed = PeerMessage::RelayPartNews(news);
+        let relayed = PeerMessage::RelayFeatureNews(news);
         send_to(gateway, socket, &relayed, &targets.relays);
     }
     gateway.metrics.count("gossip.sent");
@@ -284,11 +286,11 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_gossip(&gateway, *message);
             }
-            Ok(PeerMessage::PartNews(news)) => apply_part_news(&gateway, *news),
-            Ok(PeerMessage::RelayPartNews(news)) => {
-                let relayed = PeerMessage::PartNews(news.clone());
+            Ok(PeerMessage::FeatureNews(news)) => apply_feature_news(&gateway, *news),
+            Ok(PeerMessage::RelayFeatureNews(news)) => {
+                let relayed = PeerMessage::FeatureNews(news.clone());
                 relay_message(&gateway, &socket, &relayed);
-                apply_part_news(&gateway, *news);
+                apply_feature_news(&gateway, *news);
             }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
@@ -334,7 +336,7 @@
     {
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
         gateway.rates.borrow_mut().announce_all(now);
-        gateway.parts.table.borrow_mut().announce_all(now);
+        gateway.crash_features.table.borrow_mut().announce_all(now);
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -1,6 +1,6 @@
-//! Prompt parts that crash upstreams and are sent to none, as all VMs agree.
+//! Features that crash upstreams and are sent to none, as all VMs agree.
 //!
-//! Every VM can add or release a set of parts. Each change has a number; of two records of
+//! Every VM can add or release a set of features. Each change has a number; of two records of
 //! the same set the one with the higher number holds, so VMs that exchange their records in
 //! any order, also through the store, end with the same ones.
 
@@ -11,10 +11,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::crash_blame::RefusedParts;
+use crate::crash_blame::RefusedFeatures;
+use crate::feature_set::FeatureSet;
 use crate::gossip::ANNOUNCE_PERIOD;
-use crate::metadata::PromptPart;
-use crate::part_set::PartSet;
+use crate::request_feature::RequestFeature;
 
 /// How long a set is sent to no upstream before one request may try it again.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(600);
@@ -32,20 +32,20 @@
 /// Maximum number of records in one message.
 const MAX_ANNOUNCED: usize = 64;
 
-/// Whether a set of parts is sent to upstreams.
+/// Whether a set of features is sent to upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum QuarantineState {
-    /// Prompts with the parts are sent again.
+    /// Requests with the features are sent again.
     Released,
-    /// Prompts with the parts are refused.
+    /// Requests with the features are refused.
     Active,
 }
 
-/// What the VMs and the store know of a set of parts.
+/// What the VMs and the store know of a set of features.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRecord {
-    /// The parts; a prompt is affected if it has all of them.
-    pub parts: PartSet,
+    /// The features; a request is affected if it has all of them.
+    pub features: FeatureSet,
     /// Number of changes of the record, including the last one.
     pub changes: u64,
     /// The state after the last change.
@@ -76,7 +76,7 @@
     announce_until: Instant,
 }
 
-/// A quarantine that affects a prompt.
+/// A quarantine that affects a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ActiveQuarantine {
     /// The record.
@@ -85,21 +85,21 @@
     pub trial_at: Instant,
 }
 
-/// Records by set of parts.
+/// Records by set of features.
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
-    records: IndexMap<PartSet, KnownRecord>,
+    records: IndexMap<FeatureSet, KnownRecord>,
 }
 
 impl QuarantineTable {
-    /// Quarantines a set of parts. Returns the record if it changed.
-    pub fn impose(&mut self, parts: &PartSet, now: Instant) -> Option<QuarantineRecord> {
-        let known = self.records.get(parts).map(|known| &known.record);
+    /// Quarantines a set of features. Returns the record if it changed.
+    pub fn impose(&mut self, features: &FeatureSet, now: Instant) -> Option<QuarantineRecord> {
+        let known = self.records.get(features).map(|known| &known.record);
         if known.is_some_and(|record| record.state == QuarantineState::Active) {
             return None;
         }
         let record = QuarantineRecord {
-            parts: parts.clone(),
+            features: features.clone(),
             changes: known.map_or(0, |record| record.changes) + 1,
             state: QuarantineState::Active,
             trials: known.map_or(0, |record| record.trials),
@@ -108,17 +108,17 @@
             .then_some(record)
     }
 
-    /// Releases all sets that `parts` has, after a prompt with these parts was answered. The
+    /// Releases all sets that `features` has, after a request with these features was answered. The
     /// answer began at `answered_at`; it says nothing of sets that were quarantined later.
     /// Returns the changed records.
     pub fn release(
         &mut self,
-        parts: &[PromptPart],
+        features: &[RequestFeature],
         answered_at: Instant,
         now: Instant,
     ) -> Vec<QuarantineRecord> {
         let released: Vec<QuarantineRecord> = self
-            .active_within(parts)
+            .active_within(features)
             .filter(|known| known.learned_at < answered_at)
             .map(|known| QuarantineRecord {
                 changes: known.record.changes + 1,
@@ -139,7 +139,7 @@
     }
 
     fn apply(&mut self, record: QuarantineRecord, now: Instant, announce_until: Instant) -> bool {
-        let known = self.records.get(&record.parts);
+        let known = self.records.get(&record.features);
         if known.is_some_and(|known| !record.replaces(&known.record)) {
             return false;
         }
@@ -151,7 +151,7 @@
             announce_until,
             record: record.clone(),
         };
-        self.records.insert(record.parts, known);
+        self.records.insert(record.features, known);
         true
     }
 
@@ -161,10 +161,10 @@
         self.records.shift_remove_index(index);
     }
 
-    /// Returns the quarantine of a prompt with these shared parts, if any; of several the one
+    /// Returns the quarantine of a request with these features, if any; of several the one
     /// with the latest trial.
-    pub fn find(&self, parts: &[PromptPart]) -> Option<ActiveQuarantine> {
-        self.active_within(parts)
+    pub fn find(&self, features: &[RequestFeature]) -> Option<ActiveQuarantine> {
+        self.active_within(features)
             .map(|known| ActiveQuarantine {
                 record: known.record.clone(),
                 trial_at: known.learned_at + known.record.trial_delay(),
@@ -183,29 +183,29 @@
 
     fn active_within<'a>(
         &'a self,
-        parts: &'a [PromptPart],
+        features: &'a [RequestFeature],
     ) -> impl Iterator<Item = &'a KnownRecord> {
         self.records
             .values()
             .filter(|known| known.record.state == QuarantineState::Active)
-            .filter(|known| known.record.parts.is_within(parts))
+            .filter(|known| known.record.features.is_within(features))
     }
 
-    /// Returns whether every prompt with these parts is refused already.
-    pub fn covers(&self, parts: &PartSet) -> bool {
+    /// Returns whether every request with these features is refused already.
+    pub fn covers(&self, features: &FeatureSet) -> bool {
         self.records
             .values()
             .filter(|known| known.record.state == QuarantineState::Active)
-            .any(|known| known.record.parts.is_subset(parts))
+            .any(|known| known.record.features.is_subset(features))
     }
 
     /// Returns the sets that are refused.
-    pub fn refused(&self) -> Vec<RefusedParts> {
+    pub fn refused(&self) -> Vec<RefusedFeatures> {
         let is_active = |known: &&KnownRecord| known.record.state == QuarantineState::Active;
         let active = self.records.values().filter(is_active);
         active
-            .map(|known| RefusedParts {
-                parts: known.record.parts.clone(),
+            .map(|known| RefusedFeatures {
+                features: known.record.features.clone(),
                 since: known.learned_at,
             })
             .collect()
@@ -220,7 +220,7 @@
     /// Returns whether a record is known that is newer than those of `stored`.
     pub fn is_ahead_of(&self, stored: &[QuarantineRecord]) -> bool {
         self.records.values().any(|known| {
-            let same_set = stored.iter().find(|r| r.parts == known.record.parts);
+            let same_set = stored.iter().find(|r| r.features == known.record.features);
             same_set.is_none_or(|stored| known.record.replaces(stored))
         })
     }
--- a/lib/gateway/src/quarantine_task.rs
+++ b/lib/gateway/src/quarantine_task.rs
@@ -1,4 +1,4 @@
-//! Keeps the quarantine of prompt parts in the store, for VMs that start later or that hear no
+//! Keeps the quarantine of features in the store, for VMs that start later or that hear no
 //! other VM.
 
 use std::cell::RefCell;
@@ -18,12 +18,12 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::feature_guard::FeatureSource;
+use crate::feature_guard::TrialClaim;
+use crate::feature_guard::merge_quarantine;
 use crate::gateway::Gateway;
 use crate::gateway::duty_rendezvous_weight;
 use crate::local_response::jitter;
-use crate::part_guard::PartSource;
-use crate::part_guard::TrialClaim;
-use crate::part_guard::merge_quarantine;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineTable;
 use crate::store_task::StoreTask;
@@ -58,9 +58,9 @@
     let follower = (Rc::clone(&gateway), Rc::clone(&store), Rc::clone(&stored));
     spawn_local(follow_quarantine(follower.0, follower.1, follower.2));
     loop {
-        let changed = gateway.parts.quarantine_changed.notified();
+        let changed = gateway.crash_features.quarantine_changed.notified();
         let _ = timeout(POLL_INTERVAL, changed).await;
-        if !gateway.parts.is_quarantine_known.get() {
+        if !gateway.crash_features.is_quarantine_known.get() {
             continue;
         }
         claim_trials(&gateway, &*store, &stored).await;
@@ -94,7 +94,7 @@
     gateway.observe_era(listing.revision.era, StoreTask::Quarantine)?;
     let entry = listing.entries.into_iter().find(|(name, _)| name == key);
     apply_stored(gateway, stored, entry.map(|(_, value)| value));
-    gateway.parts.is_quarantine_known.set(true);
+    gateway.crash_features.is_quarantine_known.set(true);
     gateway.update_stage();
     let mut watch = StoreWatch::new(gateway, store, StoreTask::Quarantine, key, listing.revision);
     loop {
@@ -119,7 +119,7 @@
         records: records.clone(),
         revision,
     };
-    merge_quarantine(gateway, records, PartSource::Store);
+    merge_quarantine(gateway, records, FeatureSource::Store);
 }
 
 fn decode_records(gateway: &Gateway, value: &StoredValue) -> Vec<QuarantineRecord> {
@@ -137,7 +137,7 @@
     stored: &SharedQuarantine,
 ) -> Result<(), StoreError> {
     let lacks_news = || {
-        let table = gateway.parts.table.borrow();
+        let table = gateway.crash_features.table.borrow();
         table.is_ahead_of(&stored.borrow().records)
     };
     if !lacks_news() || gateway.store_contact.get().is_failing() {
@@ -147,7 +147,7 @@
         sleep(jitter(STAND_IN_DELAY)).await;
     }
     while lacks_news() && !gateway.store_contact.get().is_failing() {
-        let records = gateway.parts.table.borrow().records();
+        let records = gateway.crash_features.table.borrow().records();
         write_records(gateway, store, stored, records).await?;
     }
     Ok(())
@@ -197,17 +197,17 @@
 /// Claims the trials that requests wait for. A claim succeeds if the record that it is for is
 /// still in force in the store.
 async fn claim_trials<S: ConfigStore>(gateway: &Gateway, store: &S, stored: &SharedQuarantine) {
-    let claims = std::mem::take(&mut *gateway.parts.trial_claims.borrow_mut());
+    let claims = std::mem::take(&mut *gateway.crash_features.trial_claims.borrow_mut());
     for claim in claims {
         let TrialClaim { record, outcome } = claim;
         let claimed = claim_trial(gateway, store, stored, &record).await;
         let is_claimed = claimed.unwrap_or_else(|error| {
-            info!(gateway.log, "failed to claim trial"; "parts" => %record.parts,
+            info!(gateway.log, "failed to claim trial"; "features" => %record.features,
                 "error" => %error);
             false
         });
         if outcome.send(is_claimed).is_err() {
-            info!(gateway.log, "trial not used"; "parts" => %record.parts);
+            info!(gateway.log, "trial not used"; "features" => %record.features);
         }
     }
 }
@@ -218,17 +218,22 @@
     stored: &SharedQuarantine,
     record: &QuarantineRecord,
 ) -> Result<bool, StoreError> {
-    let is_in_force = gateway.parts.table.borrow().records().contains(record);
+    let is_in_force = gateway
+        .crash_features
+        .table
+        .borrow()
+        .records()
+        .contains(record);
     if !is_in_force || !stored.borrow().records.contains(record) {
         return Ok(false);
     }
     let trial = QuarantineTable::trial_of(record);
-    let mut records = gateway.parts.table.borrow().records();
-    records.retain(|known| known.parts != record.parts);
+    let mut records = gateway.crash_features.table.borrow().records();
+    records.retain(|known| known.features != record.features);
     records.push(trial.clone());
     if !write_records(gateway, store, stored, records).await? {
         return Ok(false);
     }
-    merge_quarantine(gateway, vec![trial], PartSource::Trial);
+    merge_quarantine(gateway, vec![trial], FeatureSource::Trial);
     Ok(true)
 }
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -32,6 +32,7 @@
 use crate::placement::choose;
 use crate::rate_share::refresh_shares;
 use crate::refusal::Refusal;
+use crate::request_feature::RequestFeature;
 use crate::request_guards::LoadGuard;
 use crate::request_guards::Reservation;
 use crate::response_memory::MemoryReservation;
@@ -71,6 +72,17 @@
     pub received: Instant,
 }
 
+/// What of a request may crash upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayFeatures<'a> {
+    /// The whole request.
+    pub digest: RequestDigest,
+    /// Its features.
+    pub features: &'a [RequestFeature],
+    /// Whether it may be sent though some of them are quarantined.
+    pub is_trial: bool,
+}
+
 /// The outcome of one attempt.
 enum SendOutcome {
     /// The complete response was written to the caller.
@@ -100,15 +112,13 @@
     request: &'a CallerRequest,
     admission: &'a Admission,
     service: ServiceName,
-    digest: RequestDigest,
+    features: RelayFeatures<'a>,
     reservation: Option<&'a Reservation>,
     tried: Vec<UpstreamId>,
     /// The upstream of the attempt in progress.
     current: Option<UpstreamId>,
     sends: u32,
     connect_failures: u32,
-    /// Whether the request may be sent though its parts are quarantined.
-    pub is_trial: bool,
     /// Events received in the attempt in progress.
     attempt_events: u64,
     /// When the first event of the attempt in progress was received.
@@ -129,7 +139,7 @@
         request: &'a CallerRequest,
         admission: &'a Admission,
         service: ServiceName,
-        digest: RequestDigest,
+        features: RelayFeatures<'a>,
         reservation: Option<&'a Reservation>,
     ) -> Self {
         Self {
@@ -137,13 +147,12 @@
             request,
             admission,
             service,
-            digest,
+            features,
             reservation,
             tried: Vec::new(),
             current: None,
             sends: 0,
             connect_failures: 0,
-            is_trial: false,
             attempt_events: 0,
             first_event_at: None,
             may_have_run: false,
@@ -184,7 +193,7 @@
         caller: &mut CallerWriter<'_>,
     ) -> Result<Option<Refusal>, CallerDisconnected> {
         loop {
-            if let Some(refusal) = self.refuse_crashing_parts() {
+            if let Some(refusal) = self.refuse_crashing_features() {
                 return Ok(Some(refusal));
             }
             let Some((entry, choice)) = self.choose() else {
@@ -255,7 +264,7 @@
             "ahead" => choice.queued_tokens,
             "running" => choice.running, "expected_ms" => choice.expected.as_millis() as u64,
             "rate" => rate.map(|rate| rate.0), "share" => share.map(|share| share.0),
-            "send" => self.sends + 1, "digest" => %self.digest, "parts" => self.format_parts(),
+            "send" => self.sends + 1, "digest" => %self.features.digest, "parts" => self.format_parts(),
             "upstreams_revision" => %self.gateway.upstreams.borrow().latest(),
             "config" => self.admission.config.version.0);
     }
@@ -380,7 +389,7 @@
             loads.record_service_time(&entry.id, elapsed, now);
         }
         if head.is_success() && is_framed {
-            self.record_prompt_answer(now);
+            self.record_sound_answer(now);
         }
         caller
             .write_response(strip_hop_by_hop_fields(&head), &body)
@@ -454,7 +463,7 @@
         let now = self.gateway.now();
         // A connection may also end because of a crash.
         if !response.ends_with_connection() {
-            self.record_prompt_answer(self.first_event_at.unwrap_or(now));
+            self.record_sound_answer(self.first_event_at.unwrap_or(now));
         }
         response.release(self.gateway, &entry.id);
         self.record_answered(
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -18,12 +18,11 @@
 use crate::crash_probe::UnansweredRequest;
 use crate::crash_probe::may_be_crash;
 use crate::crash_probe::record_broken_request;
+use crate::feature_guard::record_answer_begun;
+use crate::feature_guard::refuse_features;
 use crate::local_response::jitter;
 use crate::local_response::refuse;
 use crate::local_response::strip_hop_by_hop_fields;
-use crate::metadata::PromptShape;
-use crate::part_guard::record_prompt_answer;
-use crate::part_guard::refuse_parts;
 use crate::placement::PlacementChoice;
 use crate::refusal::Refusal;
 use crate::request_guards::LoadGuard;
@@ -68,16 +67,14 @@
             && before < EVENTS_OF_SOUND_ANSWER
             && self.attempt_events >= EVENTS_OF_SOUND_ANSWER
         {
-            self.record_prompt_answer(at);
+            self.record_sound_answer(at);
         }
     }
 
-    /// Records that an upstream began to answer the prompt at `at`, and went on.
-    pub(super) fn record_prompt_answer(&self, at: Instant) {
-        if let Some(prompt) = &self.request.metadata.prompt {
-            let id = &self.request.metadata.attempt_id;
-            record_prompt_answer(self.gateway, id, prompt, at);
-        }
+    /// Records that an upstream began to answer the request at `at`, and went on.
+    pub(super) fn record_sound_answer(&self, at: Instant) {
+        let id = &self.request.metadata.attempt_id;
+        record_answer_begun(self.gateway, id, self.features.features, at);
     }
 
     /// Looks into a request that broke off. If its answer had not begun, it may have crashed
@@ -89,23 +86,21 @@
         if !may_be_crash(*failure) {
             return;
         }
-        let unanswered = (self.attempt_events < EVENTS_OF_SOUND_ANSWER).then(|| {
-            let prompt = self.request.metadata.prompt.as_ref();
-            UnansweredRequest {
-                digest: self.digest,
-                parts: prompt.map_or(&[], PromptShape::shared_parts),
-            }
-        });
+        let unanswered =
+            (self.attempt_events < EVENTS_OF_SOUND_ANSWER).then_some(UnansweredRequest {
+                digest: self.features.digest,
+                features: self.features.features,
+            });
         record_broken_request(self.gateway, entry, unanswered);
     }
 
-    /// Returns the refusal of a prompt whose parts crash upstreams.
-    pub(super) fn refuse_crashing_parts(&self) -> Option<Refusal> {
-        let prompt = self.request.metadata.prompt.as_ref()?;
-        if self.is_trial {
+    /// Returns the refusal of a request whose features crash upstreams.
+    pub(super) fn refuse_crashing_features(&self) -> Option<Refusal> {
+        if self.features.is_trial {
             return None;
         }
-        let refusal = refuse_parts(self.gateway, &self.request.metadata.attempt_id, prompt)?;
+        let id = &self.request.metadata.attempt_id;
+        let refusal = refuse_features(self.gateway, id, self.features.features)?;
         Some(match self.may_have_run {
             true => Refusal::may_have_run(ResultCode::UpstreamFailed),
             false => refusal,
--- a/lib/gateway/src/store_task.rs
+++ b/lib/gateway/src/store_task.rs
@@ -17,7 +17,7 @@
     VmLease,
     /// Reads and writes budget records.
     Budgets,
-    /// Follows and writes the quarantine of prompt parts.
+    /// Follows and writes the quarantine of features.
     Quarantine,
 }
 
--- a/lib/gateway/src/wire_format.rs
+++ b/lib/gateway/src/wire_format.rs
@@ -51,7 +51,7 @@
     pub budget_prefix: &'static str,
     /// The prefix of the markers of the store's eras; the rest of a key is the era.
     pub era_prefix: &'static str,
-    /// The key of the quarantine of prompt parts.
+    /// The key of the quarantine of features of requests.
     pub quarantine_key: &'static str,
 }
 
--- a/lib/gateway/tests/part_simulation/mod.rs
+++ b/lib/gateway/tests/crash_simulation/mod.rs
@@ -6,10 +6,10 @@
 
 use fastrand::Rng;
 use snipegate_gateway::EvidenceView;
-use snipegate_gateway::PartNews;
-use snipegate_gateway::PartTable;
-use snipegate_gateway::PromptPart;
+use snipegate_gateway::FeatureNews;
+use snipegate_gateway::FeatureTable;
 use snipegate_gateway::QuarantineRecord;
+use snipegate_gateway::RequestFeature;
 use snipegate_gateway::UpstreamRun;
 use snipegate_types::PartId;
 use snipegate_types::VmId;
@@ -74,7 +74,7 @@
 
 struct SimulatedVm {
     name: VmId,
-    table: PartTable,
+    table: FeatureTable,
     next_gossip: Instant,
     started: Instant,
     cut_until: Instant,
@@ -88,14 +88,14 @@
 struct RunningRequest {
     vm: usize,
     upstream: usize,
-    parts: Vec<PromptPart>,
+    features: Vec<RequestFeature>,
     begins: Instant,
     has_begun: bool,
     is_recorded: bool,
 }
 
 /// Simulated fleet.
-pub struct PartSimulation {
+pub struct CrashSimulation {
     config: SimulationConfig,
     rng: Rng,
     start: Instant,
@@ -104,7 +104,7 @@
     vms: Vec<SimulatedVm>,
     upstreams: Vec<SimulatedUpstream>,
     requests: Vec<RunningRequest>,
-    messages: Vec<(Instant, usize, PartNews)>,
+    messages: Vec<(Instant, usize, FeatureNews)>,
     stored: Vec<QuarantineRecord>,
     /// Crashes that the crashing part caused.
     pub crashes: Vec<Instant>,
@@ -117,7 +117,7 @@
     pub companion_sends: usize,
 }
 
-impl PartSimulation {
+impl CrashSimulation {
     /// Creates a fleet that knows nothing.
     pub fn new(config: SimulationConfig) -> Self {
         let now = Instant::now();
@@ -125,7 +125,7 @@
         let vms = (0..config.vms)
             .map(|vm| SimulatedVm {
                 name: format!("vm-{vm}").parse().expect("name should be valid"),
-                table: PartTable::default(),
+                table: FeatureTable::default(),
                 next_gossip: now + STEP.mul_f64(rng.f64() * 20.0),
                 started: now,
                 cut_until: now,
@@ -224,7 +224,7 @@
     }
 
     fn restart(&mut self, vm: usize) {
-        let mut table = PartTable::default();
+        let mut table = FeatureTable::default();
         table.merge(self.stored.clone(), self.now);
         self.vms[vm].table = table;
         self.vms[vm].started = self.now;
@@ -252,45 +252,32 @@
         }
     }
 
-    fn part(&mut self, id: u64) -> PromptPart {
-        PromptPart {
-            id: PartId(id),
-            tokens: 100,
-        }
-    }
-
     fn send_requests(&mut self) {
         for _ in 0..self.times(self.config.sound_rate) {
             let first = self.rng.u64(0..FIRST_PARTS);
             let subject = 1000 + self.rng.u64(0..400).min(self.rng.u64(0..400));
-            let parts = vec![self.part(first), self.part(subject), self.part(u64::MAX)];
+            let parts = vec![part(first), part(subject)];
             if !self.send(parts) {
                 self.refused_sound += 1;
             }
         }
         for _ in 0..self.times(self.config.companion_rate) {
-            let parts = vec![
-                self.part(0),
-                self.part(COMPANION_PART.0),
-                self.part(u64::MAX),
-            ];
+            let parts = vec![part(0), part(COMPANION_PART.0)];
             match self.send(parts) {
                 true => self.companion_sends += 1,
                 false => self.refused_sound += 1,
             }
         }
         for _ in 0..self.times(self.config.crashing_rate) {
-            let ids = [0, COMPANION_PART.0, CRASHING_PART.0, u64::MAX];
-            let parts = ids.map(|id| self.part(id)).to_vec();
+            let parts = [0, COMPANION_PART.0, CRASHING_PART.0].map(part).to_vec();
             self.send(parts);
         }
     }
 
     /// Sends a request at some VM to some upstream. Returns whether it was not refused.
-    fn send(&mut self, parts: Vec<PromptPart>) -> bool {
+    fn send(&mut self, features: Vec<RequestFeature>) -> bool {
         let vm = self.rng.usize(0..self.vms.len());
-        let shared = &parts[..parts.len() - 1];
-        if self.vms[vm].table.refused(shared).is_some() {
+        if self.vms[vm].table.refused(&features).is_some() {
             return false;
         }
         let up: Vec<usize> = (0..self.upstreams.len())
@@ -299,7 +286,7 @@
         if up.is_empty() {
             return true;
         }
-        if shared.iter().any(|part| part.id == CRASHING_PART) {
+        if features.contains(&part(CRASHING_PART.0)) {
             let running = self.now.duration_since(self.vms[vm].started);
             self.crashing_sends.push(CrashingSend {
                 at: self.now,
@@ -311,7 +298,7 @@
         self.requests.push(RunningRequest {
             vm,
             upstream: up[self.rng.usize(0..up.len())],
-            parts,
+            features,
             begins: self.now + begin,
             has_begun: false,
             is_recorded: false,
@@ -323,7 +310,7 @@
         let mut crashed = Vec::new();
         for request in &mut self.requests {
             let is_due = request.begins <= self.now && !request.has_begun;
-            if is_due && request.parts.iter().any(|part| part.id == CRASHING_PART) {
+            if is_due && request.features.contains(&part(CRASHING_PART.0)) {
                 crashed.push(request.upstream);
             } else if is_due {
                 request.has_begun = true;
@@ -339,9 +326,8 @@
             let is_answered = request.begins + SECOND_EVENT_DELAY <= self.now;
             if request.has_begun && is_answered && !request.is_recorded {
                 request.is_recorded = true;
-                let shared = &request.parts[..request.parts.len() - 1];
                 let table = &mut self.vms[request.vm].table;
-                table.record_answer(shared, request.begins, self.now);
+                table.record_answer(&request.features, request.begins, self.now);
             }
         }
         self.requests
@@ -359,15 +345,14 @@
             if at_upstream.is_empty() {
                 continue;
             }
-            let parts = at_upstream
+            let features = at_upstream
                 .iter()
                 .filter(|request| !request.is_recorded)
-                .flat_map(|request| &request.parts[..request.parts.len() - 1])
-                .map(|part| part.id)
+                .flat_map(|request| request.features.iter().copied())
                 .collect();
             simulated
                 .table
-                .record_crash(ended, self.now, parts, self.now);
+                .record_crash(ended, self.now, features, self.now);
         }
         self.requests.retain(|request| request.upstream != upstream);
         let state = &mut self.upstreams[upstream];
@@ -416,3 +401,7 @@
         }
     }
 }
+
+fn part(id: u64) -> RequestFeature {
+    RequestFeature::Part(PartId(id))
+}
--- a/lib/gateway/tests/test_part_table.rs
+++ b/lib/gateway/tests/test_feature_table.rs
@@ -1,28 +1,28 @@
-//! Prompt parts that crash upstreams: which are blamed, by whom they are refused, and for how
+//! Features of requests that crash upstreams: which are blamed, by whom they are refused, and for how
 //! long.
 
-mod part_simulation;
+mod crash_simulation;
 
 use std::time::Duration;
 use std::time::Instant;
 
 use snipegate_gateway::EvidenceView;
-use snipegate_gateway::PartChange;
-use snipegate_gateway::PartNews;
-use snipegate_gateway::PartSet;
-use snipegate_gateway::PartTable;
-use snipegate_gateway::PromptPart;
+use snipegate_gateway::FeatureChange;
+use snipegate_gateway::FeatureNews;
+use snipegate_gateway::FeatureSet;
+use snipegate_gateway::FeatureTable;
 use snipegate_gateway::QuarantineRecord;
 use snipegate_gateway::QuarantineState;
 use snipegate_gateway::QuarantineTable;
+use snipegate_gateway::RequestFeature;
 use snipegate_gateway::UpstreamRun;
 use snipegate_types::PartId;
 use snipegate_types::VmId;
 
-use crate::part_simulation::COMPANION_PART;
-use crate::part_simulation::CRASHING_PART;
-use crate::part_simulation::PartSimulation;
-use crate::part_simulation::SimulationConfig;
+use crate::crash_simulation::COMPANION_PART;
+use crate::crash_simulation::CRASHING_PART;
+use crate::crash_simulation::CrashSimulation;
+use crate::crash_simulation::SimulationConfig;
 
 const OBJECTION_TIME: Duration = Duration::from_millis(230);
 
@@ -33,12 +33,8 @@
 const SUBJECT: PartId = PartId(2);
 const DEADLY: PartId = PartId(3);
 
-fn prompt(ids: &[PartId]) -> Vec<PromptPart> {
-    let part = |id: &PartId| PromptPart {
-        id: *id,
-        tokens: 10,
-    };
-    ids.iter().map(part).collect()
+fn prompt(ids: &[PartId]) -> Vec<RequestFeature> {
+    ids.iter().copied().map(RequestFeature::Part).collect()
 }
 
 fn run(upstream: u32) -> UpstreamRun {
@@ -52,13 +48,13 @@
     name.parse().expect("name should be valid")
 }
 
-fn set(ids: &[PartId]) -> PartSet {
-    PartSet::new(ids.to_vec())
+fn set(ids: &[PartId]) -> FeatureSet {
+    FeatureSet::new(prompt(ids))
 }
 
 /// A table and its clock.
 struct TestTable {
-    table: PartTable,
+    table: FeatureTable,
     now: Instant,
     crashes: u32,
 }
@@ -66,7 +62,7 @@
 impl TestTable {
     fn new() -> Self {
         Self {
-            table: PartTable::default(),
+            table: FeatureTable::default(),
             now: Instant::now() + Duration::from_secs(3600),
             crashes: 0,
         }
@@ -82,7 +78,7 @@
         self.crashes += 1;
         let ended = run(self.crashes);
         self.table
-            .record_crash(ended, self.now, ids.to_vec(), self.now);
+            .record_crash(ended, self.now, prompt(ids), self.now);
     }
 
     fn answer(&mut self, ids: &[PartId]) {
@@ -94,7 +90,7 @@
         self.now += time;
     }
 
-    fn review(&mut self) -> Vec<PartChange> {
+    fn review(&mut self) -> Vec<FeatureChange> {
         self.table
             .review(OBJECTION_TIME, EvidenceView::Fleet, self.now)
     }
@@ -104,12 +100,12 @@
         self.table.refused(&prompt(ids)).is_some()
     }
 
-    fn quarantined(&mut self) -> Vec<PartSet> {
+    fn quarantined(&mut self) -> Vec<FeatureSet> {
         self.review();
         self.pass(OBJECTION_TIME);
         self.review();
         let records = self.table.records().into_iter();
-        records.map(|record| record.parts).collect()
+        records.map(|record| record.features).collect()
     }
 }
 
@@ -174,7 +170,7 @@
     let mut test = TestTable::new();
     test.now = witness.now + Duration::from_millis(300);
     let stored = QuarantineRecord {
-        parts: set(&[SUBJECT, DEADLY, rare]),
+        features: set(&[SUBJECT, DEADLY, rare]),
         ..record(1, QuarantineState::Active, 0)
     };
     test.table.merge(vec![stored], test.now);
@@ -187,7 +183,7 @@
 fn part_that_is_suspected_most_is_reported_though_a_crash_leaves_many_prompts() {
     let mut test = TestTable::new();
     let deadly = PartId(u64::MAX);
-    let mut listener = PartTable::default();
+    let mut listener = FeatureTable::default();
     for crash in 0..3_u64 {
         let others = (0..40).map(|part| PartId(1000 * crash + part));
         let ids: Vec<PartId> = others.chain([deadly]).collect();
@@ -275,9 +271,9 @@
     let mut test = TestTable::new();
     test.crash(&[DEADLY]);
     for name in ["a", "b", "c"] {
-        let mut reporter = PartTable::default();
+        let mut reporter = FeatureTable::default();
         let later = test.now + Duration::from_millis(200);
-        reporter.record_crash(run(1), later, vec![DEADLY], later);
+        reporter.record_crash(run(1), later, prompt(&[DEADLY]), later);
         let news = reporter.news(&vm(name), later).expect("there is news");
         test.table.apply_news(news, later);
     }
@@ -292,7 +288,7 @@
     }
     assert!(test.is_refused(&[SUBJECT]));
     // The other VM hears of the crashes, and tells of its answer.
-    let mut other = PartTable::default();
+    let mut other = FeatureTable::default();
     other.record_answer(&prompt(&[SUBJECT]), test.now, test.now);
     let crashes = test.table.news(&vm("a"), test.now).expect("there is news");
     other.apply_news(crashes, test.now);
@@ -335,12 +331,12 @@
     // To a VM that is cut off all upstreams seem to crash at once.
     for upstream in 1..=3 {
         let (ended, now) = (run(upstream), test.now);
-        test.table.record_crash(ended, now, vec![SUBJECT], now);
+        test.table.record_crash(ended, now, prompt(&[SUBJECT]), now);
     }
     for upstream in 1..=3 {
         test.pass(Duration::from_secs(2));
         let (ended, now) = (run(upstream), test.now);
-        test.table.record_crash(ended, now, vec![DEADLY], now);
+        test.table.record_crash(ended, now, prompt(&[DEADLY]), now);
     }
     assert!(test.is_refused(&[DEADLY]));
     assert!(!test.is_refused(&[SUBJECT]));
@@ -353,7 +349,7 @@
     test.answer(&[FIRST]);
     test.table.announce_all(test.now);
     let news = test.table.news(&vm("a"), test.now).expect("there is news");
-    assert_eq!(news.crashes[0].parts, [DEADLY]);
+    assert_eq!(news.crashes[0].features, prompt(&[DEADLY]));
 }
 
 #[test]
@@ -372,7 +368,7 @@
 
 fn record(changes: u64, state: QuarantineState, trials: u32) -> QuarantineRecord {
     QuarantineRecord {
-        parts: set(&[DEADLY]),
+        features: set(&[DEADLY]),
         changes,
         state,
         trials,
@@ -436,7 +432,7 @@
         test.crash(&[DEADLY]);
     }
     assert_eq!(test.quarantined().len(), 1);
-    let news = PartNews {
+    let news = FeatureNews {
         sender: vm("b"),
         crashes: Vec::new(),
         answers: Vec::new(),
@@ -470,14 +466,15 @@
 
 /// Checks that the bound of the fleet holds, and that every quarantined set has the crashing
 /// part.
-fn check_fleet(simulation: &PartSimulation, config: &SimulationConfig) {
+fn check_fleet(simulation: &CrashSimulation, config: &SimulationConfig) {
     let late = simulation.late_sends();
     assert!(late <= TOLERATED_SENDS, "{late} late sends: {config:?}");
     for record in simulation.records() {
-        let parts = record.parts.parts();
-        assert!(parts.contains(&CRASHING_PART), "{record:?}: {config:?}");
-        let is_known = |part| [CRASHING_PART, COMPANION_PART].contains(part);
-        assert!(parts.iter().all(is_known), "{record:?}: {config:?}");
+        let features = record.features.features();
+        let known = [CRASHING_PART, COMPANION_PART].map(RequestFeature::Part);
+        assert!(features.contains(&known[0]), "{record:?}: {config:?}");
+        let is_known = |feature| known.contains(feature);
+        assert!(features.iter().all(is_known), "{record:?}: {config:?}");
     }
 }
 
@@ -485,7 +482,7 @@
 fn fleets_of_all_sizes_stop_sending_a_crashing_part_and_refuse_nothing_sound() {
     for (vms, seed) in [(6, 1), (6, 2), (9, 3), (66, 4), (195, 5)] {
         let config = fleet(vms, seed);
-        let mut simulation = PartSimulation::new(config);
+        let mut simulation = CrashSimulation::new(config);
         simulation.run(Duration::from_secs(12));
         check_fleet(&simulation, &config);
         assert!(!simulation.records().is_empty(), "{config:?}");
@@ -503,7 +500,7 @@
             loss: 0.2,
             ..fleet(if seed < 15 { 6 } else { 66 }, seed)
         };
-        let mut simulation = PartSimulation::new(config);
+        let mut simulation = CrashSimulation::new(config);
         simulation.run(Duration::from_secs(12));
         check_fleet(&simulation, &config);
     }
@@ -513,7 +510,7 @@
 fn vms_that_are_all_restarted_at_once_know_the_crashing_part_from_the_store() {
     for seed in 0..10 {
         let config = fleet(6, seed);
-        let mut simulation = PartSimulation::new(config);
+        let mut simulation = CrashSimulation::new(config);
         simulation.run(Duration::from_secs(10));
         simulation.restart_all();
         let before = simulation.crashing_sends.len();
@@ -535,7 +532,7 @@
             loss: 0.1,
             ..fleet(if seed < 10 { 9 } else { 66 }, seed)
         };
-        let mut simulation = PartSimulation::new(config);
+        let mut simulation = CrashSimulation::new(config);
         simulation.run(Duration::from_secs(20));
         assert_eq!(simulation.records(), [], "{config:?}");
         let refused = simulation.refused_sound;
