gateway: a request that crashes upstreams is found, refused and quarantined as a whole

Cause: the evidence of crashes knew shared prompt parts only. The last part of a prompt, its body and all of a booking or read were left out, so such a request looked like a new one each time, and a prompt was at best blamed by a part that sound ones share.

Why it works: the whole request is one more feature beside the parts of its prompt. All VMs exchange it with their crashes. At three crashes since its last answer it is refused at once, at two of all recent ones after the time to object, since a sound request is hardly at two; four if it was answered before, one more where upstreams crash for other reasons. Crashes that it explains count once against its parts. A read that broke off is sent on only when a probe has told whether the upstream crashed (50 ms at most). One request of the fleet may try a quarantined one after 60 s.

--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -342,7 +342,8 @@
         let refusal = Refusal::retryable(ResultCode::NoUpstream, jitter(STARTING_RETRY_AFTER));
         return refuse_unsent(gateway, request, caller, &refusal).await;
     };
-    let features = request_features(request.metadata.prompt.as_ref());
+    let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
+    let features = request_features(digest, request.metadata.prompt.as_ref());
     let is_trial = match check_features(gateway, request, &features).await {
         Ok(is_trial) => is_trial,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
@@ -351,7 +352,6 @@
         Ok(reservation) => reservation,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
-    let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
     let reservation = reservation.as_ref();
     let features = RelayFeatures {
         digest,
--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -1,4 +1,5 @@
-//! Decides which features the known crashes put the blame on.
+//! Decides which features of requests the known crashes put the blame on. The rules for whole
+//! requests are in [`request_blame`](crate::request_blame).
 
 use std::time::Duration;
 use std::time::Instant;
@@ -7,10 +8,11 @@
 
 use crate::crash_evidence::UpstreamRun;
 use crate::feature_set::FeatureSet;
+use crate::request_blame::most_blamed_request;
 use crate::request_feature::RequestFeature;
 
-/// Crashes after which a feature is blamed that was never answered and is at half or more of all
-/// recent crashes.
+/// Crashes after which a prompt part is blamed that was never answered and is at half or more of
+/// all recent crashes of its service.
 const MIN_CRASHES_TO_BLAME: usize = 3;
 
 /// Crashes after which a feature is blamed that is in one refused set of several features already, in
@@ -62,6 +64,8 @@
     pub features: FeatureSet,
     /// Number of crashes that they explain.
     pub crashes: usize,
+    /// Whether news of other VMs may still show another cause.
+    pub is_provisional: bool,
 }
 
 /// Finds the sets of features that explain the crashes.
@@ -79,24 +83,41 @@
     view: EvidenceView,
 ) -> Vec<BlamedFeatures> {
     let mut blamed = Vec::new();
-    if crashes.len() < MIN_CRASHES_TO_BLAME && refused.is_empty() {
-        return blamed;
-    }
+    // Most requests at a crash are sound and never come again.
+    let may_be_blamed = |(feature, crashes): &(&RequestFeature, &CrashTimes)| {
+        !feature.is_whole() || crashes.len() > 1
+    };
+    let suspects = suspects.iter().filter(may_be_blamed);
     let mut open = OpenCrashes {
         crashes: crashes.clone(),
-        suspects: suspects.clone(),
+        suspects: suspects
+            .map(|(feature, of)| (*feature, of.clone()))
+            .collect(),
         refused,
     };
+    if open.suspects.is_empty() {
+        return blamed;
+    }
     for set in refused {
         let explained = open.crashes_of_all(&set.features);
-        open.remove(&explained);
+        open.remove_explained(&set.features, &explained);
+    }
+    while let Some(request) = most_blamed_request(&open.crashes, &open.suspects, &is_new, view) {
+        let features = FeatureSet::new(vec![request.feature]);
+        open.remove_explained(&features, &request.explained);
+        blamed.push(BlamedFeatures {
+            features,
+            crashes: request.explained.len(),
+            is_provisional: request.is_provisional(),
+        });
     }
     while let Some((features, explained)) = open.most_blamed(&is_new, view) {
+        open.remove_explained(&features, &explained);
         blamed.push(BlamedFeatures {
             features,
             crashes: explained.len(),
+            is_provisional: false,
         });
-        open.remove(&explained);
     }
     blamed
 }
@@ -148,18 +169,32 @@
         is_new: &impl Fn(RequestFeature) -> bool,
         view: EvidenceView,
     ) -> Option<(FeatureSet, CrashTimes)> {
-        let groups = group_crashes(&self.crashes);
-        let candidates = self.suspects.iter().filter_map(|(feature, crashes)| {
+        let groups = group_crashes(&self.crashes, CRASH_GROUP_PERIOD);
+        let parts = self
+            .suspects
+            .iter()
+            .filter(|(feature, _)| !feature.is_whole());
+        let candidates = parts.filter_map(|(feature, crashes)| {
             self.candidate(*feature, crashes, &groups, is_new(*feature), view)
         });
         let top = candidates.max_by_key(|candidate| (candidate.is_new, candidate.count))?;
-        let features = match top.is_alone {
-            true => vec![top.feature],
-            false => self.features_beside(&top, is_new),
+        let features = match (self.request_at_all(&top.crashes), top.is_alone) {
+            (Some(request), _) => vec![request],
+            (None, true) => vec![top.feature],
+            (None, false) => self.features_beside(&top, is_new),
         };
         Some((FeatureSet::new(features), top.crashes))
     }
 
+    /// Returns a whole request that is at all of several crashes, so that refusing it is enough.
+    fn request_at_all(&self, crashes: &CrashTimes) -> Option<RequestFeature> {
+        let is_at_all = |(feature, other): &(&RequestFeature, &CrashTimes)| {
+            feature.is_whole() && crashes.keys().all(|run| other.contains_key(run))
+        };
+        let (request, _) = self.suspects.iter().find(is_at_all)?;
+        (crashes.len() > 1).then_some(*request)
+    }
+
     /// Returns a feature as a candidate if it has enough crashes.
     fn candidate(
         &self,
@@ -207,7 +242,9 @@
         let may_be_cause = |(feature, other): &(&RequestFeature, &CrashTimes)| {
             let is_shared = |run: &&UpstreamRun| other.contains_key(*run);
             let shared = top.crashes.keys().filter(is_shared).count();
-            is_new(**feature) >= top.is_new && 3 * shared >= 2 * top.crashes.len()
+            !feature.is_whole()
+                && is_new(**feature) >= top.is_new
+                && 3 * shared >= 2 * top.crashes.len()
         };
         let features = self.suspects.iter().filter(may_be_cause);
         features.map(|(feature, _)| *feature).collect()
@@ -231,11 +268,9 @@
     /// Where many upstreams crash for other reasons, a rare feature is at some of the crashes by
     /// chance, and it takes more.
     fn crashes_to_blame(&self, crashes: &CrashTimes) -> usize {
-        let (Some(first), Some(last)) = (crashes.values().min(), crashes.values().max()) else {
-            return MAX_CRASHES_TO_BLAME;
-        };
-        let is_recent = |at: &&Instant| **at + RECENT_PERIOD >= *first && *at <= last;
-        let recent = self.crashes.values().filter(is_recent).count();
+        let is_recent =
+            |(run, at): &(&UpstreamRun, &Instant)| is_recent_crash(**run, **at, crashes);
+        let recent = self.crashes.iter().filter(is_recent).count();
         if 2 * crashes.len() >= recent {
             MIN_CRASHES_TO_BLAME
         } else if 4 * crashes.len() >= recent {
@@ -245,6 +280,23 @@
         }
     }
 
+    /// Removes the crashes that a set explains. Of those that a whole request explains the first
+    /// one stays: the parts of its prompt may be the cause too, for which further crashes then
+    /// speak.
+    fn remove_explained(&mut self, features: &FeatureSet, explained: &CrashTimes) {
+        if !features.is_whole_request() {
+            return self.remove(explained);
+        }
+        for request in features.features() {
+            self.suspects.shift_remove(request);
+        }
+        let first = explained.iter().min_by_key(|(_, at)| **at);
+        let first = first.map(|(run, _)| *run);
+        let mut later = explained.clone();
+        later.retain(|run, _| Some(*run) != first);
+        self.remove(&later);
+    }
+
     fn remove(&mut self, explained: &CrashTimes) {
         let is_open = |run: &UpstreamRun| !explained.contains_key(run);
         self.crashes.retain(|run, _| is_open(run));
@@ -255,20 +307,31 @@
     }
 }
 
-/// Divides crashes into groups, each of those within `CRASH_GROUP_PERIOD` of its first one.
-fn group_crashes(crashes: &CrashTimes) -> Vec<Vec<UpstreamRun>> {
-    let mut ordered: Vec<(Instant, UpstreamRun)> =
-        crashes.iter().map(|(run, at)| (*at, *run)).collect();
-    ordered.sort_by_key(|(at, _)| *at);
+/// Returns whether a crash is of the same service as those that a feature explains, and recent to
+/// them.
+pub fn is_recent_crash(run: UpstreamRun, at: Instant, explained: &CrashTimes) -> bool {
+    let is_same_service = explained.keys().any(|other| other.service == run.service);
+    let first = explained.values().min();
+    let last = explained.values().max();
+    is_same_service
+        && first.is_some_and(|first| at + RECENT_PERIOD >= *first)
+        && last.is_some_and(|last| at <= *last)
+}
+
+/// Divides crashes into groups, each of those of one service within `period` of its first one.
+pub fn group_crashes(crashes: &CrashTimes, period: Duration) -> Vec<Vec<UpstreamRun>> {
+    let mut ordered: Vec<(UpstreamRun, Instant)> =
+        crashes.iter().map(|(run, at)| (*run, *at)).collect();
+    ordered.sort_by_key(|(run, at)| (run.service, *at));
     let mut groups: Vec<Vec<UpstreamRun>> = Vec::new();
-    let mut first: Option<Instant> = None;
-    for (at, run) in ordered {
+    let mut first: Option<(u32, Instant)> = None;
+    for (run, at) in ordered {
+        let continues =
+            first.is_some_and(|(service, first)| run.service == service && at - first < period);
         match groups.last_mut() {
-            Some(group) if first.is_some_and(|first| at - first < CRASH_GROUP_PERIOD) => {
-                group.push(run);
-            }
+            Some(group) if continues => group.push(run),
             _ => {
-                first = Some(at);
+                first = Some((run.service, at));
                 groups.push(vec![run]);
             }
         }
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -18,6 +18,7 @@
 use crate::crash_blame::EvidenceView;
 use crate::crash_blame::RefusedFeatures;
 use crate::crash_blame::find_blamed;
+use crate::gateway::stable_hash;
 use crate::gossip::ANNOUNCE_PERIOD;
 use crate::request_feature::RequestFeature;
 use crate::upstream::UpstreamEntry;
@@ -41,8 +42,15 @@
 /// Maximum number of own reports that are remembered.
 const MAX_OWN_REPORTS: usize = 64;
 
-/// Maximum number of features in one report.
-const MAX_REPORTED_FEATURES: usize = 48;
+/// Maximum number of prompt parts in one report, and of whole requests.
+const MAX_REPORTED_PER_KIND: usize = 48;
+
+/// Maximum number of features that become suspected by one crash.
+const MAX_FEATURES_PER_CRASH: usize = 512;
+
+/// Crashes from which on other VMs are told of an answer to a whole request. Most requests at a
+/// crash are sound and never come again.
+const TOLD_CRASHES_OF_REQUEST: usize = 2;
 
 /// Maximum number of reports in one message.
 const MAX_ANNOUNCED_REPORTS: usize = 8;
@@ -60,6 +68,8 @@
 /// One run of an upstream's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UpstreamRun {
+    /// Hash of the name of the upstream's service.
+    pub service: u32,
     /// Code of the upstream; see [`upstream_code`].
     pub upstream: u32,
     /// Start time of the run in milliseconds since the Unix epoch, if published.
@@ -70,6 +80,7 @@
     /// Returns the run that an entry describes.
     pub fn of(entry: &UpstreamEntry) -> Self {
         Self {
+            service: stable_hash(&entry.service) as u32,
             upstream: upstream_code(&entry.id),
             started_ms: entry.started_ms,
         }
@@ -121,6 +132,8 @@
     /// Suspected features of which this VM knows an answer, with the time until which other VMs
     /// are told.
     cleared: IndexMap<RequestFeature, Instant>,
+    /// Number of changes that may change what is blamed.
+    changes: u64,
 }
 
 impl CrashEvidence {
@@ -139,8 +152,8 @@
             let crashes = self.suspects.get(feature).map_or(0, IndexMap::len);
             (self.answered.last(*feature), Reverse(crashes))
         });
-        features.truncate(MAX_REPORTED_FEATURES);
         self.record_crash(run, at, &features, now);
+        limit_each_kind(&mut features);
         if self.own_reports.len() >= MAX_OWN_REPORTS {
             self.own_reports.remove(0);
         }
@@ -159,9 +172,12 @@
         let Some(at) = now.checked_sub(Duration::from_millis(report.age_ms)) else {
             return;
         };
-        self.record_crash(report.run, at, &report.features, now);
-        for feature in report.features.iter().take(MAX_REPORTED_FEATURES) {
-            if self.answered.last(*feature).is_some() {
+        let reported = report.features.len().min(2 * MAX_REPORTED_PER_KIND);
+        let features = &report.features[..reported];
+        self.record_crash(report.run, at, features, now);
+        for feature in features {
+            let crashes = self.suspects.get(feature).map_or(0, IndexMap::len);
+            if self.answered.last(*feature).is_some() && is_told(*feature, crashes) {
                 self.announce_answer(*feature, now);
             }
         }
@@ -178,24 +194,28 @@
         let Some(at) = self.reconcile_crash(run, at) else {
             return;
         };
-        for feature in features.iter().take(MAX_REPORTED_FEATURES) {
-            if self
-                .answered
-                .last(*feature)
-                .is_some_and(|answer| answer >= at)
-            {
-                continue;
-            }
-            if !self.suspects.contains_key(feature) && self.suspects.len() >= MAX_SUSPECTS {
-                self.suspects.shift_remove_index(0);
-            }
-            let crashes = self.suspects.entry(*feature).or_default();
-            if crashes.len() < MAX_CRASHES_PER_FEATURE {
-                crashes.entry(run).or_insert(at);
+        for feature in features.iter().take(MAX_FEATURES_PER_CRASH) {
+            let answer = self.answered.last(*feature);
+            if answer.is_none_or(|answer| answer < at) {
+                self.suspect(*feature, run, at);
             }
         }
     }
 
+    /// Adds a crash to those of a feature.
+    fn suspect(&mut self, feature: RequestFeature, run: UpstreamRun, at: Instant) {
+        if !self.suspects.contains_key(&feature) && self.suspects.len() >= MAX_SUSPECTS {
+            let is_weak = |crashes: &CrashTimes| crashes.len() == 1;
+            let dropped = self.suspects.values().position(is_weak).unwrap_or(0);
+            self.suspects.shift_remove_index(dropped);
+        }
+        let crashes = self.suspects.entry(feature).or_default();
+        if crashes.len() < MAX_CRASHES_PER_FEATURE && !crashes.contains_key(&run) {
+            crashes.insert(run, at);
+            self.changes += 1;
+        }
+    }
+
     /// Adds a crash, of which other VMs may have reported the time already, and returns its
     /// time. A run ends once: of two reports that are far apart the earlier one was wrong, for
     /// example because the VM was cut off by a link that refuses connections.
@@ -204,6 +224,7 @@
             Some(known) if at + SAME_CRASH_PERIOD < known => return None,
             Some(known) if at <= known + SAME_CRASH_PERIOD => return Some(known),
             Some(_) => {
+                self.changes += 1;
                 for crashes in self.suspects.values_mut() {
                     crashes.shift_remove(&run);
                 }
@@ -215,13 +236,16 @@
             None => {}
         }
         self.crashes.insert(run, at);
+        self.changes += 1;
         Some(at)
     }
 
     fn drop_old_crashes(&mut self, now: Instant) {
         let is_old = |at: Instant| now.saturating_duration_since(at) > CRASH_TTL;
         self.own_reports.retain(|report| !is_old(report.at));
+        let before = self.crashes.len();
         self.crashes.retain(|_, at| !is_old(*at));
+        self.changes += (before - self.crashes.len()) as u64;
         self.suspects.retain(|_, crashes| {
             crashes.retain(|_, at| !is_old(*at));
             !crashes.is_empty()
@@ -229,7 +253,7 @@
     }
 
     /// Records that an answer to a request with this feature began at `at`, as this VM saw.
-    /// Returns whether it clears the feature of a crash.
+    /// Returns whether it clears the feature of crashes that other VMs may count.
     pub fn record_own_answer(
         &mut self,
         feature: RequestFeature,
@@ -238,23 +262,23 @@
     ) -> bool {
         self.answered.record(feature, at);
         let cleared = self.clear(feature, at);
-        if cleared {
+        let is_news = cleared > 0 && is_told(feature, cleared);
+        if is_news {
             self.announce_answer(feature, now);
         }
-        cleared
+        is_news
     }
 
-    /// Applies an answer that another VM knows of. Returns whether it clears the feature of a
-    /// crash.
-    pub fn apply_answer(&mut self, answer: &FeatureAnswer, now: Instant) -> bool {
+    /// Applies an answer that another VM knows of.
+    pub fn apply_answer(&mut self, answer: &FeatureAnswer, now: Instant) {
         let Some(at) = now.checked_sub(Duration::from_millis(answer.age_ms)) else {
-            return false;
+            return;
         };
         if self.answered.record(answer.feature, at) {
             // The other VM tells what this one would tell.
             self.cleared.swap_remove(&answer.feature);
         }
-        self.clear(answer.feature, at)
+        self.clear(answer.feature, at);
     }
 
     /// Records that a set of features was released: an answer to a request with all of them is
@@ -266,14 +290,16 @@
         }
     }
 
-    /// Removes the crashes of a feature up to an answer.
-    fn clear(&mut self, feature: RequestFeature, at: Instant) -> bool {
+    /// Removes the crashes of a feature up to an answer. Returns how many there were.
+    fn clear(&mut self, feature: RequestFeature, at: Instant) -> usize {
         let Some(crashes) = self.suspects.get_mut(&feature) else {
-            return false;
+            return 0;
         };
+        // Also an answer that clears no crash changes how many it takes to blame the feature.
+        self.changes += 1;
         let before = crashes.len();
         crashes.retain(|_, crash| *crash > at);
-        let cleared = crashes.len() < before;
+        let cleared = before - crashes.len();
         if crashes.is_empty() {
             self.suspects.shift_remove(&feature);
         }
@@ -359,6 +385,11 @@
             .collect()
     }
 
+    /// Returns the number of changes that may have changed what is blamed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the number of suspected features.
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
@@ -372,6 +403,25 @@
     }
 }
 
+/// Returns whether other VMs are told of an answer to a feature with this many crashes.
+fn is_told(feature: RequestFeature, crashes: usize) -> bool {
+    !feature.is_whole() || crashes >= TOLD_CRASHES_OF_REQUEST
+}
+
+/// Drops the last features of each kind beyond those that a report may have.
+fn limit_each_kind(features: &mut Vec<RequestFeature>) {
+    let mut wholes = 0;
+    let mut parts = 0;
+    features.retain(|feature| {
+        let count = match feature.is_whole() {
+            true => &mut wholes,
+            false => &mut parts,
+        };
+        *count += 1;
+        *count <= MAX_REPORTED_PER_KIND
+    });
+}
+
 fn age_ms(at: Instant, now: Instant) -> u64 {
     now.saturating_duration_since(at).as_millis() as u64
 }
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -16,8 +16,10 @@
 use snipegate_types::RequestDigest;
 use strum::Display;
 use strum::IntoStaticStr;
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::attempt::SendFailure;
 use crate::crash_evidence::UpstreamRun;
@@ -33,6 +35,9 @@
 /// Timeout of the connection attempt.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Longest time that a request which broke off waits for the probe before it is sent again.
+const MAX_PROBE_WAIT: Duration = Duration::from_millis(50);
+
 /// Maximum number of requests in a log line.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
@@ -57,6 +62,8 @@
     unanswered: Vec<RequestDigest>,
     /// Their features.
     features: IndexSet<RequestFeature>,
+    /// Closed when the probe has ended.
+    probe: Rc<Semaphore>,
 }
 
 /// A request that broke off before its answer began.
@@ -84,13 +91,24 @@
     }
 }
 
+/// A probe of an upstream that goes on.
+pub struct RunningProbe(Rc<Semaphore>);
+
+impl RunningProbe {
+    /// Waits until it is known whether the upstream crashed, but no longer than a request is
+    /// held for it.
+    pub async fn wait(self) {
+        let _ = timeout(MAX_PROBE_WAIT, self.0.acquire()).await;
+    }
+}
+
 /// Looks into a request that broke off at an upstream. `unanswered` is the request if its answer
 /// had not begun.
 pub fn record_broken_request(
     gateway: &Rc<Gateway>,
     entry: &UpstreamEntry,
     unanswered: Option<UnansweredRequest<'_>>,
-) {
+) -> RunningProbe {
     let run = UpstreamRun::of(entry);
     let mut pending = gateway.crash_features.pending_probes.borrow_mut();
     let broken = pending.entry(run).or_insert_with(|| {
@@ -100,6 +118,7 @@
             requests: 0,
             unanswered: Vec::new(),
             features: IndexSet::new(),
+            probe: Rc::new(Semaphore::new(0)),
         }
     });
     broken.requests += 1;
@@ -107,6 +126,7 @@
         broken.unanswered.push(request.digest);
         broken.features.extend(request.features);
     }
+    RunningProbe(Rc::clone(&broken.probe))
 }
 
 async fn probe_upstream(gateway: Rc<Gateway>, entry: UpstreamEntry) {
@@ -138,6 +158,7 @@
         let features = broken.features.into_iter().collect();
         record_crash(&gateway, &entry, broken.at, features);
     }
+    broken.probe.close();
 }
 
 fn format_digests(digests: &[RequestDigest]) -> String {
--- a/lib/gateway/src/feature_guard.rs
+++ b/lib/gateway/src/feature_guard.rs
@@ -102,7 +102,11 @@
     info!(gateway.log, "features refused"; "request" => request, "features" => %refused,
         "retry_ms" => wait.as_millis() as u64);
     let wait = wait.max(MIN_RETRY_AFTER);
-    Some(Refusal::retryable(ResultCode::PromptQuarantined, wait))
+    let code = match refused.is_whole_request() {
+        true => ResultCode::RequestQuarantined,
+        false => ResultCode::PromptQuarantined,
+    };
+    Some(Refusal::retryable(code, wait))
 }
 
 /// Claims the trial of a request's quarantined features if it is due. Returns whether the
--- a/lib/gateway/src/feature_set.rs
+++ b/lib/gateway/src/feature_set.rs
@@ -25,6 +25,11 @@
         !self.0.is_empty() && self.0.iter().all(|feature| features.contains(feature))
     }
 
+    /// Returns whether the set is a whole request.
+    pub fn is_whole_request(&self) -> bool {
+        self.0.iter().any(|feature| feature.is_whole())
+    }
+
     /// Returns whether all features of this set are in `other`.
     pub fn is_subset(&self, other: &Self) -> bool {
         self.0.iter().all(|feature| other.0.contains(feature))
--- a/lib/gateway/src/feature_table.rs
+++ b/lib/gateway/src/feature_table.rs
@@ -77,6 +77,16 @@
     evidence: CrashEvidence,
     blamed: Vec<BlamedSet>,
     quarantine: QuarantineTable,
+    /// What the last review was based on.
+    reviewed: Option<ReviewedState>,
+}
+
+/// What a review depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReviewedState {
+    evidence_changes: u64,
+    quarantine_changes: u64,
+    view: EvidenceView,
 }
 
 impl FeatureTable {
@@ -86,7 +96,9 @@
         if let Some(active) = self.quarantine.find(features) {
             return Some((active.record.features, active.trial_at));
         }
-        let is_affected = |set: &&BlamedSet| set.blamed.features.is_within(features);
+        let is_affected = |set: &&BlamedSet| {
+            !set.blamed.is_provisional && set.blamed.features.is_within(features)
+        };
         let set = self.blamed.iter().find(is_affected)?;
         Some((set.blamed.features.clone(), set.quarantine_at))
     }
@@ -161,6 +173,25 @@
         objection_time: Duration,
         view: EvidenceView,
         now: Instant,
+    ) -> Vec<FeatureChange> {
+        let state = ReviewedState {
+            evidence_changes: self.evidence.changes(),
+            quarantine_changes: self.quarantine.changes(),
+            view,
+        };
+        let mut changes = Vec::new();
+        if self.reviewed.replace(state) != Some(state) {
+            changes = self.update_blamed(objection_time, view, now);
+        }
+        changes.extend(self.quarantine_due(now));
+        changes
+    }
+
+    fn update_blamed(
+        &mut self,
+        objection_time: Duration,
+        view: EvidenceView,
+        now: Instant,
     ) -> Vec<FeatureChange> {
         let mut changes = Vec::new();
         let blamed_now = self.evidence.blamed(&self.quarantine.refused(), view);
@@ -184,7 +215,6 @@
                 });
             }
         }
-        changes.extend(self.quarantine_due(now));
         changes
     }
 
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod rate_table;
 mod refusal;
 mod relay;
+mod request_blame;
 mod request_digest;
 mod request_feature;
 mod request_guards;
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -19,6 +19,9 @@
 /// How long a set is sent to no upstream before one request may try it again.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(600);
 
+/// The same for a whole request. It may be sound, and at two crashes by chance.
+const FIRST_TRIAL_DELAY_OF_REQUEST: Duration = Duration::from_secs(60);
+
 /// Factor by which the time until the next trial grows with each trial.
 const TRIAL_DELAY_FACTOR: u32 = 4;
 
@@ -62,6 +65,9 @@
 
     /// Returns the time from the last change until the next trial.
     fn trial_delay(&self) -> Duration {
+        if self.trials == 0 && self.features.is_whole_request() {
+            return FIRST_TRIAL_DELAY_OF_REQUEST;
+        }
         let growth = TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_DELAY_GROWTH));
         FIRST_TRIAL_DELAY.saturating_mul(growth)
     }
@@ -89,6 +95,8 @@
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     records: IndexMap<FeatureSet, KnownRecord>,
+    /// Number of records that were added or changed.
+    changes: u64,
 }
 
 impl QuarantineTable {
@@ -152,6 +160,7 @@
             record: record.clone(),
         };
         self.records.insert(record.features, known);
+        self.changes += 1;
         true
     }
 
@@ -199,6 +208,11 @@
             .any(|known| known.record.features.is_subset(features))
     }
 
+    /// Returns how many times a record was added or changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the sets that are refused.
     pub fn refused(&self) -> Vec<RefusedFeatures> {
         let is_active = |known: &&KnownRecord| known.record.state == QuarantineState::Active;
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -207,7 +207,7 @@
             let outcome = self.send_once(caller, &entry, &choice).await?;
             self.current = None;
             self.record_outcome(&entry.id, &outcome);
-            self.record_broken(&entry, &outcome);
+            let probe = self.record_broken(&entry, &outcome);
             self.tried.push(entry.id.clone());
             match outcome {
                 SendOutcome::Answered => return Ok(None),
@@ -227,6 +227,10 @@
             if !self.may_send_again(caller) {
                 return Ok(Some(self.final_refusal()));
             }
+            if let Some(probe) = probe {
+                // The request may have crashed the upstream, and would crash the next one.
+                probe.wait().await;
+            }
         }
     }
 
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -15,6 +15,7 @@
 use crate::caller::CallerDisconnected;
 use crate::caller::CallerWriter;
 use crate::caller::ResponseState;
+use crate::crash_probe::RunningProbe;
 use crate::crash_probe::UnansweredRequest;
 use crate::crash_probe::may_be_crash;
 use crate::crash_probe::record_broken_request;
@@ -78,20 +79,25 @@
     }
 
     /// Looks into a request that broke off. If its answer had not begun, it may have crashed
-    /// the upstream.
-    pub(super) fn record_broken(&self, entry: &UpstreamEntry, outcome: &SendOutcome) {
+    /// the upstream, and the probe that tells is returned.
+    pub(super) fn record_broken(
+        &self,
+        entry: &UpstreamEntry,
+        outcome: &SendOutcome,
+    ) -> Option<RunningProbe> {
         let SendOutcome::Broken(failure) = outcome else {
-            return;
+            return None;
         };
         if !may_be_crash(*failure) {
-            return;
+            return None;
         }
         let unanswered =
             (self.attempt_events < EVENTS_OF_SOUND_ANSWER).then_some(UnansweredRequest {
                 digest: self.features.digest,
                 features: self.features.features,
             });
-        record_broken_request(self.gateway, entry, unanswered);
+        let probe = record_broken_request(self.gateway, entry, unanswered);
+        unanswered.is_some().then_some(probe)
     }
 
     /// Returns the refusal of a request whose features crash upstreams.
--- a/lib/gateway/tests/crash_simulation/mod.rs
+++ b/lib/gateway/tests/crash_simulation/mod.rs
@@ -1,5 +1,6 @@
-//! Simulated fleet before upstreams that a prompt part crashes. Messages are delayed and get
-//! lost, VMs are cut off from each other or restarted, upstreams also crash for other reasons.
+//! Simulated fleet before upstreams that a prompt part or a request crashes. Messages are delayed
+//! and get lost, VMs are cut off from each other or restarted, upstreams also crash for other
+//! reasons.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +13,7 @@
 use snipegate_gateway::RequestFeature;
 use snipegate_gateway::UpstreamRun;
 use snipegate_types::PartId;
+use snipegate_types::RequestDigest;
 use snipegate_types::VmId;
 
 /// Time step of the simulation.
@@ -32,6 +34,36 @@
 /// Part that crashes every upstream that begins to answer a prompt with it.
 pub const CRASHING_PART: PartId = PartId(0xdead);
 
+/// Request that crashes every upstream that begins to answer it.
+pub const CRASHING_REQUEST: RequestFeature = RequestFeature::Whole(RequestDigest(0xdead));
+
+/// What crashes the upstreams of a simulation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SimulatedCause {
+    /// Requests with [`CRASHING_PART`], no two of which are alike.
+    Part,
+    /// [`CRASHING_REQUEST`], which comes again and again.
+    Request,
+}
+
+impl SimulatedCause {
+    /// Returns the feature that crashes upstreams.
+    pub fn feature(self) -> RequestFeature {
+        match self {
+            SimulatedCause::Part => part(CRASHING_PART.0),
+            SimulatedCause::Request => CRASHING_REQUEST,
+        }
+    }
+
+    /// Returns the number of crashes after which the fleet has to know the cause.
+    fn tolerated_crashes(self) -> usize {
+        match self {
+            SimulatedCause::Part => 5,
+            SimulatedCause::Request => 3,
+        }
+    }
+}
+
 /// Sound part that every crashing prompt has too.
 pub const COMPANION_PART: PartId = PartId(0xc0);
 
@@ -47,23 +79,27 @@
     pub upstreams: usize,
     /// Sound requests per second of all VMs.
     pub sound_rate: f64,
-    /// Requests per second with the crashing part.
+    /// What crashes upstreams.
+    pub cause: SimulatedCause,
+    /// Requests per second that crash upstreams.
     pub crashing_rate: f64,
     /// Sound requests per second with the companion part.
     pub companion_rate: f64,
+    /// Share of the sound requests that a crash broke off that are sent again.
+    pub resend_share: f64,
     /// Times per second that a share of the upstreams crashes for another reason.
     pub other_crash_rate: f64,
     /// Times per second that a VM is restarted or cut off from the other VMs.
     pub disturbance_rate: f64,
     /// Probability that a message is lost.
     pub loss: f64,
-    /// Time after the fifth crash from which VMs in contact are to know.
+    /// Time after the last tolerated crash from which VMs in contact are to know.
     pub contact_time: Duration,
     /// Seed of the random number generator.
     pub seed: u64,
 }
 
-/// A request with the crashing part that a VM sent.
+/// A crashing request that a VM sent.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashingSend {
     /// When it was sent.
@@ -91,6 +127,7 @@
     features: Vec<RequestFeature>,
     begins: Instant,
     has_begun: bool,
+    is_resent: bool,
     is_recorded: bool,
 }
 
@@ -98,6 +135,8 @@
 pub struct CrashSimulation {
     config: SimulationConfig,
     rng: Rng,
+    /// For requests that are sent again.
+    resend_rng: Rng,
     start: Instant,
     /// Simulated time.
     pub now: Instant,
@@ -106,15 +145,16 @@
     requests: Vec<RunningRequest>,
     messages: Vec<(Instant, usize, FeatureNews)>,
     stored: Vec<QuarantineRecord>,
-    /// Crashes that the crashing part caused.
+    /// Crashes that the simulated cause made.
     pub crashes: Vec<Instant>,
-    /// Requests with the crashing part that were sent.
+    /// Crashing requests that were sent.
     pub crashing_sends: Vec<CrashingSend>,
     /// Sound requests that were refused.
     pub refused_sound: usize,
-    /// Sound requests with the companion part that were sent while the crashing part was
-    /// refused.
+    /// Sound requests with the companion part that were sent.
     pub companion_sends: usize,
+    /// Number of requests, each of which has a digest of its own.
+    request_count: u64,
 }
 
 impl CrashSimulation {
@@ -134,6 +174,7 @@
         let upstreams = (0..config.upstreams as u32)
             .map(|upstream| SimulatedUpstream {
                 run: UpstreamRun {
+                    service: 1,
                     upstream,
                     started_ms: Some(0),
                 },
@@ -143,6 +184,7 @@
         Self {
             config,
             rng,
+            resend_rng: Rng::with_seed(config.seed),
             start: now,
             now,
             vms,
@@ -154,6 +196,7 @@
             crashing_sends: Vec::new(),
             refused_sound: 0,
             companion_sends: 0,
+            request_count: 0,
         }
     }
 
@@ -194,12 +237,13 @@
     }
 
     /// Returns the number of requests that VMs in contact sent after the fleet should have
-    /// known the crashing part.
+    /// known the cause.
     pub fn late_sends(&self) -> usize {
-        let Some(fifth) = self.crashes.get(4) else {
+        let tolerated = self.config.cause.tolerated_crashes();
+        let Some(last_tolerated) = self.crashes.get(tolerated - 1) else {
             return 0;
         };
-        let from = *fifth + self.config.contact_time;
+        let from = *last_tolerated + self.config.contact_time;
         let late = |send: &&CrashingSend| send.at > from && send.in_contact;
         self.crashing_sends.iter().filter(late).count()
     }
@@ -256,24 +300,37 @@
         for _ in 0..self.times(self.config.sound_rate) {
             let first = self.rng.u64(0..FIRST_PARTS);
             let subject = 1000 + self.rng.u64(0..400).min(self.rng.u64(0..400));
-            let parts = vec![part(first), part(subject)];
+            let parts = vec![self.unique_request(), part(first), part(subject)];
             if !self.send(parts) {
                 self.refused_sound += 1;
             }
         }
         for _ in 0..self.times(self.config.companion_rate) {
-            let parts = vec![part(0), part(COMPANION_PART.0)];
+            let parts = vec![self.unique_request(), part(0), part(COMPANION_PART.0)];
             match self.send(parts) {
                 true => self.companion_sends += 1,
                 false => self.refused_sound += 1,
             }
         }
         for _ in 0..self.times(self.config.crashing_rate) {
-            let parts = [0, COMPANION_PART.0, CRASHING_PART.0].map(part).to_vec();
+            let mut parts = vec![part(0), part(COMPANION_PART.0)];
+            match self.config.cause {
+                SimulatedCause::Part => {
+                    parts.push(part(CRASHING_PART.0));
+                    parts.push(self.unique_request());
+                }
+                SimulatedCause::Request => parts.push(CRASHING_REQUEST),
+            }
             self.send(parts);
         }
     }
 
+    /// Returns the whole of a request that is not like any other.
+    fn unique_request(&mut self) -> RequestFeature {
+        self.request_count += 1;
+        RequestFeature::Whole(RequestDigest(self.request_count))
+    }
+
     /// Sends a request at some VM to some upstream. Returns whether it was not refused.
     fn send(&mut self, features: Vec<RequestFeature>) -> bool {
         let vm = self.rng.usize(0..self.vms.len());
@@ -286,7 +343,7 @@
         if up.is_empty() {
             return true;
         }
-        if features.contains(&part(CRASHING_PART.0)) {
+        if features.contains(&self.config.cause.feature()) {
             let running = self.now.duration_since(self.vms[vm].started);
             self.crashing_sends.push(CrashingSend {
                 at: self.now,
@@ -301,16 +358,18 @@
             features,
             begins: self.now + begin,
             has_begun: false,
+            is_resent: false,
             is_recorded: false,
         });
         true
     }
 
     fn progress_requests(&mut self) {
+        let cause = self.config.cause.feature();
         let mut crashed = Vec::new();
         for request in &mut self.requests {
             let is_due = request.begins <= self.now && !request.has_begun;
-            if is_due && request.features.contains(&part(CRASHING_PART.0)) {
+            if is_due && request.features.contains(&cause) {
                 crashed.push(request.upstream);
             } else if is_due {
                 request.has_begun = true;
@@ -354,10 +413,28 @@
                 .table
                 .record_crash(ended, self.now, features, self.now);
         }
-        self.requests.retain(|request| request.upstream != upstream);
+        let broken = self
+            .requests
+            .extract_if(.., |request| request.upstream == upstream);
+        let broken: Vec<_> = broken.filter(|request| !request.is_recorded).collect();
         let state = &mut self.upstreams[upstream];
         state.down_until = self.now + DOWNTIME;
         state.run.started_ms = state.run.started_ms.map(|started| started + 1);
+        std::mem::swap(&mut self.rng, &mut self.resend_rng);
+        for request in broken {
+            if request.is_resent || request.features.contains(&CRASHING_REQUEST) {
+                continue;
+            }
+            if self.rng.f64() < self.config.resend_share {
+                let is_sound = !request.features.contains(&self.config.cause.feature());
+                let is_sent = self.send(request.features);
+                match self.requests.last_mut() {
+                    Some(resent) if is_sent => resent.is_resent = true,
+                    _ => self.refused_sound += usize::from(is_sound && !is_sent),
+                }
+            }
+        }
+        std::mem::swap(&mut self.rng, &mut self.resend_rng);
     }
 
     fn exchange_with_store(&mut self, vm: usize) {
--- a/lib/gateway/tests/test_feature_table.rs
+++ b/lib/gateway/tests/test_feature_table.rs
@@ -17,11 +17,12 @@
 use snipegate_gateway::RequestFeature;
 use snipegate_gateway::UpstreamRun;
 use snipegate_types::PartId;
+use snipegate_types::RequestDigest;
 use snipegate_types::VmId;
 
 use crate::crash_simulation::COMPANION_PART;
-use crate::crash_simulation::CRASHING_PART;
 use crate::crash_simulation::CrashSimulation;
+use crate::crash_simulation::SimulatedCause;
 use crate::crash_simulation::SimulationConfig;
 
 const OBJECTION_TIME: Duration = Duration::from_millis(230);
@@ -37,8 +38,13 @@
     ids.iter().copied().map(RequestFeature::Part).collect()
 }
 
+fn whole(digest: u64) -> RequestFeature {
+    RequestFeature::Whole(RequestDigest(digest))
+}
+
 fn run(upstream: u32) -> UpstreamRun {
     UpstreamRun {
+        service: 1,
         upstream,
         started_ms: None,
     }
@@ -81,6 +87,29 @@
             .record_crash(ended, self.now, prompt(ids), self.now);
     }
 
+    /// Another upstream crashes 300 ms later, with these requests unanswered.
+    fn crash_of(&mut self, requests: &[Vec<RequestFeature>]) {
+        self.pass(Duration::from_millis(300));
+        self.crash_now_of(requests);
+    }
+
+    fn crash_now_of(&mut self, requests: &[Vec<RequestFeature>]) {
+        self.crashes += 1;
+        let ended = run(self.crashes);
+        let now = self.now;
+        self.table.record_crash(ended, now, requests.concat(), now);
+    }
+
+    fn answer_of(&mut self, features: &[RequestFeature]) {
+        self.pass(Duration::from_millis(1));
+        self.table.record_answer(features, self.now, self.now);
+    }
+
+    fn is_request_refused(&mut self, features: &[RequestFeature]) -> bool {
+        self.review();
+        self.table.refused(features).is_some()
+    }
+
     fn answer(&mut self, ids: &[PartId]) {
         self.pass(Duration::from_millis(1));
         self.table.record_answer(&prompt(ids), self.now, self.now);
@@ -366,6 +395,167 @@
     assert!(test.is_refused(&[SUBJECT]));
 }
 
+#[test]
+fn records_of_builds_that_knew_only_parts_can_be_read() {
+    let earlier = rmp_serde::to_vec(&(vec![DEADLY], 1_u64, QuarantineState::Active, 0_u32))
+        .expect("record should encode");
+    let decoded: QuarantineRecord =
+        rmp_serde::from_slice(&earlier).expect("record should be decoded");
+    assert_eq!(decoded, record(1, QuarantineState::Active, 0));
+    let whole = QuarantineRecord {
+        features: FeatureSet::new(vec![whole(9)]),
+        ..decoded
+    };
+    let bytes = rmp_serde::to_vec(&whole).expect("record should encode");
+    let decoded: QuarantineRecord =
+        rmp_serde::from_slice(&bytes).expect("record should be decoded");
+    assert_eq!(decoded, whole);
+}
+
+/// The parts of a prompt and the whole of it.
+fn request(digest: u64, parts: &[PartId]) -> Vec<RequestFeature> {
+    let mut features = prompt(parts);
+    features.push(whole(digest));
+    features
+}
+
+#[test]
+fn request_at_all_of_two_crashes_is_refused_unless_news_show_another_cause() {
+    let mut test = TestTable::new();
+    let deadly = request(7, &[FIRST, SUBJECT]);
+    test.crash_of(&[deadly.clone(), request(1, &[FIRST])]);
+    test.answer(&[FIRST, SUBJECT]);
+    test.crash_of(&[deadly.clone(), request(2, &[FIRST])]);
+    test.answer(&[FIRST, SUBJECT]);
+    assert!(!test.is_request_refused(&deadly));
+    assert_eq!(test.quarantined(), [FeatureSet::new(vec![whole(7)])]);
+    assert!(test.is_request_refused(&deadly));
+    assert!(!test.is_request_refused(&request(8, &[FIRST, SUBJECT])));
+}
+
+#[test]
+fn request_at_three_crashes_is_refused_at_once_and_others_with_its_parts_are_not() {
+    let mut test = TestTable::new();
+    let deadly = request(7, &[FIRST, SUBJECT]);
+    for crash in 0..3 {
+        test.crash_of(&[deadly.clone(), request(crash, &[FIRST])]);
+    }
+    assert!(test.is_request_refused(&deadly));
+    assert!(!test.is_request_refused(&request(8, &[FIRST, SUBJECT])));
+    // Upstreams also crash on those that were sent before it was known.
+    test.crash_of(&[deadly.clone()]);
+    test.crash_of(&[deadly.clone()]);
+    assert_eq!(test.quarantined(), [FeatureSet::new(vec![whole(7)])]);
+    assert!(!test.is_request_refused(&request(8, &[FIRST, SUBJECT])));
+}
+
+#[test]
+fn sound_request_that_is_sent_again_beside_a_deadly_one_is_not_refused_with_it() {
+    let mut test = TestTable::new();
+    for _ in 0..2 {
+        test.crash_of(&[request(7, &[]), request(8, &[])]);
+    }
+    assert!(!test.is_request_refused(&request(7, &[])));
+    assert!(!test.is_request_refused(&request(8, &[])));
+    test.crash_of(&[request(7, &[]), request(9, &[])]);
+    assert!(test.is_request_refused(&request(7, &[])));
+    assert!(!test.is_request_refused(&request(8, &[])));
+}
+
+#[test]
+fn request_answered_before_takes_more_crashes_to_be_blamed_and_an_answer_clears_it() {
+    let mut test = TestTable::new();
+    test.answer_of(&request(7, &[]));
+    for _ in 0..3 {
+        test.crash_of(&[request(7, &[])]);
+    }
+    assert!(!test.is_request_refused(&request(7, &[])));
+    test.answer_of(&request(7, &[]));
+    test.crash_of(&[request(7, &[])]);
+    assert!(!test.is_request_refused(&request(7, &[])));
+    for _ in 0..3 {
+        test.crash_of(&[request(7, &[])]);
+    }
+    assert!(test.is_request_refused(&request(7, &[])));
+}
+
+#[test]
+fn request_that_runs_at_many_upstreams_of_a_lost_rack_is_not_blamed() {
+    let mut test = TestTable::new();
+    for _ in 0..5 {
+        test.pass(Duration::from_millis(1));
+        test.crash_now_of(&[request(7, &[])]);
+    }
+    assert!(!test.is_request_refused(&request(7, &[])));
+}
+
+#[test]
+fn vm_that_hears_few_others_takes_three_crashes_to_blame_a_request() {
+    let mut test = TestTable::new();
+    for crash in 1..=3 {
+        test.crash_of(&[request(7, &[])]);
+        let view = EvidenceView::Minority;
+        let changes = test.table.review(OBJECTION_TIME, view, test.now);
+        assert_eq!(changes.is_empty(), crash < 3, "crash {crash}");
+    }
+}
+
+#[test]
+fn deadly_part_is_refused_though_one_request_with_it_came_twice() {
+    let mut test = TestTable::new();
+    test.crash_of(&[request(7, &[FIRST, DEADLY])]);
+    test.answer(&[FIRST]);
+    test.crash_of(&[request(7, &[FIRST, DEADLY])]);
+    assert!(!test.is_request_refused(&request(8, &[FIRST, DEADLY])));
+    test.crash_of(&[request(8, &[FIRST, DEADLY])]);
+    assert!(test.is_request_refused(&request(10, &[FIRST, DEADLY])));
+    assert!(!test.is_request_refused(&request(10, &[FIRST])));
+}
+
+#[test]
+fn crashes_of_another_service_do_not_count_against_the_evidence() {
+    let mut test = TestTable::new();
+    for crash in 0..3_u64 {
+        test.crash(&[DEADLY]);
+        for other in 0..4 {
+            test.crashes += 1;
+            let ended = UpstreamRun {
+                service: 2,
+                ..run(test.crashes)
+            };
+            let features = request(100 + 10 * crash + other, &[]);
+            let now = test.now;
+            test.table.record_crash(ended, now, features, now);
+        }
+    }
+    assert!(test.is_refused(&[DEADLY]));
+}
+
+#[test]
+fn request_is_found_though_every_crash_leaves_many_sound_ones() {
+    let mut test = TestTable::new();
+    let mut listener = FeatureTable::default();
+    for crash in 0..2_u64 {
+        let sound = (0..200).map(|number| request(1000 * crash + number, &[FIRST]));
+        let requests: Vec<_> = sound.chain([request(u64::MAX, &[FIRST])]).collect();
+        test.crash_of(&requests);
+        let news = test.table.news(&vm("a"), test.now).expect("there is news");
+        listener.apply_news(news, test.now);
+        for known in 0..200 {
+            test.answer_of(&request(1000 * crash + known, &[FIRST]));
+        }
+    }
+    // The first crash leaves more requests than a report has room for.
+    let requests = [request(u64::MAX, &[FIRST])];
+    for _ in 0..2 {
+        test.crash_of(&requests);
+        let news = test.table.news(&vm("a"), test.now).expect("there is news");
+        listener.apply_news(news, test.now);
+    }
+    listener.review(OBJECTION_TIME, EvidenceView::Fleet, test.now);
+    assert!(listener.refused(&requests[0]).is_some());
+}
+
 fn record(changes: u64, state: QuarantineState, trials: u32) -> QuarantineRecord {
     QuarantineRecord {
         features: set(&[DEADLY]),
@@ -455,7 +645,9 @@
         upstreams,
         sound_rate,
         crashing_rate,
+        cause: SimulatedCause::Part,
         companion_rate: 0.5,
+        resend_share: 0.0,
         other_crash_rate: 0.0,
         disturbance_rate: 0.0,
         loss: 0.02,
@@ -464,16 +656,17 @@
     }
 }
 
-/// Checks that the bound of the fleet holds, and that every quarantined set has the crashing
-/// part.
+/// Checks that the bound of the fleet holds, and that every quarantined set is the crashing
+/// request, or the crashing part, also with its companion.
 fn check_fleet(simulation: &CrashSimulation, config: &SimulationConfig) {
     let late = simulation.late_sends();
     assert!(late <= TOLERATED_SENDS, "{late} late sends: {config:?}");
     for record in simulation.records() {
         let features = record.features.features();
-        let known = [CRASHING_PART, COMPANION_PART].map(RequestFeature::Part);
-        assert!(features.contains(&known[0]), "{record:?}: {config:?}");
-        let is_known = |feature| known.contains(feature);
+        let cause = config.cause.feature();
+        assert!(features.contains(&cause), "{record:?}: {config:?}");
+        let companion = RequestFeature::Part(COMPANION_PART);
+        let is_known = |feature: &RequestFeature| *feature == cause || *feature == companion;
         assert!(features.iter().all(is_known), "{record:?}: {config:?}");
     }
 }
@@ -491,6 +684,40 @@
     }
 }
 
+#[test]
+fn fleets_of_all_sizes_stop_sending_a_crashing_request_and_refuse_nothing_sound() {
+    for (vms, seed) in [(6, 1), (6, 2), (9, 3), (66, 4), (195, 5)] {
+        let config = SimulationConfig {
+            cause: SimulatedCause::Request,
+            resend_share: 0.5,
+            ..fleet(vms, seed)
+        };
+        let mut simulation = CrashSimulation::new(config);
+        simulation.run(Duration::from_secs(12));
+        check_fleet(&simulation, &config);
+        assert!(!simulation.records().is_empty(), "{config:?}");
+        assert_eq!(simulation.refused_sound, 0, "{config:?}");
+        assert!(simulation.companion_sends > 0, "{config:?}");
+    }
+}
+
+#[test]
+fn bound_of_the_fleet_for_a_request_holds_with_cuts_restarts_and_other_crashes() {
+    for seed in 0..16 {
+        let config = SimulationConfig {
+            cause: SimulatedCause::Request,
+            resend_share: 0.5,
+            other_crash_rate: 0.3,
+            disturbance_rate: 0.8,
+            loss: 0.2,
+            ..fleet(if seed < 15 { 6 } else { 66 }, seed)
+        };
+        let mut simulation = CrashSimulation::new(config);
+        simulation.run(Duration::from_secs(12));
+        check_fleet(&simulation, &config);
+    }
+}
+
 #[test]
 fn bound_of_the_fleet_holds_with_cuts_restarts_and_other_crashes() {
     for seed in 0..16 {
--- a/lib/types/src/result_code.rs
+++ b/lib/types/src/result_code.rs
@@ -94,6 +94,8 @@
     MalformedRequest = 1016,
     /// Parts of the prompt have crashed upstreams and are not sent for now.
     PromptQuarantined = 1017,
+    /// The same request has crashed upstreams and is not sent for now.
+    RequestQuarantined = 1018,
     /// The budget cannot cover the worst-case cost of the request.
     BudgetExhausted = 2001,
     /// The budget may have tokens left, but this process cannot reach them now.
@@ -168,7 +170,7 @@
             DeadlinePassed => 504,
             BudgetUnreachable | NoUpstream | UpstreamsFull | DeadlineUnmeetable
             | RetryBudgetSpent | StoreUnavailable | ConfigMissing | BillUnconfirmed
-            | ConfigStale | Stopping | NotReady | PromptQuarantined => 503,
+            | ConfigStale | Stopping | NotReady | PromptQuarantined | RequestQuarantined => 503,
             InternalFault => 500,
         }
     }
@@ -198,7 +200,8 @@
             | ProfileLimited | NoUpstream | UpstreamsFull | DeadlineUnmeetable
             | RetryBudgetSpent | UpstreamFailed | DeadlinePassed | UpstreamSilent
             | PriorityShed | StoreUnavailable | ConfigMissing | BillUnconfirmed | ConfigStale
-            | StillRunning | Stopping | NotReady | PromptQuarantined | InternalFault => true,
+            | StillRunning | Stopping | NotReady | PromptQuarantined | RequestQuarantined
+            | InternalFault => true,
         }
     }
 }
