gateway: a request at two crashes is refused at once

Cause: a request at two crashes was refused only when it was quarantined, 230 ms later, and never while a part of its prompt was new. A wrong refusal costs one caller one request; the crash costs all.

Now refused at once; quarantined, for 60 s at first, after the time to object as before.

--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -64,8 +64,6 @@
     pub features: FeatureSet,
     /// Number of crashes that they explain.
     pub crashes: usize,
-    /// Whether news of other VMs may still show another cause.
-    pub is_provisional: bool,
 }
 
 /// Finds the sets of features that explain the crashes.
@@ -108,7 +106,6 @@
         blamed.push(BlamedFeatures {
             features,
             crashes: request.explained.len(),
-            is_provisional: request.is_provisional(),
         });
     }
     while let Some((features, explained)) = open.most_blamed(&is_new, view) {
@@ -116,7 +113,6 @@
         blamed.push(BlamedFeatures {
             features,
             crashes: explained.len(),
-            is_provisional: false,
         });
     }
     blamed
--- a/lib/gateway/src/feature_table.rs
+++ b/lib/gateway/src/feature_table.rs
@@ -96,9 +96,7 @@
         if let Some(active) = self.quarantine.find(features) {
             return Some((active.record.features, active.trial_at));
         }
-        let is_affected = |set: &&BlamedSet| {
-            !set.blamed.is_provisional && set.blamed.features.is_within(features)
-        };
+        let is_affected = |set: &&BlamedSet| set.blamed.features.is_within(features);
         let set = self.blamed.iter().find(is_affected)?;
         Some((set.blamed.features.clone(), set.quarantine_at))
     }
--- a/lib/gateway/src/request_blame.rs
+++ b/lib/gateway/src/request_blame.rs
@@ -15,7 +15,7 @@
 use crate::request_feature::RequestFeature;
 
 /// Crashes after which a request is blamed that was never answered, if it is at all recent crashes
-/// of its service and nothing else that was never answered is at as many of them.
+/// of its service and no other request is at as many of them.
 const MIN_CRASHES: usize = 2;
 
 /// Crashes after which a request is blamed that was never answered. It is the number that a fleet
@@ -43,14 +43,6 @@
     count: usize,
 }
 
-impl BlamedRequest {
-    /// Returns whether so few crashes speak against the request that news of other VMs may still
-    /// show another cause.
-    pub fn is_provisional(&self) -> bool {
-        self.count < CRASHES_IF_NEW
-    }
-}
-
 /// Returns the request with the most crashes, if these are enough.
 ///
 /// `suspects` holds the crashes since the last answer to each feature; `is_new` tells whether a
@@ -70,13 +62,13 @@
     }
     let groups = group_crashes(crashes, CRASH_GROUP_PERIOD);
     let blamed = candidates.iter().filter_map(|(feature, explained)| {
-        let is_rival = |(other, others): (&RequestFeature, &CrashTimes)| {
-            other != *feature && is_new(*other) && shares_crashes(explained, others)
+        let is_rival = |(other, others): &(&RequestFeature, &CrashTimes)| {
+            other != feature && shares_crashes(explained, others)
         };
         let count = count_majorities(&groups, explained);
         let recent = count_recent_groups(&groups, crashes, explained);
         let is_at_most = 2 * count > recent;
-        let is_sole_cause = count == recent && !suspects.iter().any(is_rival);
+        let is_sole_cause = count == recent && !candidates.iter().any(is_rival);
         let needed = match (is_new(**feature), view) {
             (true, EvidenceView::Fleet) if is_sole_cause => MIN_CRASHES,
             (true, _) => CRASHES_IF_NEW,
@@ -115,7 +107,7 @@
     groups.iter().filter(is_recent).count()
 }
 
-/// Returns whether two features are at so many of the same crashes that each alone may explain
+/// Returns whether two requests are at so many of the same crashes that each alone may explain
 /// them.
 fn shares_crashes(crashes: &CrashTimes, others: &CrashTimes) -> bool {
     let is_shared = |run: &&_| others.contains_key(*run);
