gateway, edge: a stopping process takes no request that can't end in time, and answers what is open at its end

What callers saw: in a planned stop in calm, bookings and streams that came up to 2.6 s after SIGTERM, or whose body came later still, were passed on and cut without an answer at 0.9 of the grace period, though the bookings may run only once (LOST).

Cause: a stop knew when it accepts no more connections, and not whether what it accepts can end; and what was still open at the end was dropped with the process.

Now a request is sent on during a stop only if its caller gives up before the drain ends, or, for a stream, if the longest recent one of its route would end by then; else it is refused at once (6001, not run). At the end of the drain all that has no answer gets one: 504 'may have run', or 503 if it was not sent. Streams that have begun are still broken off there. The time of leaving is at most 0.4 of the grace period, so that a short one leaves time to drain.

--- a/bin/edge/src/shutdown.rs
+++ b/bin/edge/src/shutdown.rs
@@ -9,7 +9,6 @@
 use slog::info;
 use slog::warn;
 use snipegate_gateway::Gateway;
-use snipegate_gateway::VmStage;
 use snipegate_gateway::close_budgets;
 use snipegate_gateway::leave_membership;
 use snipegate_site::SiteStore;
@@ -20,12 +19,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// How long a process that shuts down continues to accept requests, so that callers
-/// learn to use other addresses.
-const LEAVE_DURATION: Duration = Duration::from_millis(2600);
-
-/// Fraction of the grace period in which open requests may still complete.
-const DRAIN_FRACTION: f64 = 0.9;
+/// How long the answers of requests that are given up may take to be written.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Interval at which the number of open requests is checked.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -66,26 +61,25 @@
 /// Announces that this VM leaves, drains open requests and returns unused budget.
 /// SIGINT during the leave wait or the drain ends the shutdown early.
 async fn shut_down(gateway: &Rc<Gateway>, store: &SiteStore, interrupt: &mut Signal) {
-    let started_at = gateway.now();
-    let drain_deadline = started_at + gateway.settings.grace.mul_f64(DRAIN_FRACTION);
-    gateway.set_stage(VmStage::Leaving);
+    let plan = gateway.begin_stop();
     info!(gateway.log, "stopping"; "active" => gateway.active.get());
     let announced = timeout(STORE_TIMEOUT, leave_membership(gateway, store)).await;
     if announced.is_err() {
         info!(gateway.log, "timed out while writing leaving vm record");
     }
     tokio::select! {
-        () = sleep(LEAVE_DURATION) => {}
+        () = sleep(plan.closing_at.saturating_duration_since(gateway.now())) => {}
         _ = interrupt.recv() => return,
     }
-    // A request accepted later might not complete within the grace period.
     gateway.begin_closing();
     info!(gateway.log, "connections closed"; "active" => gateway.active.get());
     let is_idle = || gateway.active.get() == 0;
     tokio::select! {
-        () = wait_until(gateway, drain_deadline, is_idle) => {}
+        () = wait_until(gateway, plan.drained_at, is_idle) => {}
         _ = interrupt.recv() => return,
     }
+    gateway.end_drain();
+    wait_until(gateway, plan.drained_at + LAST_ANSWERS_TIMEOUT, is_idle).await;
     if timeout(STORE_TIMEOUT, close_budgets(gateway, store))
         .await
         .is_err()
--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -49,6 +49,7 @@
 use crate::request_guards::Reservation;
 use crate::reserve::reserve;
 use crate::stage::VmStage;
+use crate::stop_plan::LateRequest;
 
 /// Limits in force until a configuration is loaded.
 const INITIAL_LIMITS: CallerLimits = CallerLimits {
@@ -61,7 +62,8 @@
 /// How long a caller may leave sent data unacknowledged or keep-alive probes unanswered.
 const UNACKED_DATA_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// `Retry-After` of a request refused while the process starts or its route has no service.
+/// `Retry-After` of a request refused while the process starts or stops or its route has no
+/// service.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Delay before accepting again after an error.
@@ -342,13 +344,21 @@
         let refusal = Refusal::retryable(ResultCode::NoUpstream, jitter(STARTING_RETRY_AFTER));
         return refuse_unsent(gateway, request, caller, &refusal).await;
     };
+    if let Some(refusal) = refuse_late(gateway, &admission) {
+        return refuse_unsent(gateway, request, caller, &refusal).await;
+    }
     let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
     let features = request_features(digest, request.metadata.prompt.as_ref());
     let is_trial = match check_features(gateway, request, &features).await {
         Ok(is_trial) => is_trial,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
-    let reservation = match reserve_budget(gateway, request, &admission, &service).await {
+    let reserved = tokio::select! {
+        biased;
+        reserved = reserve_budget(gateway, request, &admission, &service) => reserved,
+        () = gateway.wait_for_drain_end() => Err(stopping_refusal()),
+    };
+    let reservation = match reserved {
         Ok(reservation) => reservation,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
     };
@@ -362,6 +372,23 @@
     relay.run(caller).await
 }
 
+/// Returns the refusal of a request that can't end before this process does.
+fn refuse_late(gateway: &Gateway, admission: &Admission) -> Option<Refusal> {
+    let plan = gateway.stop_plan.get()?;
+    let late = LateRequest {
+        route: &admission.route.prefix,
+        is_stream: admission.route.retry_safety.is_stream(),
+        deadline: admission.deadline,
+    };
+    let durations = gateway.stream_durations.borrow();
+    let has_time = plan.has_time_for(&late, &durations, gateway.now());
+    (!has_time).then(stopping_refusal)
+}
+
+fn stopping_refusal() -> Refusal {
+    Refusal::retryable(ResultCode::Stopping, jitter(STARTING_RETRY_AFTER))
+}
+
 /// Refuses a request whose features crash upstreams; returns whether it is sent as the trial of
 /// such features.
 async fn check_features(
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -45,8 +45,10 @@
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
 use crate::stage::VmStage;
+use crate::stop_plan::StopPlan;
 use crate::store_contact::StoreContact;
 use crate::store_gate::StoreGate;
+use crate::stream_durations::StreamDurations;
 use crate::token_request::FreeTokens;
 use crate::token_request::QueuedTokenRequest;
 use crate::token_request::TokenRequestOutcome;
@@ -193,6 +195,14 @@
     pub closing: Notify,
     /// Whether idle caller connections should close.
     pub is_closing: Cell<bool>,
+    /// Times of the graceful stop, if one has begun.
+    pub stop_plan: Cell<Option<StopPlan>>,
+    /// Notified when requests that are still open are given up.
+    pub drain_ended: Notify,
+    /// Whether they are.
+    pub is_drained: Cell<bool>,
+    /// How long recent streams lasted.
+    pub stream_durations: RefCell<StreamDurations>,
 }
 
 impl Gateway {
@@ -269,6 +279,10 @@
             upstream_hint: ChangeHint::default(),
             closing: Notify::new(),
             is_closing: Cell::new(false),
+            stop_plan: Cell::new(None),
+            drain_ended: Notify::new(),
+            is_drained: Cell::new(false),
+            stream_durations: RefCell::default(),
         }
     }
 
@@ -374,6 +388,29 @@
         }
     }
 
+    /// Begins a graceful stop, in which requests that can't end in time are refused. Returns its
+    /// times.
+    pub fn begin_stop(&self) -> StopPlan {
+        let plan = StopPlan::new(self.settings.grace, self.now());
+        self.stop_plan.set(Some(plan));
+        self.set_stage(VmStage::Leaving);
+        plan
+    }
+
+    /// Gives up the requests that are still open: those without an answer get one.
+    pub fn end_drain(&self) {
+        self.is_drained.set(true);
+        self.drain_ended.notify_waiters();
+    }
+
+    /// Waits until the requests that are still open are given up.
+    pub async fn wait_for_drain_end(&self) {
+        let ended = self.drain_ended.notified();
+        if !self.is_drained.get() {
+            ended.await;
+        }
+    }
+
     /// Stops accepting connections and closes idle ones.
     pub fn begin_closing(&self) {
         self.is_closing.set(true);
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -174,9 +174,15 @@
             .borrow_mut()
             .count_request(&self.service, now);
         let deadline = tokio::time::Instant::from_std(self.admission.deadline);
-        let outcome = match timeout_at(deadline, self.try_upstreams(caller)).await {
-            Ok(outcome) => outcome?,
-            Err(_) => {
+        let gateway = self.gateway;
+        let outcome = tokio::select! {
+            biased;
+            outcome = timeout_at(deadline, self.try_upstreams(caller)) => outcome.ok(),
+            () = gateway.wait_for_drain_end() => None,
+        };
+        let outcome = match outcome {
+            Some(outcome) => outcome?,
+            None => {
                 self.record_timeout(caller);
                 Some(self.timeout_refusal())
             }
@@ -470,10 +476,12 @@
             self.record_sound_answer(self.first_event_at.unwrap_or(now));
         }
         response.release(self.gateway, &entry.id);
-        self.record_answered(
-            &entry.id,
-            now.saturating_duration_since(load_guard.placed_at),
-        );
+        let elapsed = now.saturating_duration_since(load_guard.placed_at);
+        let route = &self.admission.route.prefix;
+        let mut durations = self.gateway.stream_durations.borrow_mut();
+        durations.record(route, elapsed, now);
+        drop(durations);
+        self.record_answered(&entry.id, elapsed);
         Ok(SendOutcome::Answered)
     }
 
--- a/lib/gateway/tests/test_feature_table.rs
+++ b/lib/gateway/tests/test_feature_table.rs
@@ -429,8 +429,9 @@
     assert!(test.is_request_refused(&deadly));
     assert!(!test.is_request_refused(&request(8, &[FIRST, SUBJECT])));
     // Upstreams also crash on those that were sent before it was known.
-    test.crash_of(&[deadly.clone()]);
-    test.crash_of(&[deadly.clone()]);
+    for _ in 0..2 {
+        test.crash_of(std::slice::from_ref(&deadly));
+    }
     assert_eq!(test.quarantined(), [FeatureSet::new(vec![whole(7)])]);
     assert!(!test.is_request_refused(&request(8, &[FIRST, SUBJECT])));
 }
