platform: tests of responses that are cut in their heads

A report of other operators: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body. Not reproduced: bookings, reads and streams, heads with a length, chunks or neither, every third byte, closed and reset, in one packet and two, on new and kept connections: no caller gets a success. The tests stay.

--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -20,7 +20,9 @@
 use tokio::time::sleep;
 
 use crate::runner_script::CrashTrigger;
+use crate::runner_script::CutHead;
 use crate::runner_script::EndlessPart;
+use crate::runner_script::HeadFraming;
 use crate::runner_script::RunnerScript;
 use crate::server::read_body;
 use crate::server::read_head;
@@ -35,6 +37,9 @@
 /// Pause between two chunks of [`EndlessPart::Refusal`].
 const REFUSAL_CHUNK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two packets of [`RunnerScript::CutHead`].
+const PACKET_PAUSE: Duration = Duration::from_millis(2);
+
 /// Number of events in a stream of [`RunnerScript::Echo`].
 const ECHO_EVENT_COUNT: u64 = 3;
 
@@ -331,6 +336,10 @@
             write_response(stream, head, b"").await
         }
         RunnerScript::Misdirected => write_response(stream, misdirected_head(request), b"").await,
+        RunnerScript::CutHead(cut) => {
+            write_cut_head(state, stream, request, cut).await;
+            false
+        }
         RunnerScript::Close => false,
         RunnerScript::Reset => {
             let _ = stream.set_zero_linger();
@@ -365,6 +374,34 @@
     }
 }
 
+async fn write_cut_head(state: &State, stream: &TcpStream, request: &RequestHead, cut: CutHead) {
+    let head = match request.target.starts_with("/stream/") {
+        true => with_field(
+            signed_head(state, request, 200),
+            "Content-Type",
+            "text/event-stream",
+        ),
+        false => signed_head(state, request, 200),
+    };
+    let head = match cut.framing {
+        HeadFraming::Length => with_field(head, "Content-Length", "10"),
+        HeadFraming::Chunks => with_field(head, "Transfer-Encoding", "chunked"),
+        HeadFraming::Connection => head,
+    };
+    let mut bytes = BytesMut::new();
+    head.write(&mut bytes);
+    bytes.truncate(cut.length.min(bytes.len() - 1));
+    if cut.is_split {
+        let first = bytes.split_to(bytes.len() / 2);
+        let _ = write_all(stream, &first).await;
+        sleep(PACKET_PAUSE).await;
+    }
+    let _ = write_all(stream, &bytes).await;
+    if cut.is_reset {
+        let _ = stream.set_zero_linger();
+    }
+}
+
 async fn echo(state: &State, stream: &TcpStream, request: &RequestHead, pause: Duration) -> bool {
     if request.target.starts_with("/stream/") || request.target.starts_with("/resume/") {
         return stream_events(state, stream, request, ECHO_EVENT_COUNT, pause, false).await;
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -26,6 +26,30 @@
     Trailer,
 }
 
+/// How the body of a response is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadFraming {
+    /// With a `Content-Length`.
+    Length,
+    /// In chunks.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+}
+
+/// A response of which only the begin of the head is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CutHead {
+    /// How its body would be framed.
+    pub framing: HeadFraming,
+    /// Number of bytes that are sent; all but the last one of the head at most.
+    pub length: usize,
+    /// Whether the connection is reset and not closed.
+    pub is_reset: bool,
+    /// Whether the bytes are sent in two packets.
+    pub is_split: bool,
+}
+
 /// How a runner handles each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunnerScript {
@@ -60,6 +84,8 @@
     InvalidHints,
     /// It responds with 421, since the request was meant for another runner.
     Misdirected,
+    /// It sends the begin of a response's head, and ends the connection.
+    CutHead(CutHead),
     /// It reads the request and closes the connection.
     Close,
     /// It reads the request and resets the connection.
