soak: the same booking crashes upstreams, with even seeds

The soak's crash phase sent prompts with a common part only. With even seeds it now sends one booking again and again, and the check allows three late ones after the third crash.

--- a/testing/soak/src/callers.rs
+++ b/testing/soak/src/callers.rs
@@ -22,7 +22,10 @@
 /// Id of the part that crashes upstreams.
 pub const CRASHING_PART: &str = "dead";
 
-/// Pause between two calls whose prompts crash upstreams.
+/// Path of the booking that crashes upstreams.
+pub const CRASHING_PATH: &str = "/book/crash";
+
+/// Pause between two calls that crash upstreams.
 const CRASHING_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Longest pause between two calls of a caller.
@@ -46,8 +49,10 @@
     Read,
     /// A streamed generation, paid from the budget, which may run at most once.
     Stream,
-    /// A generation whose prompt has a part that crashes upstreams.
-    Crashing,
+    /// A generation whose prompt has a part that crashes upstreams; no two are alike.
+    CrashingPrompt,
+    /// A booking that crashes upstreams, the same each time.
+    CrashingBooking,
     /// A read on the route that this version of the configuration added.
     Probe(u64),
 }
@@ -58,14 +63,20 @@
         match self {
             Self::Booking => "/book/".to_owned(),
             Self::Read => "/read/".to_owned(),
-            Self::Stream | Self::Crashing => "/stream/".to_owned(),
+            Self::Stream | Self::CrashingPrompt => "/stream/".to_owned(),
+            Self::CrashingBooking => CRASHING_PATH.to_owned(),
             Self::Probe(version) => format!("/v{version}/"),
         }
     }
 
     /// Returns whether the call may run at most once.
     pub fn runs_once(self) -> bool {
-        matches!(self, Self::Booking | Self::Stream | Self::Crashing)
+        !matches!(self, Self::Read | Self::Probe(_))
+    }
+
+    /// Returns whether the call crashes the upstream that runs it.
+    pub fn is_crashing(self) -> bool {
+        matches!(self, Self::CrashingPrompt | Self::CrashingBooking)
     }
 }
 
@@ -186,8 +197,8 @@
     }
 }
 
-/// Makes calls whose prompts crash upstreams, each at another VM, until `until`.
-pub async fn send_crashing_prompts(callers: Rc<CallerState>, until: Instant) {
+/// Makes calls that crash upstreams, each at another VM, until `until`.
+pub async fn send_crashing_calls(callers: Rc<CallerState>, kind: CallKind, until: Instant) {
     let mut calls = Vec::new();
     while Instant::now() < until {
         let vm = fastrand::usize(..callers.addresses.len());
@@ -199,7 +210,7 @@
         let id = format!("x-{}", calls.len());
         let callers = Rc::clone(&callers);
         calls.push(spawn_local(async move {
-            callers.call(target, None, CallKind::Crashing, id).await;
+            callers.call(target, None, kind, id).await;
         }));
         sleep(CRASHING_INTERVAL).await;
     }
@@ -269,8 +280,8 @@
     });
     match kind {
         CallKind::Stream => Some(format!("f1:600,a{}:300,{hash:x}:100", hash % 12)),
-        CallKind::Crashing => Some(format!("f1:600,a1:290,{CRASHING_PART}:10,{hash:x}:100")),
-        CallKind::Booking | CallKind::Read | CallKind::Probe(_) => None,
+        CallKind::CrashingPrompt => Some(format!("f1:600,a1:290,{CRASHING_PART}:10,{hash:x}:100")),
+        CallKind::Booking | CallKind::Read | CallKind::CrashingBooking | CallKind::Probe(_) => None,
     }
 }
 
--- a/testing/soak/src/check.rs
+++ b/testing/soak/src/check.rs
@@ -24,17 +24,20 @@
 /// one.
 const REVERT_TOLERANCE: Duration = Duration::from_millis(250);
 
-/// Crashes after which the fleet must know the part that causes them.
-const TOLERATED_CRASHES: usize = 5;
+/// Crashes after which the fleet must know the prompt part that causes them.
+const TOLERATED_CRASHES_OF_PART: usize = 5;
 
-/// Time after the last of these crashes until VMs in contact must know the part.
+/// Crashes after which the fleet must know the request that causes them.
+const TOLERATED_CRASHES_OF_REQUEST: usize = 3;
+
+/// Time after the last of these crashes until VMs in contact must know the cause.
 const CRASH_PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
-/// Prompts with the part that VMs in contact may still send then.
-const TOLERATED_CRASHING_PROMPTS: usize = 3;
+/// Crashing calls that VMs in contact may still send then.
+const TOLERATED_CRASHING_CALLS: usize = 3;
 
-/// Start of the body of a refusal for a prompt's parts.
-const QUARANTINE_CODE: &[u8] = b"1017 ";
+/// Starts of the bodies of refusals because of what crashed upstreams.
+const QUARANTINE_CODES: [&[u8]; 2] = [b"1017 ", b"1018 "];
 
 /// The body of a complete stream.
 pub const WHOLE_STREAM: &str =
@@ -143,7 +146,7 @@
     pub stops: Vec<StopRecord>,
     /// Injected faults, without planned work.
     pub disturbances: Vec<Disturbance>,
-    /// When prompts crashed upstreams.
+    /// When calls crashed upstreams.
     pub crashes: Vec<Instant>,
     /// VMs that did not serve the newest configuration after the recovery time.
     pub not_recovered: Vec<usize>,
@@ -167,11 +170,11 @@
     /// An upstream got more requests than its rate limit allows. Holds the upstream, the
     /// requests in 4 s and the allowed number.
     RateLimitExceeded(usize, usize, usize),
-    /// More prompts that crash upstreams were sent than the fleet may send once it should
-    /// know their common part; holds their number.
-    CrashingPromptsSent(usize),
-    /// A sound prompt was refused for its parts.
-    SoundPromptRefused(String),
+    /// More calls that crash upstreams were sent than the fleet may send once it should know
+    /// what they have in common; holds their number.
+    CrashingCallsSent(usize),
+    /// A sound call was refused as if it crashed upstreams.
+    SoundCallRefused(String),
     /// A graceful stop cut off a request.
     CutOff(String),
     /// A configuration was not in force in time.
@@ -258,7 +261,7 @@
             continue;
         };
         let expected = match call.kind {
-            CallKind::Stream | CallKind::Crashing => WHOLE_STREAM,
+            CallKind::Stream | CallKind::CrashingPrompt => WHOLE_STREAM,
             _ => &call.id,
         };
         if *attempt_id != call.id || body != expected.as_bytes() {
@@ -329,37 +332,39 @@
     }
 }
 
-/// Checks that VMs in contact stop sending prompts that crash upstreams, and refuse no others.
+/// Checks that VMs in contact stop sending calls that crash upstreams, and refuse no others.
 fn check_crashes(
     record: &SoakRecord,
     calls: &BTreeMap<&str, &CallRecord>,
     violations: &mut Vec<Violation>,
 ) {
-    let refused_for_parts = |call: &&CallRecord| {
+    let is_quarantined = |call: &&CallRecord| {
         matches!(&call.outcome, CallOutcome::Response { body, .. }
-            if body.starts_with(QUARANTINE_CODE))
+            if QUARANTINE_CODES.iter().any(|code| body.starts_with(code)))
     };
-    let sound = record
-        .calls
-        .iter()
-        .filter(|call| call.kind != CallKind::Crashing);
-    let refused = sound.filter(refused_for_parts);
-    violations.extend(refused.map(|call| Violation::SoundPromptRefused(call.id.clone())));
-    let Some(last_tolerated) = record.crashes.get(TOLERATED_CRASHES - 1) else {
+    let sound = record.calls.iter().filter(|call| !call.kind.is_crashing());
+    let refused = sound.filter(is_quarantined);
+    violations.extend(refused.map(|call| Violation::SoundCallRefused(call.id.clone())));
+    let is_request = |call: &CallRecord| call.kind == CallKind::CrashingBooking;
+    let tolerated = match record.calls.iter().any(is_request) {
+        true => TOLERATED_CRASHES_OF_REQUEST,
+        false => TOLERATED_CRASHES_OF_PART,
+    };
+    let Some(last_tolerated) = record.crashes.get(tolerated - 1) else {
         return;
     };
     let known_from = *last_tolerated + CRASH_PROPAGATION_TIME;
     let late = record.arrivals.iter().filter(|arrival| {
         let call = calls.get(arrival.id.as_str());
         call.is_some_and(|call| {
-            call.kind == CallKind::Crashing
+            call.kind.is_crashing()
                 && arrival.at > known_from
                 && !is_interrupted(record, call.vm, call.sent, arrival.at)
         })
     });
     let late = late.count();
-    if late > TOLERATED_CRASHING_PROMPTS {
-        violations.push(Violation::CrashingPromptsSent(late));
+    if late > TOLERATED_CRASHING_CALLS {
+        violations.push(Violation::CrashingCallsSent(late));
     }
 }
 
--- a/testing/soak/src/run/crash_phase.rs
+++ b/testing/soak/src/run/crash_phase.rs
@@ -1,4 +1,4 @@
-//! Prompts that crash upstreams, sent before the planned faults of a run.
+//! Calls that crash upstreams, sent before the planned faults of a run.
 
 use std::io;
 use std::rc::Rc;
@@ -12,22 +12,25 @@
 
 use super::SoakRun;
 use crate::callers::CRASHING_PART;
+use crate::callers::CRASHING_PATH;
+use crate::callers::CallKind;
 use crate::callers::CallerState;
-use crate::callers::send_crashing_prompts;
+use crate::callers::send_crashing_calls;
 use crate::check::Disturbance;
 use crate::plan::draw_crash_phase;
 
-/// How long prompts that crash upstreams are sent before the plan.
+/// How long calls that crash upstreams are sent before the plan.
 const CRASH_PHASE: Duration = Duration::from_secs(9);
 
-/// Time until an upstream begins to answer a prompt that crashes it.
+/// Time until an upstream begins to answer a call that crashes it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// How long an upstream is down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(500);
 
 impl SoakRun {
-    /// Sends prompts that crash upstreams beside faults that the seed draws.
+    /// Sends calls that crash upstreams beside faults that the seed draws: prompts with a common
+    /// part, or the same booking.
     pub(super) async fn execute_crash_phase(
         &self,
         seed: u64,
@@ -36,14 +39,24 @@
     ) -> io::Result<()> {
         let plan = draw_crash_phase(seed, vms, CRASH_PHASE);
         let until = Instant::now() + CRASH_PHASE;
+        let (kind, cause) = match seed.is_multiple_of(2) {
+            true => {
+                let cause = CrashCause::Request(CRASHING_PATH.to_owned(), Vec::new());
+                (CallKind::CrashingBooking, cause)
+            }
+            false => {
+                let cause = CrashCause::Part(CRASHING_PART.to_owned());
+                (CallKind::CrashingPrompt, cause)
+            }
+        };
         for runner in &self.runners {
             runner.set_crash_trigger(Some(CrashTrigger {
-                cause: CrashCause::Part(CRASHING_PART.to_owned()),
+                cause: cause.clone(),
                 delay: CRASH_DELAY,
                 downtime: CRASH_DOWNTIME,
             }));
         }
-        let sender = spawn_local(send_crashing_prompts(Rc::clone(callers), until));
+        let sender = spawn_local(send_crashing_calls(Rc::clone(callers), kind, until));
         self.execute_plan(&plan).await?;
         sender.await.map_err(io::Error::other)
     }
--- a/testing/soak/tests/test_check.rs
+++ b/testing/soak/tests/test_check.rs
@@ -286,16 +286,14 @@
 
 /// Returns a record of crashes at each second, and of a call with the crashing part after
 /// each.
-fn crash_record(start: Instant, crashes: usize) -> SoakRecord {
+fn crash_record(start: Instant, kind: CallKind, crashes: usize) -> SoakRecord {
     let mut record = SoakRecord::default();
     for crash in 0..crashes {
         let at = seconds_after(start, crash as f64);
         let id = format!("x-{crash}");
         record.crashes.push(at);
         let outcome = response(502, &id, b"3005 upstream_failed");
-        record
-            .calls
-            .push(call(&id, CallKind::Crashing, at, outcome));
+        record.calls.push(call(&id, kind, at, outcome));
         record.arrivals.push(ArrivalRecord {
             id,
             upstream: 0,
@@ -310,9 +308,12 @@
 fn prompts_that_crash_upstreams_are_found_once_the_fleet_should_know_them() {
     let start = Instant::now();
     // The fifth crash is 4 s after the start, and the first late call 8 s after it.
-    assert_eq!(check_record(&crash_record(start, 11)), []);
-    let mut record = crash_record(start, 12);
-    assert_eq!(check_record(&record), [Violation::CrashingPromptsSent(4)]);
+    assert_eq!(
+        check_record(&crash_record(start, CallKind::CrashingPrompt, 11)),
+        []
+    );
+    let mut record = crash_record(start, CallKind::CrashingPrompt, 12);
+    assert_eq!(check_record(&record), [Violation::CrashingCallsSent(4)]);
     record.disturbances.push(Disturbance {
         vm: Some(0),
         interrupts_vms: true,
@@ -322,6 +323,18 @@
     assert_eq!(check_record(&record), []);
 }
 
+#[test]
+fn same_booking_that_crashes_upstreams_is_found_after_fewer_crashes() {
+    let start = Instant::now();
+    // The third crash is 2 s after the start, and the first late call 6 s after it.
+    assert_eq!(
+        check_record(&crash_record(start, CallKind::CrashingBooking, 9)),
+        []
+    );
+    let record = crash_record(start, CallKind::CrashingBooking, 10);
+    assert_eq!(check_record(&record), [Violation::CrashingCallsSent(4)]);
+}
+
 #[test]
 fn sound_prompt_that_is_refused_for_its_parts_is_found() {
     let start = Instant::now();
@@ -330,6 +343,6 @@
     record
         .calls
         .push(call("s", CallKind::Stream, start, outcome));
-    let expected = [Violation::SoundPromptRefused("s".to_owned())];
+    let expected = [Violation::SoundCallRefused("s".to_owned())];
     assert_eq!(check_record(&record), expected);
 }
