gateway: prompts of other parts are other requests, also with the same body

Cause: the digest of a request had its body and not its prompt. The soak's generations have no body, so sound ones and those with the part that crashes upstreams counted as one request that is at three crashes; VMs that had just been restarted knew of no answer to it, and nothing answers a quarantined request.

The parts of the prompt, the last one included, are in the digest now.

--- a/lib/gateway/src/caller_server.rs
+++ b/lib/gateway/src/caller_server.rs
@@ -347,8 +347,10 @@
     if let Some(refusal) = refuse_late(gateway, &admission) {
         return refuse_unsent(gateway, request, caller, &refusal).await;
     }
-    let digest = digest_request(&request.head, admission.workspace.as_ref(), &request.body);
-    let features = request_features(digest, request.metadata.prompt.as_ref());
+    let workspace = admission.workspace.as_ref();
+    let prompt = request.metadata.prompt.as_ref();
+    let digest = digest_request(&request.head, workspace, prompt, &request.body);
+    let features = request_features(digest, prompt);
     let is_trial = match check_features(gateway, request, &features).await {
         Ok(is_trial) => is_trial,
         Err(refusal) => return refuse_unsent(gateway, request, caller, &refusal).await,
--- a/lib/types/src/request_digest.rs
+++ b/lib/types/src/request_digest.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Identifies what a request asks for: its method, path, workspace and body. A caller that
+/// Identifies what a request asks for: its method, path, workspace, body and prompt. A caller that
 /// sends a request again, under another attempt id, sends the same digest. Formatted as
 /// hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -115,6 +115,8 @@
 pub enum CrashCause {
     /// A prompt part with this id, as it is sent. It has no effect as the last part of a prompt.
     Part(String),
+    /// A prompt with this id as its last part, as it is sent.
+    LastPart(String),
     /// A request with this target and body.
     Request(String, Vec<u8>),
 }
@@ -123,17 +125,22 @@
     /// Returns whether a request with this head and body crashes a runner.
     pub fn is_in(&self, head: &RequestHead, body: &[u8]) -> bool {
         match self {
-            CrashCause::Part(id) => has_shared_part(head, id),
+            CrashCause::Part(id) => shared_parts(head).any(|part| part == id),
+            CrashCause::LastPart(id) => prompt_parts(head).last() == Some(id),
             CrashCause::Request(target, crashing) => *head.target == **target && body == crashing,
         }
     }
 }
 
-fn has_shared_part(head: &RequestHead, id: &str) -> bool {
+/// Returns the ids of all parts of a prompt but the last.
+fn shared_parts(head: &RequestHead) -> impl Iterator<Item = &str> {
+    let count = prompt_parts(head).count();
+    prompt_parts(head).take(count.saturating_sub(1))
+}
+
+fn prompt_parts(head: &RequestHead) -> impl Iterator<Item = &str> {
     let parts = head.headers.get(PROMPT_PARTS_FIELD).unwrap_or_default();
-    let (shared, _) = parts.rsplit_once(',').unwrap_or_default();
-    let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
-    ids.any(|other| other == id)
+    parts.split(',').filter_map(|part| part.split(':').next())
 }
 
 /// How a runner crashes.
