--- a/lib/gateway/src/crash_blame.rs
+++ b/lib/gateway/src/crash_blame.rs
@@ -6,8 +6,12 @@
 
 use indexmap::IndexMap;
 
-use crate::crash_evidence::UpstreamRun;
 use crate::feature_set::FeatureSet;
+use crate::known_crashes::CrashTimes;
+use crate::known_crashes::EvidenceView;
+use crate::known_crashes::UpstreamRun;
+use crate::known_crashes::group_crashes;
+use crate::known_crashes::is_recent_crash;
 use crate::request_blame::most_blamed_request;
 use crate::request_feature::RequestFeature;
 
@@ -15,39 +19,24 @@
 /// all recent crashes of its service.
 const MIN_CRASHES_TO_BLAME: usize = 3;
 
-/// Crashes after which a feature is blamed that is in one refused set of several features already, in
-/// other company. Only crashes after the set was refused count: the feature may be in the set by
+/// Crashes after which a prompt part is blamed that is in one refused set of several parts already,
+/// in other company. Only crashes after the set was refused count: the part may be in the set by
 /// chance.
 const CRASHES_IN_OTHER_COMPANY: usize = 2;
 
-/// Crashes after which a feature is blamed that is in two or more such sets. It is blamed alone
+/// Crashes after which a part is blamed that is in two or more such sets. It is blamed alone
 /// then.
 const CRASHES_IN_FURTHER_COMPANY: usize = 1;
 
-/// Crashes after which a feature is blamed in any case. It is the number that a fleet may see
-/// before it has to know the feature.
+/// Crashes after which a part is blamed in any case. It is the number that a fleet may see
+/// before it has to know the part.
 const MAX_CRASHES_TO_BLAME: usize = 5;
 
-/// Crashes are recent to a feature's crashes up to this time before its first one.
-const RECENT_PERIOD: Duration = Duration::from_secs(10);
-
-/// Crashes within this time are one group, which counts once. A feature has to be at half or
+/// Crashes within this time are one group, which counts once. A part has to be at half or
 /// more of a group: a single cause, such as the loss of a rack, may end many upstreams, with
-/// any feature at some of them.
+/// any part at some of them.
 const CRASH_GROUP_PERIOD: Duration = Duration::from_millis(100);
 
-/// Crashes by the run that ended, with the time at which the first report puts them.
-pub type CrashTimes = IndexMap<UpstreamRun, Instant>;
-
-/// Which VMs' crashes and answers a VM knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EvidenceView {
-    /// Those of half or more of the fleet.
-    Fleet,
-    /// Those of a smaller feature, so answers may be missing that clear a feature.
-    Minority,
-}
-
 /// A set of features that is refused already.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RefusedFeatures {
@@ -132,7 +121,7 @@
     since: Instant,
 }
 
-/// A feature with enough crashes to be blamed.
+/// A prompt part with enough crashes to be blamed.
 struct Candidate {
     feature: RequestFeature,
     /// Whether it was never answered.
@@ -148,18 +137,19 @@
 impl OpenCrashes<'_> {
     /// Returns the crashes that all features of a set are at.
     fn crashes_of_all(&self, features: &FeatureSet) -> CrashTimes {
-        let of_part = |feature| self.suspects.get(feature);
+        let of_feature = |feature| self.suspects.get(feature);
         let mut common = self.crashes.clone();
         common.retain(|run, _| {
-            let is_at = |feature| of_part(feature).is_some_and(|crashes| crashes.contains_key(run));
+            let is_at =
+                |feature| of_feature(feature).is_some_and(|crashes| crashes.contains_key(run));
             features.features().iter().all(is_at)
         });
         common
     }
 
-    /// Returns the feature with the most crashes, if these are enough, together with those that
-    /// can't be told apart from it, and the crashes. A feature that was never answered goes
-    /// first.
+    /// Returns the prompt part with the most crashes, if these are enough, together with those that
+    /// can't be told apart from it, or the request that is at all of them, and the crashes. A part
+    /// that was never answered goes first.
     fn most_blamed(
         &self,
         is_new: &impl Fn(RequestFeature) -> bool,
@@ -191,7 +181,7 @@
         (crashes.len() > 1).then_some(*request)
     }
 
-    /// Returns a feature as a candidate if it has enough crashes.
+    /// Returns a prompt part as a candidate if it has enough crashes.
     fn candidate(
         &self,
         feature: RequestFeature,
@@ -248,11 +238,11 @@
 
     /// Returns the refused sets of several features that a feature is in; `None` if there is none.
     fn refused_company(&self, feature: RequestFeature) -> Option<RefusedCompany> {
-        let has_part = |set: &&RefusedFeatures| {
+        let has_feature = |set: &&RefusedFeatures| {
             let features = set.features.features();
             features.len() > 1 && features.contains(&feature)
         };
-        let sets = self.refused.iter().filter(has_part);
+        let sets = self.refused.iter().filter(has_feature);
         let since = sets.clone().map(|set| set.since).max()?;
         Some(RefusedCompany {
             sets: sets.count(),
@@ -260,8 +250,8 @@
         })
     }
 
-    /// Returns the number of crashes after which a feature is blamed that was never answered.
-    /// Where many upstreams crash for other reasons, a rare feature is at some of the crashes by
+    /// Returns the number of crashes after which a part is blamed that was never answered.
+    /// Where many upstreams crash for other reasons, a rare part is at some of the crashes by
     /// chance, and it takes more.
     fn crashes_to_blame(&self, crashes: &CrashTimes) -> usize {
         let is_recent =
@@ -303,38 +293,6 @@
     }
 }
 
-/// Returns whether a crash is of the same service as those that a feature explains, and recent to
-/// them.
-pub fn is_recent_crash(run: UpstreamRun, at: Instant, explained: &CrashTimes) -> bool {
-    let is_same_service = explained.keys().any(|other| other.service == run.service);
-    let first = explained.values().min();
-    let last = explained.values().max();
-    is_same_service
-        && first.is_some_and(|first| at + RECENT_PERIOD >= *first)
-        && last.is_some_and(|last| at <= *last)
-}
-
-/// Divides crashes into groups, each of those of one service within `period` of its first one.
-pub fn group_crashes(crashes: &CrashTimes, period: Duration) -> Vec<Vec<UpstreamRun>> {
-    let mut ordered: Vec<(UpstreamRun, Instant)> =
-        crashes.iter().map(|(run, at)| (*run, *at)).collect();
-    ordered.sort_by_key(|(run, at)| (run.service, *at));
-    let mut groups: Vec<Vec<UpstreamRun>> = Vec::new();
-    let mut first: Option<(u32, Instant)> = None;
-    for (run, at) in ordered {
-        let continues =
-            first.is_some_and(|(service, first)| run.service == service && at - first < period);
-        match groups.last_mut() {
-            Some(group) if continues => group.push(run),
-            _ => {
-                first = Some((run.service, at));
-                groups.push(vec![run]);
-            }
-        }
-    }
-    groups
-}
-
 /// Counts the groups of which half or more are among `crashes`.
 fn count_groups(groups: &[Vec<UpstreamRun>], crashes: &CrashTimes) -> usize {
     let is_in = |run: &&UpstreamRun| crashes.contains_key(*run);
--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -14,15 +14,13 @@
 
 use crate::answered_features::AnsweredFeatures;
 use crate::crash_blame::BlamedFeatures;
-use crate::crash_blame::CrashTimes;
-use crate::crash_blame::EvidenceView;
 use crate::crash_blame::RefusedFeatures;
 use crate::crash_blame::find_blamed;
-use crate::gateway::stable_hash;
 use crate::gossip::ANNOUNCE_PERIOD;
+use crate::known_crashes::CrashTimes;
+use crate::known_crashes::EvidenceView;
+use crate::known_crashes::UpstreamRun;
 use crate::request_feature::RequestFeature;
-use crate::upstream::UpstreamEntry;
-use crate::upstream::upstream_code;
 
 /// Reports of the same crash by different VMs are within this time.
 const SAME_CRASH_PERIOD: Duration = Duration::from_secs(1);
@@ -65,28 +63,6 @@
 /// Age up to which a crash is announced again to a VM that may not know it.
 const REANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
 
-/// One run of an upstream's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct UpstreamRun {
-    /// Hash of the name of the upstream's service.
-    pub service: u32,
-    /// Code of the upstream; see [`upstream_code`].
-    pub upstream: u32,
-    /// Start time of the run in milliseconds since the Unix epoch, if published.
-    pub started_ms: Option<u64>,
-}
-
-impl UpstreamRun {
-    /// Returns the run that an entry describes.
-    pub fn of(entry: &UpstreamEntry) -> Self {
-        Self {
-            service: stable_hash(&entry.service) as u32,
-            upstream: upstream_code(&entry.id),
-            started_ms: entry.started_ms,
-        }
-    }
-}
-
 /// A VM's report of a crash, sent to the other VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -94,8 +70,7 @@
     pub run: UpstreamRun,
     /// Age of the crash in milliseconds.
     pub age_ms: u64,
-    /// Features of the VM's requests that were not being answered yet, without the last feature of
-    /// each.
+    /// Features of the VM's requests that were not being answered yet.
     pub features: Vec<RequestFeature>,
 }
 
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -22,9 +22,9 @@
 use tokio::time::timeout;
 
 use crate::attempt::SendFailure;
-use crate::crash_evidence::UpstreamRun;
 use crate::feature_guard::record_crash;
 use crate::gateway::Gateway;
+use crate::known_crashes::UpstreamRun;
 use crate::request_feature::RequestFeature;
 use crate::upstream::UpstreamEntry;
 
--- a/lib/gateway/src/feature_guard.rs
+++ b/lib/gateway/src/feature_guard.rs
@@ -1,5 +1,5 @@
-//! Keeps features that crash upstreams from being sent: connects [`FeatureTable`] with
-//! requests, the other VMs and the store.
+//! Keeps requests with features that crash upstreams from being sent: connects [`FeatureTable`]
+//! with requests, the other VMs and the store.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,14 +16,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::crash_blame::EvidenceView;
-use crate::crash_evidence::UpstreamRun;
 use crate::crash_probe::PendingProbes;
 use crate::feature_table::FeatureChange;
 use crate::feature_table::FeatureNews;
 use crate::feature_table::FeatureTable;
 use crate::gateway::Gateway;
 use crate::gossip::gossip_spacing;
+use crate::known_crashes::EvidenceView;
+use crate::known_crashes::UpstreamRun;
 use crate::quarantine::ActiveQuarantine;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineState;
@@ -40,7 +40,7 @@
 /// How long a request waits for the claim of a trial.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// State of a VM's protection from features that crash upstreams.
+/// State of a VM's protection from requests that crash upstreams.
 #[derive(Default)]
 pub struct FeatureGuard {
     /// What is known and refused.
--- a/lib/gateway/src/feature_table.rs
+++ b/lib/gateway/src/feature_table.rs
@@ -12,12 +12,12 @@
 use snipegate_types::VmId;
 
 use crate::crash_blame::BlamedFeatures;
-use crate::crash_blame::EvidenceView;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::CrashReport;
 use crate::crash_evidence::FeatureAnswer;
-use crate::crash_evidence::UpstreamRun;
 use crate::feature_set::FeatureSet;
+use crate::known_crashes::EvidenceView;
+use crate::known_crashes::UpstreamRun;
 use crate::quarantine::ActiveQuarantine;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineState;
--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Features that crash upstreams and are sent to none, as all VMs agree.
+//! Features of requests that crash upstreams; all VMs refuse requests with them.
 //!
 //! Every VM can add or release a set of features. Each change has a number; of two records of
 //! the same set the one with the higher number holds, so VMs that exchange their records in
--- a/lib/gateway/src/request_blame.rs
+++ b/lib/gateway/src/request_blame.rs
@@ -7,11 +7,11 @@
 
 use indexmap::IndexMap;
 
-use crate::crash_blame::CrashTimes;
-use crate::crash_blame::EvidenceView;
-use crate::crash_blame::group_crashes;
-use crate::crash_blame::is_recent_crash;
-use crate::crash_evidence::UpstreamRun;
+use crate::known_crashes::CrashTimes;
+use crate::known_crashes::EvidenceView;
+use crate::known_crashes::UpstreamRun;
+use crate::known_crashes::group_crashes;
+use crate::known_crashes::is_recent_crash;
 use crate::request_feature::RequestFeature;
 
 /// Crashes after which a request is blamed that was never answered, if it is at all recent crashes
