gateway: a feature is decoded without reading nested values

What an operator would see: a datagram with a deeply nested value ends the process. Now a visitor takes a number or a list of one number.

--- a/lib/gateway/src/request_feature.rs
+++ b/lib/gateway/src/request_feature.rs
@@ -3,7 +3,12 @@
 use std::fmt;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
 use snipegate_types::PartId;
 use snipegate_types::RequestDigest;
 
@@ -13,35 +18,49 @@
 ///
 /// A part is encoded as a number, as records of earlier builds have it, a whole request as a
 /// list of its digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(untagged)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestFeature {
     /// A part of the prompt that other prompts may share.
     Part(PartId),
     /// The request as a whole, which may come again.
-    Whole(#[serde(with = "digest_list")] RequestDigest),
+    Whole(RequestDigest),
 }
 
-/// Encodes a digest as a list, which tells it from the number of a part.
-mod digest_list {
-    use serde::Deserialize;
-    use serde::Deserializer;
-    use serde::Serialize;
-    use serde::Serializer;
-    use snipegate_types::RequestDigest;
+impl Serialize for RequestFeature {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            RequestFeature::Part(part) => part.serialize(serializer),
+            RequestFeature::Whole(digest) => [digest].serialize(serializer),
+        }
+    }
+}
+
+// Not derived as an untagged enum: that reads a value of any depth before it looks at it, and
+// other writers may send values that are nested deeply.
+impl<'de> Deserialize<'de> for RequestFeature {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(FeatureVisitor)
+    }
+}
+
+/// Reads a [`RequestFeature`].
+struct FeatureVisitor;
+
+impl<'de> Visitor<'de> for FeatureVisitor {
+    type Value = RequestFeature;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a number or a list of one number")
+    }
 
-    pub fn serialize<S: Serializer>(
-        digest: &RequestDigest,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        [digest].serialize(serializer)
+    fn visit_u64<E: de::Error>(self, part: u64) -> Result<RequestFeature, E> {
+        Ok(RequestFeature::Part(PartId(part)))
     }
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<RequestDigest, D::Error> {
-        let [digest] = <[RequestDigest; 1]>::deserialize(deserializer)?;
-        Ok(digest)
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<RequestFeature, A::Error> {
+        let digest = list.next_element()?;
+        let digest = digest.ok_or_else(|| de::Error::invalid_length(0, &self))?;
+        Ok(RequestFeature::Whole(digest))
     }
 }
 
