gateway: a full report of a crash leaves out other requests each time

What callers would see: where a crash leaves more than 48 unanswered requests at a VM, and each crash is at another VM, the request that causes them is never reported, so BUDGET can break. Cause: of equally suspected features a report left out those with the highest numbers, always the same. Now the order among equals is by a hash of the feature and the crashed upstream, the same at all VMs and another for each crash.

The new test failed before (81 requests at each of 16 crashes, each seen by another VM).

--- a/lib/gateway/src/crash_evidence.rs
+++ b/lib/gateway/src/crash_evidence.rs
@@ -16,6 +16,7 @@
 use crate::crash_blame::BlamedFeatures;
 use crate::crash_blame::RefusedFeatures;
 use crate::crash_blame::find_blamed;
+use crate::gateway::rendezvous_weight;
 use crate::gossip::ANNOUNCE_PERIOD;
 use crate::known_crashes::CrashTimes;
 use crate::known_crashes::EvidenceView;
@@ -122,10 +123,12 @@
     ) {
         features.sort();
         features.dedup();
-        // The most suspected features first: those never answered, then by known crashes.
-        features.sort_by_key(|feature| {
+        // The most suspected features first: those never answered, then by known crashes. Of
+        // equal ones a report leaves out others after each crash.
+        features.sort_by_cached_key(|feature| {
             let crashes = self.suspects.get(feature).map_or(0, IndexMap::len);
-            (self.answered.last(*feature), Reverse(crashes))
+            let weight = rendezvous_weight(feature.number(), u64::from(run.upstream));
+            (self.answered.last(*feature), Reverse(crashes), weight)
         });
         self.record_crash(run, at, &features, now);
         limit_each_kind(&mut features);
--- a/lib/gateway/src/request_feature.rs
+++ b/lib/gateway/src/request_feature.rs
@@ -65,6 +65,14 @@
 }
 
 impl RequestFeature {
+    /// Returns the number that identifies the feature among those of its kind.
+    pub fn number(self) -> u64 {
+        match self {
+            RequestFeature::Part(part) => part.0,
+            RequestFeature::Whole(digest) => digest.0,
+        }
+    }
+
     /// Returns whether this is a whole request.
     pub fn is_whole(self) -> bool {
         matches!(self, RequestFeature::Whole(_))
--- a/lib/gateway/tests/test_request_blame.rs
+++ b/lib/gateway/tests/test_request_blame.rs
@@ -3,6 +3,7 @@
 mod feature_table;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use snipegate_gateway::EvidenceView;
 use snipegate_gateway::FeatureSet;
@@ -177,3 +178,22 @@
     assert!(!test.is_request_refused(&sound));
     assert!(test.quarantined().is_empty());
 }
+
+#[test]
+fn request_that_a_full_report_leaves_out_once_is_reported_after_a_later_crash() {
+    // Each crash is seen by another VM, with more requests than a report has room for.
+    let deadly = request(u64::MAX, &[]);
+    let mut listener = FeatureTable::default();
+    let mut now = Instant::now() + Duration::from_secs(3600);
+    for crash in 0..16_u64 {
+        now += Duration::from_millis(300);
+        let mut witness = FeatureTable::default();
+        let sound = (0..80).map(|number| request(1000 * crash + number, &[]));
+        let features = sound.chain([deadly.clone()]).flatten().collect();
+        witness.record_crash(run(crash as u32), now, features, now);
+        let news = witness.news(&vm("a"), now).expect("there is news");
+        listener.apply_news(news, now);
+    }
+    listener.review(OBJECTION_TIME, EvidenceView::Fleet, now);
+    assert!(listener.refused(&deadly).is_some());
+}
