gateway: quarantined requests do not push a quarantined part out

Cause: the oldest of 256 records went first, whatever it was, and records of whole requests, which may never come again, stay until a trial. A caller with ever new crashing requests could push out a part that ever new requests have. Now the oldest record of a whole request goes first, after released ones. The new test failed before.

--- a/lib/gateway/src/quarantine.rs
+++ b/lib/gateway/src/quarantine.rs
@@ -29,7 +29,7 @@
 const MAX_DELAY_GROWTH: u32 = 4;
 
 /// Maximum number of records, released ones included. The oldest released one is dropped
-/// first.
+/// first, then the oldest one of a whole request.
 const MAX_RECORDS: usize = 256;
 
 /// Maximum number of records in one message.
@@ -166,7 +166,11 @@
 
     fn drop_one(&mut self) {
         let is_released = |known: &KnownRecord| known.record.state == QuarantineState::Released;
-        let index = self.records.values().position(is_released).unwrap_or(0);
+        // A part is in ever new requests, while a request may never come again.
+        let is_request = |known: &KnownRecord| known.record.features.is_whole_request();
+        let released = self.records.values().position(is_released);
+        let request = || self.records.values().position(is_request);
+        let index = released.or_else(request).unwrap_or(0);
         self.records.shift_remove_index(index);
     }
 
--- a/lib/gateway/tests/test_feature_table.rs
+++ b/lib/gateway/tests/test_feature_table.rs
@@ -377,3 +377,15 @@
     test.pass(OBJECTION_TIME);
     assert!(!test.is_refused(&[DEADLY]));
 }
+
+#[test]
+fn many_quarantined_requests_do_not_push_out_a_quarantined_part() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.impose(&set(&[DEADLY]), now);
+    for digest in 0..600 {
+        table.impose(&FeatureSet::new(vec![whole(digest)]), now);
+    }
+    assert!(table.find(&prompt(&[DEADLY])).is_some());
+    assert!(table.records().len() <= 256);
+}
