--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -87,6 +87,9 @@
 /// Longest wait for the processes to start serving.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Distance between the address ranges of two processes that play the same seed.
+const SEEDS_PER_PROCESS: u64 = 1009;
+
 /// Start time of an upstream's first run; each later one starts a millisecond later.
 const FIRST_START_MS: u64 = 1000;
 
@@ -181,10 +184,12 @@
         let mut store_links = Vec::new();
         let mut caller_links = Vec::new();
         let mut edges = Vec::new();
+        // Another process may play the same seed at the same time.
+        let address_range = u64::from(std::process::id()) * SEEDS_PER_PROCESS + seed;
         for vm in 0..vms {
             let link = LinkProxy::open(store.address()).await?;
             let vm_directory = directory.join(format!("vm-{vm}"));
-            let edge = EdgeVm::new(seed, vm, link.address(), vm_directory)?;
+            let edge = EdgeVm::new(address_range, vm, link.address(), vm_directory)?;
             caller_links.push(LinkProxy::open(edge.caller_address()).await?);
             store_links.push(link);
             edges.push(edge);
