--- a/testing/soak/src/run.rs
+++ b/testing/soak/src/run.rs
@@ -110,6 +110,8 @@
     store_copies: RefCell<VecDeque<StoreCopy>>,
     /// Upstreams that are draining, once for each drain that has not ended.
     active_drains: RefCell<Vec<usize>>,
+    /// Number of ended drains by upstream; another run of the upstream begins after each.
+    ended_drains: [Cell<u64>; UPSTREAMS],
     record: RefCell<SoakRecord>,
 }
 
@@ -205,6 +207,7 @@
             pending_stops: RefCell::default(),
             store_copies: RefCell::default(),
             active_drains: RefCell::default(),
+            ended_drains: Default::default(),
             record: RefCell::new(SoakRecord {
                 prepaid: PREPAID_TOKENS,
                 ..SoakRecord::default()
@@ -355,6 +358,8 @@
         let index = drains.iter().position(|drained| *drained == upstream);
         drains.swap_remove(index.expect("upstream should be draining"));
         if !drains.contains(&upstream) {
+            let ended = &self.ended_drains[upstream];
+            ended.set(ended.get() + 1);
             self.write_upstream_entry(upstream, "ready");
         }
     }
@@ -458,8 +463,9 @@
     }
 
     fn write_upstream_entry(&self, upstream: usize, state: &str) {
-        let starts = FIRST_START_MS + self.runners[upstream].crashes().len() as u64;
-        let text = started_runner_entry(self.runner_links[upstream].address(), state, starts);
+        let crashes = self.runners[upstream].crashes().len() as u64;
+        let started_ms = FIRST_START_MS + crashes + self.ended_drains[upstream].get();
+        let text = started_runner_entry(self.runner_links[upstream].address(), state, started_ms);
         let key = format!("servers/i-{upstream}");
         self.store.put(&key, text.as_bytes());
     }
