--- /dev/null
+++ b/review/standin/returns.rs
@@ -0,0 +1,162 @@
+//! Cases in which the store comes back from an older copy.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::world::INPUT_TOKENS;
+use crate::world::Tenant;
+use crate::world::World;
+use crate::world::hash;
+
+/// How long the store is away, and how old the copy is from which it comes back.
+const AWAY: Duration = Duration::from_millis(400);
+const COPY_AGE: Duration = Duration::from_millis(4000);
+
+/// The platform's `graceS`.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Traffic starts this long after the machines do.
+const LEAD: Duration = Duration::from_secs(12);
+
+fn shard_of(tenant: &str) -> u64 {
+    hash(tenant) % 4
+}
+
+/// Orders names of machines by their weight for a shard, the keeper of its budgets first.
+fn by_weight(shard: u64) -> Vec<String> {
+    let mut names: Vec<String> = (1..=3).map(|number| format!("edge-z-{number}")).collect();
+    names.sort_by_key(|name| std::cmp::Reverse(hash(&format!("{name}/{shard}"))));
+    names
+}
+
+/// Returns names of tenants whose budgets lie in one shard.
+fn tenants_of(shard: u64, count: usize) -> Vec<String> {
+    let names = (1..).map(|number| format!("tenant{number}"));
+    names.filter(|name| shard_of(name) == shard).take(count).collect()
+}
+
+/// Starts three machines; machine 1 is the keeper of the shard's budgets.
+fn start(subnet: u8, tenants: &[&Tenant]) -> Option<World> {
+    let mut world = World::start(subnet);
+    world.put_config(7, tenants);
+    world.start_runner(1);
+    world.start_runner(2);
+    for (number, name) in (1..).zip(by_weight(0)) {
+        world.start_edge(number, &name);
+    }
+    let ready = (1..=3).all(|number| world.wait_ready(number));
+    if !ready {
+        world.record.say("the machines did not become ready".to_owned());
+        return None;
+    }
+    thread::sleep(LEAD);
+    Some(world)
+}
+
+fn judge(world: &World, tenant: &Tenant, path: &str) -> i32 {
+    let tokens = world.used.tokens(&tenant.name);
+    let broken = tokens > tenant.prepaid;
+    let verdict = if broken { "BROKEN" } else { "held" };
+    world.record.say(format!("BUDGET {verdict}: {} got {tokens} tokens of {} prepaid", tenant.name, tenant.prepaid));
+    world.record.save(path);
+    i32::from(broken)
+}
+
+/// Spends a tenant's budget at all machines. Returns whether it is spent.
+fn spend(world: &World, tenant: &Tenant, span: Duration) -> bool {
+    let answers = world.press(&[1, 2, 3], tenant, span, Duration::from_millis(25));
+    answers.get(&200).copied().unwrap_or(0) > 0
+        && world.used.tokens(&tenant.name) + 3 * INPUT_TOKENS > tenant.prepaid
+}
+
+/// A machine gets SIGTERM; while it finishes a stream, the store comes back from an older copy.
+pub fn stop(trouble: bool, path: &str) -> i32 {
+    let names = tenants_of(0, 2);
+    let small = Tenant { name: names[0].clone(), prepaid: 30_000 };
+    let large = Tenant { name: names[1].clone(), prepaid: 20_000_000 };
+    let Some(mut world) = start(61, &[&small, &large]) else { return 2 };
+    if !spend(&world, &small, Duration::from_secs(6)) {
+        world.record.say("the budget could not be spent".to_owned());
+        world.record.save(path);
+        return 2;
+    }
+    let stream = world.ask_beside(1, &large, 55, 100);
+    thread::sleep(Duration::from_millis(300));
+    let began = Instant::now();
+    world.signal(1, "TERM");
+    thread::sleep(Duration::from_millis(3200));
+    if trouble {
+        world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+        world.store.drill(AWAY, COPY_AGE);
+    }
+    world.wait_end(1, GRACE.saturating_sub(began.elapsed()));
+    let (status, whole) = stream.join().unwrap_or((0, false));
+    world.record.say(format!("the stream ended: {status}, whole={whole}"));
+    world.press(&[2, 3], &small, Duration::from_secs(20), Duration::from_millis(50));
+    judge(&world, &small, path)
+}
+
+/// A new tenant spends its budget; the keeper is killed, and the store comes back from a copy
+/// that is older than the tenant's first grant.
+pub fn tenant(trouble: bool, path: &str) -> i32 {
+    let names = tenants_of(0, 2);
+    let old = Tenant { name: names[1].clone(), prepaid: 20_000_000 };
+    let new = Tenant { name: names[0].clone(), prepaid: 30_000 };
+    let Some(mut world) = start(62, &[&old]) else { return 2 };
+    world.put_config(9, &[&old, &new]);
+    thread::sleep(Duration::from_millis(500));
+    if !spend(&world, &new, Duration::from_millis(2500)) {
+        world.record.say("the budget could not be spent".to_owned());
+        world.record.save(path);
+        return 2;
+    }
+    let name = by_weight(0)[0].clone();
+    world.signal(1, "KILL");
+    world.wait_end(1, Duration::from_secs(1));
+    if trouble {
+        world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+        world.store.drill(AWAY, COPY_AGE);
+    } else {
+        thread::sleep(AWAY);
+    }
+    world.start_edge(1, &name);
+    world.wait_ready(1);
+    world.press(&[1, 2, 3], &new, Duration::from_secs(20), Duration::from_millis(50));
+    judge(&world, &new, path)
+}
+
+/// A machine was restarted as planned; some seconds later the store comes back from an older copy.
+pub fn restart(trouble: bool, path: &str) -> i32 {
+    let names = tenants_of(0, 1);
+    let tenant = Tenant { name: names[0].clone(), prepaid: 5_000_000 };
+    let Some(mut world) = start(63, &[&tenant]) else { return 2 };
+    let pause = Duration::from_millis(25);
+    let first = world.press(&[1, 2, 3], &tenant, Duration::from_secs(4), pause);
+    if first.get(&200).copied().unwrap_or(0) == 0 {
+        return 2;
+    }
+    let name = by_weight(0)[0].clone();
+    world.signal(1, "TERM");
+    world.wait_end(1, GRACE);
+    world.start_edge(1, &name);
+    world.wait_ready(1);
+    let second = world.press(&[1, 2, 3], &tenant, Duration::from_secs(6), pause);
+    if trouble {
+        world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+        world.store.drill(AWAY, COPY_AGE);
+    }
+    // All machines are in touch again after `contactMs` (3 s).
+    let third = world.press(&[1, 2, 3], &tenant, Duration::from_secs(5), pause);
+    let answers = world.press(&[1, 2, 3], &tenant, Duration::from_secs(50), pause);
+    let total: u32 = [&first, &second, &third, &answers].iter().flat_map(|part| part.values()).sum();
+    let denied = answers.get(&402).copied().unwrap_or(0);
+    let bound = 5 + total / 500;
+    let used = world.used.tokens(&tenant.name);
+    // A request is owed if it fits into 97 in 100 of the budget.
+    let broken = denied > bound && used + 3 * INPUT_TOKENS < tenant.prepaid * 97 / 100;
+    let verdict = if broken { "BROKEN" } else { "held" };
+    world.record.say(format!("DENIED {verdict}: {denied} of all {total} requests got 402 from 5 s after the drill on, {bound} are allowed; the tenant got {used} tokens of {} prepaid", tenant.prepaid));
+    world.record.save(path);
+    i32::from(broken)
+}
