--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/scenario review/standin/main.rs
+rustc --edition 2024 -O -o target/review/scenario.new review/standin/main.rs
+mv target/review/scenario.new target/review/scenario
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -16,6 +16,7 @@
         "stop" => returns::stop(trouble, &record),
         "tenant" => returns::tenant(trouble, &record),
         "restart" => returns::restart(trouble, &record),
+        "removed" => returns::removed(trouble, &record),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/returns.rs
+++ b/review/standin/returns.rs
@@ -1,5 +1,6 @@
 //! Cases in which the store comes back from an older copy.
 
+use std::collections::HashMap;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,6 +10,9 @@
 use crate::world::World;
 use crate::world::hash;
 
+/// How many requests got each status.
+type Answers = HashMap<u16, u32>;
+
 /// How long the store is away, and how old the copy is from which it comes back.
 const AWAY: Duration = Duration::from_millis(400);
 const COPY_AGE: Duration = Duration::from_millis(4000);
@@ -149,14 +153,46 @@
     // All machines are in touch again after `contactMs` (3 s).
     let third = world.press(&[1, 2, 3], &tenant, Duration::from_secs(5), pause);
     let answers = world.press(&[1, 2, 3], &tenant, Duration::from_secs(50), pause);
-    let total: u32 = [&first, &second, &third, &answers].iter().flat_map(|part| part.values()).sum();
     let denied = answers.get(&402).copied().unwrap_or(0);
+    judge_denied(&world, &tenant, denied, &[first, second, third, answers], path)
+}
+
+/// Judges the requests that got 402 some seconds after the return of the store.
+fn judge_denied(world: &World, tenant: &Tenant, denied: u32, parts: &[Answers], path: &str) -> i32 {
+    let total: u32 = parts.iter().flat_map(|part| part.values()).sum();
     let bound = 5 + total / 500;
     let used = world.used.tokens(&tenant.name);
     // A request is owed if it fits into 97 in 100 of the budget.
     let broken = denied > bound && used + 3 * INPUT_TOKENS < tenant.prepaid * 97 / 100;
     let verdict = if broken { "BROKEN" } else { "held" };
-    world.record.say(format!("DENIED {verdict}: {denied} of all {total} requests got 402 from 5 s after the drill on, {bound} are allowed; the tenant got {used} tokens of {} prepaid", tenant.prepaid));
+    world.record.say(format!("DENIED {verdict}: {denied} of all {total} requests got 402 some seconds after the return of the store, {bound} are allowed; the tenant got {used} tokens of {} prepaid", tenant.prepaid));
     world.record.save(path);
     i32::from(broken)
 }
+
+/// A machine was taken away for good as planned; later the store comes back from an older copy, and
+/// some time after that once more.
+pub fn removed(trouble: bool, path: &str) -> i32 {
+    let names = tenants_of(0, 1);
+    let tenant = Tenant { name: names[0].clone(), prepaid: 5_000_000 };
+    let Some(mut world) = start(64, &[&tenant]) else { return 2 };
+    let pause = Duration::from_millis(25);
+    let mut parts = vec![world.press(&[1, 2, 3], &tenant, Duration::from_secs(3), pause)];
+    if parts[0].get(&200).copied().unwrap_or(0) == 0 {
+        return 2;
+    }
+    world.signal(1, "TERM");
+    world.wait_end(1, GRACE);
+    parts.push(world.press(&[2, 3], &tenant, Duration::from_secs(15), pause));
+    for _ in 0..2 {
+        if trouble {
+            world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+            world.store.drill(AWAY, COPY_AGE);
+        }
+        parts.push(world.press(&[2, 3], &tenant, Duration::from_secs(13), pause));
+    }
+    let answers = world.press(&[2, 3], &tenant, Duration::from_secs(25), pause);
+    let denied = answers.get(&402).copied().unwrap_or(0);
+    parts.push(answers);
+    judge_denied(&world, &tenant, denied, &parts, path)
+}
