--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,6 +17,7 @@
         "tenant" => returns::tenant(trouble, &record),
         "restart" => returns::restart(trouble, &record),
         "removed" => returns::removed(trouble, &record),
+        "kill" => returns::kill(trouble, &record),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/standin/returns.rs
+++ b/review/standin/returns.rs
@@ -157,7 +157,7 @@
     judge_denied(&world, &tenant, denied, &[first, second, third, answers], path)
 }
 
-/// Judges the requests that got 402 some seconds after the return of the store.
+/// Judges the requests that got 402 some seconds after the disruption.
 fn judge_denied(world: &World, tenant: &Tenant, denied: u32, parts: &[Answers], path: &str) -> i32 {
     let total: u32 = parts.iter().flat_map(|part| part.values()).sum();
     let bound = 5 + total / 500;
@@ -165,7 +165,7 @@
     // A request is owed if it fits into 97 in 100 of the budget.
     let broken = denied > bound && used + 3 * INPUT_TOKENS < tenant.prepaid * 97 / 100;
     let verdict = if broken { "BROKEN" } else { "held" };
-    world.record.say(format!("DENIED {verdict}: {denied} of all {total} requests got 402 some seconds after the return of the store, {bound} are allowed; the tenant got {used} tokens of {} prepaid", tenant.prepaid));
+    world.record.say(format!("DENIED {verdict}: {denied} of all {total} requests got 402 some seconds after the disruption, {bound} are allowed; the tenant got {used} tokens of {} prepaid", tenant.prepaid));
     world.record.save(path);
     i32::from(broken)
 }
@@ -196,3 +196,37 @@
     parts.push(answers);
     judge_denied(&world, &tenant, denied, &parts, path)
 }
+
+/// The process that keeps a budget is killed once, and starts again.
+pub fn kill(trouble: bool, path: &str) -> i32 {
+    let names = tenants_of(0, 1);
+    let tenant = Tenant { name: names[0].clone(), prepaid: 1_500_000 };
+    let Some(mut world) = start(65, &[&tenant]) else { return 2 };
+    let name = by_weight(0)[0].clone();
+    let mut parts = press_from_three(&world, &tenant, Duration::from_secs(6));
+    if parts[0].get(&200).copied().unwrap_or(0) == 0 {
+        return 2;
+    }
+    if trouble {
+        world.signal(1, "KILL");
+        world.wait_end(1, Duration::from_secs(1));
+        world.start_edge(1, &name);
+        world.wait_ready(1);
+    }
+    // The machine is in touch again after `contactMs` (3 s).
+    parts.extend(press_from_three(&world, &tenant, Duration::from_secs(10)));
+    let late = press_from_three(&world, &tenant, Duration::from_secs(15));
+    let denied = late.iter().map(|part| part.get(&402).copied().unwrap_or(0)).sum();
+    parts.extend(late);
+    judge_denied(&world, &tenant, denied, &parts, path)
+}
+
+/// Three clients send requests of a tenant to all machines for `span`.
+fn press_from_three(world: &World, tenant: &Tenant, span: Duration) -> Vec<Answers> {
+    let pause = Duration::from_millis(25);
+    thread::scope(|scope| {
+        let one = || scope.spawn(|| world.press(&[1, 2, 3], tenant, span, pause));
+        let clients = [one(), one(), one()];
+        clients.into_iter().filter_map(|client| client.join().ok()).collect()
+    })
+}
