--- a/review/standin/returns.rs
+++ b/review/standin/returns.rs
@@ -20,6 +20,9 @@
 /// The platform's `graceS`.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// The platform's `recoverS`.
+const RECOVER: Duration = Duration::from_secs(12);
+
 /// Traffic starts this long after the machines do.
 const LEAD: Duration = Duration::from_secs(12);
 
@@ -170,31 +173,54 @@
     i32::from(broken)
 }
 
-/// A machine was taken away for good as planned; later the store comes back from an older copy, and
-/// some time after that once more.
+/// A machine was taken away for good as planned; later the store comes back from an older copy; the
+/// day ends with a kill of all processes.
 pub fn removed(trouble: bool, path: &str) -> i32 {
     let names = tenants_of(0, 1);
-    let tenant = Tenant { name: names[0].clone(), prepaid: 5_000_000 };
+    let mut tenant = Tenant { name: names[0].clone(), prepaid: 5_000_000 };
     let Some(mut world) = start(64, &[&tenant]) else { return 2 };
     let pause = Duration::from_millis(25);
-    let mut parts = vec![world.press(&[1, 2, 3], &tenant, Duration::from_secs(3), pause)];
-    if parts[0].get(&200).copied().unwrap_or(0) == 0 {
-        return 2;
-    }
+    world.press(&[1, 2, 3], &tenant, Duration::from_secs(3), pause);
     world.signal(1, "TERM");
     world.wait_end(1, GRACE);
-    parts.push(world.press(&[2, 3], &tenant, Duration::from_secs(15), pause));
-    for _ in 0..2 {
-        if trouble {
-            world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
-            world.store.drill(AWAY, COPY_AGE);
-        }
-        parts.push(world.press(&[2, 3], &tenant, Duration::from_secs(13), pause));
+    let before = world.press(&[2, 3], &tenant, Duration::from_secs(15), pause);
+    if trouble {
+        world.record.say(format!("the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+        world.store.drill(AWAY, COPY_AGE);
     }
-    let answers = world.press(&[2, 3], &tenant, Duration::from_secs(25), pause);
-    let denied = answers.get(&402).copied().unwrap_or(0);
-    parts.push(answers);
-    judge_denied(&world, &tenant, denied, &parts, path)
+    let between = world.press(&[2, 3], &tenant, Duration::from_secs(8), pause);
+    // The final fault, right after a configuration was acknowledged: a top-up.
+    tenant.prepaid += 1_000;
+    world.put_config(9, &[&tenant]);
+    for number in [2, 3] {
+        world.signal(number, "KILL");
+        world.wait_end(number, Duration::from_secs(1));
+    }
+    thread::sleep(Duration::from_secs(1));
+    for number in [2, 3] {
+        world.start_edge(number, &by_weight(0)[number - 1]);
+    }
+    let back = world.wait_ready(2) && world.wait_ready(3);
+    world.press(&[2, 3], &tenant, RECOVER, Duration::from_millis(100));
+    let after = world.press(&[2, 3], &tenant, Duration::from_secs(15), pause);
+    let (before, after) = (share_served(&[before, between]), share_served(&[after]));
+    if !back || before < 0.25 {
+        world.record.say(format!("not judged: {before:.2} were served before the final fault, ready again: {back}"));
+        world.record.save(path);
+        return 2;
+    }
+    let broken = after < 0.25;
+    let verdict = if broken { "BROKEN" } else { "held" };
+    let used = world.used.tokens(&tenant.name);
+    world.record.say(format!("RECOVER {verdict}: {:.0} in 100 requests were served later than {RECOVER:?} after the machines were back, {:.0} in 100 before the final fault; the tenant got {used} tokens of {} prepaid", 100.0 * after, 100.0 * before, tenant.prepaid));
+    world.record.save(path);
+    i32::from(broken)
+}
+
+fn share_served(parts: &[Answers]) -> f64 {
+    let total: u32 = parts.iter().flat_map(|part| part.values()).sum();
+    let served: u32 = parts.iter().filter_map(|part| part.get(&200)).sum();
+    f64::from(served) / f64::from(total.max(1))
 }
 
 /// The process that keeps a budget is killed once, and starts again.
