budget: log which grants a report claims and removes

A report of an earlier era's grants was logged with "complete" and no more, so that these could not be told apart: a process that claims what it holds and is then wrongly refused, one that reports and leaves grants unclaimed, and a settlement that frees tokens. Each claimed grant and each grant that a report removes is logged now, and so is what a settlement counts.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -351,7 +351,14 @@
         for request in requests {
             let prepaid = prepaid.get(&request.workspace).copied().unwrap_or_default();
             let before = shard.totals_closed(request.workspace);
-            changed |= shard.apply(request, prepaid);
+            let is_applied = shard.apply(request, prepaid);
+            changed |= is_applied;
+            if is_applied && !request.claimed.is_zero() {
+                info!(gateway.log, "grant claimed"; "shard" => self.number,
+                    "workspace" => workspace_name(gateway, request.workspace),
+                    "tokens" => request.claimed.0, "era" => request.era.0,
+                    "replaces" => %self.revision);
+            }
             self.log_closed(gateway, request.workspace, before, &shard);
         }
         changed |= self.report_and_settle(gateway, &mut shard, &prepaid);
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -15,6 +15,7 @@
 use super::ShardWorker;
 use crate::budget_exchange::remote_keeper;
 use crate::budget_exchange::shard_of;
+use crate::budget_exchange::workspace_name;
 use crate::budget_shard::BudgetShard;
 use crate::budget_shard::EraReport;
 use crate::gateway::Gateway;
@@ -127,9 +128,16 @@
                 began: gateway.started_at,
                 is_complete: gateway.knows_grants_before(since),
             };
-            shard.report(&report);
+            let forgotten = shard.report(&report);
             info!(gateway.log, "grants reported"; "shard" => self.number, "era" => shard.era.0,
-                "complete" => report.is_complete, "reports_awaited" => shard.unsettled.len());
+                "complete" => report.is_complete, "reports_awaited" => shard.unsettled.len(),
+                "since" => since.0, "closing" => gateway.is_closing.get());
+            for grant in forgotten {
+                gateway.metrics.count("budget.unclaimed_grant_removed");
+                info!(gateway.log, "grant of an earlier era removed"; "shard" => self.number,
+                    "workspace" => workspace_name(gateway, grant.workspace),
+                    "tokens" => grant.tokens.0, "replaces" => %self.revision);
+            }
         }
         let settles = self.is_settling_due(gateway, shard, now);
         if settles {
@@ -139,7 +147,11 @@
                     "state" => ?vm.state);
             }
             gateway.metrics.count("budget.unknown_grants");
-            shard.settle(prepaid);
+            for counted in shard.settle(prepaid) {
+                info!(gateway.log, "unknown grants count as taken"; "shard" => self.number,
+                    "workspace" => workspace_name(gateway, counted.workspace),
+                    "tokens" => counted.tokens.0, "replaces" => %self.revision);
+            }
         }
         missing_since.is_some() || settles
     }
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -295,9 +295,10 @@
     }
 
     /// Removes what the record shows of a VM in earlier eras, after it has claimed all that it
-    /// holds.
-    pub fn forget_former(&mut self, vm: u64) {
-        self.former.retain(|holder| holder.vm != vm);
+    /// holds. Returns the tokens removed.
+    pub fn forget_former(&mut self, vm: u64) -> TokenCount {
+        let removed = self.former.extract_if(.., |holder| holder.vm == vm);
+        removed.map(|holder| holder.granted).sum()
     }
 
     /// Turns the holders into former ones, whose grants may be outdated. What was not claimed
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -58,6 +58,15 @@
     pub is_complete: bool,
 }
 
+/// Tokens of a budget, as part of a change to its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkspaceTokens {
+    /// The workspace, as a hash of its id.
+    pub workspace: u64,
+    /// Number of tokens.
+    pub tokens: TokenCount,
+}
+
 /// Tokens of a budget that are known to be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClosedTotals {
@@ -159,12 +168,18 @@
         self.is_unsettled() && unsettled.all(|other| other.state == ReportState::Incomplete)
     }
 
-    /// Records the report of a process, whose claims have been applied.
-    pub fn report(&mut self, report: &EraReport) {
-        for record in self.records.values_mut() {
+    /// Records the report of a process, whose claims have been applied. Returns the grants of
+    /// earlier eras that were removed because it did not claim them.
+    pub fn report(&mut self, report: &EraReport) -> Vec<WorkspaceTokens> {
+        let mut forgotten = Vec::new();
+        for (&workspace, record) in &mut self.records {
             record.close_earlier_runs(report.vm, report.incarnation, report.began);
-            if report.is_complete {
-                record.forget_former(report.vm);
+            if !report.is_complete {
+                continue;
+            }
+            let tokens = record.forget_former(report.vm);
+            if !tokens.is_zero() {
+                forgotten.push(WorkspaceTokens { workspace, tokens });
             }
         }
         match report.is_complete {
@@ -179,14 +194,17 @@
                 }
             }
         }
+        forgotten
     }
 
     /// Ends the wait for reports: what unsettled VMs may hold counts as taken, and what their
     /// ended processes may have held as used. `prepaid` is the
-    /// size of each budget, by workspace.
-    pub fn settle(&mut self, prepaid: &IndexMap<u64, TokenCount>) {
+    /// size of each budget, by workspace. Returns the tokens that count so.
+    pub fn settle(&mut self, prepaid: &IndexMap<u64, TokenCount>) -> Vec<WorkspaceTokens> {
         let unsettled = std::mem::take(&mut self.unsettled);
+        let mut counted = Vec::new();
         for (workspace, record) in &mut self.records {
+            let taken_before = record.taken();
             let prepaid = prepaid
                 .get(workspace)
                 .copied()
@@ -200,7 +218,12 @@
                     ReportState::Incomplete => record.closed = record.closed.saturating_add(tokens),
                 }
             }
+            counted.push(WorkspaceTokens {
+                workspace: *workspace,
+                tokens: record.taken().saturating_sub(taken_before),
+            });
         }
+        counted
     }
 
     /// Returns the registration of a VM.
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -89,6 +89,7 @@
 pub use budget_record::GrantRequest;
 pub use budget_shard::BudgetShard;
 pub use budget_shard::EraReport;
+pub use budget_shard::WorkspaceTokens;
 pub use caller_server::serve_callers;
 pub use config::CallerLimits;
 pub use config::ConfigVersion;
--- a/lib/gateway/tests/test_store_return.rs
+++ b/lib/gateway/tests/test_store_return.rs
@@ -279,7 +279,9 @@
         {
             match fault {
                 PlantedFault::FreeSettlement => shard.unsettled.clear(),
-                _ => shard.settle(&IndexMap::from([(WORKSPACE, PREPAID)])),
+                _ => {
+                    shard.settle(&IndexMap::from([(WORKSPACE, PREPAID)]));
+                }
             }
         }
     }
