budget: a report carries the claims of all holdings

Cause: a process reported for a whole shard after claiming only the budgets that it had a reason to write. A closing process plans a request only for budgets with something to give back, and its worker has stopped claiming; so a budget of which everything was spent or handed on stayed unclaimed, and the complete report removed its grant from the record. Ruled out: a settlement that frees tokens, a late write, a report of another process. Change: a report takes the claims of all holdings and applies them itself, so that neither comes without the other on any path. The holdings enter the era of the shard when it is read, so a process whose first answer of an era is that of a shard claims too. A closing process reads the shard first and plans anew after a failed write. Answers of watches count as contact with an era.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -187,6 +187,9 @@
             sleep(RETRY_DELAY).await;
             return Ok(PassOutcome::Idle);
         }
+        if !self.is_loaded {
+            self.load(gateway, store).await?;
+        }
         let time = plan_time(gateway);
         self.last_write = Some(time.now);
         let requests = self.plan_grant_requests(gateway, time);
@@ -330,17 +333,14 @@
             .all(|(_, holding)| holding.is_loaded())
     }
 
-    /// Applies grant requests of this VM to the shard, reports and registers this VM if that is
-    /// due, and writes the shard if it changed.
+    /// Applies grant requests of this VM to the shard, which has been read, reports and registers
+    /// this VM if that is due, and writes the shard if it changed.
     async fn write_grant_requests<S: ConfigStore>(
         &mut self,
         gateway: &Gateway,
         store: &S,
         requests: &[GrantRequest],
     ) -> Result<(), StoreError> {
-        if !self.is_loaded {
-            self.load(gateway, store).await?;
-        }
         let era = self.revision.era;
         if requests.iter().any(|request| request.era != era) {
             return Err(StoreError::EraChanged);
@@ -354,14 +354,11 @@
             let is_applied = shard.apply(request, prepaid);
             changed |= is_applied;
             if is_applied && !request.claimed.is_zero() {
-                info!(gateway.log, "grant claimed"; "shard" => self.number,
-                    "workspace" => workspace_name(gateway, request.workspace),
-                    "tokens" => request.claimed.0, "era" => request.era.0,
-                    "replaces" => %self.revision);
+                self.log_claim(gateway, request);
             }
             self.log_closed(gateway, request.workspace, before, &shard);
         }
-        changed |= self.report_and_settle(gateway, &mut shard, &prepaid);
+        changed |= self.report_and_settle(gateway, &mut shard, requests, &prepaid);
         match changed {
             true => self.swap(gateway, store, shard).await,
             false => Ok(()),
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -13,9 +13,11 @@
 use snipegate_types::VmId;
 
 use super::ShardWorker;
+use super::plan_time;
 use crate::budget_exchange::remote_keeper;
 use crate::budget_exchange::shard_of;
 use crate::budget_exchange::workspace_name;
+use crate::budget_record::GrantRequest;
 use crate::budget_shard::BudgetShard;
 use crate::budget_shard::EraReport;
 use crate::gateway::Gateway;
@@ -48,6 +50,11 @@
         }
         self.is_loaded = false;
         self.unsettled_since = None;
+        self.move_holdings(gateway, era);
+    }
+
+    /// Lets the holdings of the shard enter an era, if it is later than theirs.
+    pub(super) fn move_holdings(&self, gateway: &Gateway, era: StoreEra) {
         let mut holdings = gateway.holdings.borrow_mut();
         let own = holdings
             .iter_mut()
@@ -110,12 +117,28 @@
         has_entered | self.register(gateway, shard, gateway.now())
     }
 
+    /// Returns the claims of all holdings of the shard, except those in `requests`, which claim
+    /// what they hold themselves.
+    fn plan_claims(&self, gateway: &Gateway, requests: &[GrantRequest]) -> Vec<GrantRequest> {
+        let time = plan_time(gateway);
+        let is_requested = |workspace| requests.iter().any(|other| other.workspace == workspace);
+        let mut holdings = gateway.holdings.borrow_mut();
+        holdings
+            .iter_mut()
+            .filter(|(id, _)| shard_of(id) == self.number)
+            .filter(|(_, holding)| !is_requested(holding.workspace()))
+            .filter_map(|(_, holding)| holding.plan_claim(time))
+            .collect()
+    }
+
     /// Reports what this VM holds, if the shard awaits it, and ends the wait for the reports of
-    /// others if it is due; returns whether that changes the shard.
+    /// others if it is due; returns whether that changes the shard. `requests` are the grant
+    /// requests that are in the same write.
     pub(super) fn report_and_settle(
         &self,
         gateway: &Gateway,
         shard: &mut BudgetShard,
+        requests: &[GrantRequest],
         prepaid: &IndexMap<u64, TokenCount>,
     ) -> bool {
         let vm = stable_hash(gateway.settings.vm.as_str());
@@ -128,7 +151,11 @@
                 began: gateway.started_at,
                 is_complete: gateway.knows_grants_before(since),
             };
-            let forgotten = shard.report(&report);
+            let claims = self.plan_claims(gateway, requests);
+            let forgotten = shard.report(&report, &claims);
+            for claim in &claims {
+                self.log_claim(gateway, claim);
+            }
             info!(gateway.log, "grants reported"; "shard" => self.number, "era" => shard.era.0,
                 "complete" => report.is_complete, "reports_awaited" => shard.unsettled.len(),
                 "since" => since.0, "closing" => gateway.is_closing.get());
@@ -156,6 +183,13 @@
         missing_since.is_some() || settles
     }
 
+    /// Logs that a grant of an earlier era is claimed.
+    pub(super) fn log_claim(&self, gateway: &Gateway, claim: &GrantRequest) {
+        info!(gateway.log, "grant claimed"; "shard" => self.number,
+            "workspace" => workspace_name(gateway, claim.workspace),
+            "tokens" => claim.claimed.0, "era" => claim.era.0, "replaces" => %self.revision);
+    }
+
     /// Returns whether the wait for reports should end though some VMs can't tell what they may
     /// hold.
     fn is_settling_due(&self, gateway: &Gateway, shard: &BudgetShard, now: Instant) -> bool {
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -149,27 +149,50 @@
         }
     }
 
+    /// Returns unused grants to the store. What this process holds of an earlier era is claimed
+    /// with the same write.
     async fn return_grants<S: ConfigStore>(&mut self, gateway: &Gateway, store: &S) {
-        let time = plan_time(gateway);
-        let requests: Vec<GrantRequest> = gateway
-            .holdings
-            .borrow_mut()
-            .iter_mut()
-            .filter(|(id, holding)| shard_of(id) == self.number && holding.has_spare_grant())
-            .map(|(_, holding)| holding.plan_return(time))
-            .collect();
-        if requests.is_empty() {
-            return;
-        }
         for _ in 0..MAX_CLOSE_ATTEMPTS {
             if gateway.store_contact.get().is_failing() {
                 break;
             }
-            match self.write_grant_requests(gateway, store, &requests).await {
+            match self.try_return_grants(gateway, store).await {
                 Ok(()) => break,
                 Err(error) => info!(gateway.log, "failed to return grants";
                     "shard" => self.number, "error" => %error),
             }
         }
     }
+
+    async fn try_return_grants<S: ConfigStore>(
+        &mut self,
+        gateway: &Gateway,
+        store: &S,
+    ) -> Result<(), StoreError> {
+        if !self.has_grants_to_return(gateway) {
+            return Ok(());
+        }
+        if !self.is_loaded {
+            self.load(gateway, store).await?;
+        }
+        let requests = self.plan_returns(gateway);
+        self.write_grant_requests(gateway, store, &requests).await
+    }
+
+    fn has_grants_to_return(&self, gateway: &Gateway) -> bool {
+        let holdings = gateway.holdings.borrow();
+        holdings
+            .iter()
+            .any(|(id, holding)| shard_of(id) == self.number && holding.has_spare_grant())
+    }
+
+    fn plan_returns(&self, gateway: &Gateway) -> Vec<GrantRequest> {
+        let time = plan_time(gateway);
+        let mut holdings = gateway.holdings.borrow_mut();
+        holdings
+            .iter_mut()
+            .filter(|(id, holding)| shard_of(id) == self.number && holding.has_spare_grant())
+            .map(|(_, holding)| holding.plan_return(time))
+            .collect()
+    }
 }
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -111,6 +111,7 @@
         self.shard = shard;
         self.revision = revision;
         self.is_loaded = true;
+        self.move_holdings(gateway, era);
         self.update_holdings(gateway);
         Ok(())
     }
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -168,9 +168,15 @@
         self.is_unsettled() && unsettled.all(|other| other.state == ReportState::Incomplete)
     }
 
-    /// Records the report of a process, whose claims have been applied. Returns the grants of
-    /// earlier eras that were removed because it did not claim them.
-    pub fn report(&mut self, report: &EraReport) -> Vec<WorkspaceTokens> {
+    /// Applies all claims of a process and records its report. Returns the grants of earlier
+    /// eras that were removed because it did not claim them.
+    ///
+    /// `claims` has to include every grant that the process holds and that the records of this
+    /// era do not show yet.
+    pub fn report(&mut self, report: &EraReport, claims: &[GrantRequest]) -> Vec<WorkspaceTokens> {
+        for claim in claims {
+            self.apply(claim, TokenCount::ZERO);
+        }
         let mut forgotten = Vec::new();
         for (&workspace, record) in &mut self.records {
             record.close_earlier_runs(report.vm, report.incarnation, report.began);
--- a/lib/gateway/src/holding/request_plan.rs
+++ b/lib/gateway/src/holding/request_plan.rs
@@ -40,6 +40,16 @@
         self.new_request(self.min_grant(), pace, time)
     }
 
+    /// Returns a grant request that claims the grant of an earlier era, if this process holds
+    /// one that the record does not show yet.
+    pub fn plan_claim(&mut self, time: PlanTime) -> Option<GrantRequest> {
+        if !self.has_claim() {
+            return None;
+        }
+        let pace = self.pace(TokenCount::ZERO, time.now);
+        Some(self.new_request(self.granted(), pace, time))
+    }
+
     /// Creates a grant request. From now on this process spends no more than the
     /// request allows, whether or not it is applied.
     fn new_request(
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -109,11 +109,12 @@
         let end = tokio::select! {
             batch = self.gateway.call_store(self.task, watch) => {
                 match batch.inspect_err(|error| self.log_failure(error, began))? {
-                    WatchBatch::Changes { revision, .. } if revision.era != self.after.era => {
-                        self.gateway.observe_era(revision.era, self.task)?;
-                        WatchEnd::EraChanged
-                    }
                     WatchBatch::Changes { revision, changes } => {
+                        self.gateway.observe_era(revision.era, self.task)?;
+                        if revision.era != self.after.era {
+                            self.log_end(WatchEnd::EraChanged, began);
+                            return Ok(WatchOutcome::Relist);
+                        }
                         self.after = self.after.max(revision);
                         return Ok(WatchOutcome::Changes(changes));
                     }
--- a/lib/gateway/tests/test_store_return.rs
+++ b/lib/gateway/tests/test_store_return.rs
@@ -266,12 +266,13 @@
         if let Some(since) = shard.awaits_report(self.vm) {
             let contacts = &self.contacts;
             let is_complete = contacts.knows_grants_before(since, self.created_at, MAX_COPY_AGE);
-            shard.report(&EraReport {
+            let report = EraReport {
                 vm: self.vm,
                 incarnation: self.incarnation,
                 began: None,
                 is_complete: is_complete || fault == PlantedFault::FalseReport,
-            });
+            };
+            shard.report(&report, &[]);
         }
         let has_waited = |since: Instant| now - since >= REPORT_TIMEOUT;
         if shard.is_unsettled()
