budget: a registration ends with its VM

Cause: a VM that had registered stayed so for ever. Evidence: 'grants of a vm unknown' names the removed VM with level Full and state Missing, and 'unknown grants count as taken' the rest of the budget; the VM had returned its grants. Ruled out: the final kill (its restarted processes find nothing to be granted either), the age of the copy, a report that was lost. Change: the last write of a process that stops as planned says that it has ended and what it used. Its level falls to the limited one, so that a process that follows soon gets tokens at once, and a keeper withdraws it 5 s later, or 5 s after a VM is no longer listed. A lower level is announced only in a shard that shows the lower permission, so a late write finds no copy in which that VM could hold more. Who has read the shard in the era before tells in the next one what it showed of VMs that had ended or were withdrawn. A settlement counts budgets that the copy lacks too.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -47,6 +47,7 @@
 use crate::transfer::TransferTarget;
 use crate::transfer::resend_transfers;
 use crate::transfer::send_tokens;
+use crate::writer_absence::WriterAbsences;
 
 /// Maximum interval between two checks of the grants.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -88,6 +89,10 @@
     registration: RegistrationAge,
     /// When this process first saw, in the present era, that VMs have yet to report.
     unsettled_since: Option<Instant>,
+    /// Other VMs in the shard whose processes have ended or that are absent.
+    absences: WriterAbsences,
+    /// Whether this process's last write of the shard is under way.
+    is_ending: bool,
 }
 
 /// Maintains the grants of all workspaces until the process ends.
@@ -148,6 +153,8 @@
             last_rebalance: None,
             registration: RegistrationAge::new(gateway.settings.max_copy_age),
             unsettled_since: None,
+            absences: WriterAbsences::default(),
+            is_ending: false,
         }
     }
 
@@ -157,12 +164,7 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<PassOutcome, StoreError> {
-        if store.latest_era().is_none() {
-            self.registration.set_max_copy_age(Duration::ZERO);
-        } else {
-            self.registration
-                .set_max_copy_age(gateway.settings.max_copy_age);
-        }
+        self.set_max_copy_age(gateway, store);
         self.enter_era(gateway);
         let keeper = remote_keeper(gateway, self.number, gateway.now());
         if let Some(keeper) = keeper {
@@ -176,6 +178,7 @@
             // Returned grants must not be requested again.
             return Ok(PassOutcome::Idle);
         }
+        self.watch_absences(gateway);
         let Some(urgent) = self.grant_urgency(gateway, gateway.now()) else {
             return Ok(PassOutcome::Idle);
         };
@@ -359,6 +362,7 @@
             self.log_closed(gateway, request.workspace, before, &shard);
         }
         changed |= self.report_and_settle(gateway, &mut shard, requests, &prepaid);
+        changed |= self.end_or_withdraw(gateway, &mut shard);
         match changed {
             true => self.swap(gateway, store, shard).await,
             false => Ok(()),
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use slog::info;
 use slog::warn;
+use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreEra;
 use snipegate_platform::StoreError;
 use snipegate_types::TokenCount;
@@ -21,6 +22,7 @@
 use crate::budget_shard::BudgetShard;
 use crate::budget_shard::EraReport;
 use crate::budget_shard::GrantKnowledge;
+use crate::budget_shard::UnsettledVm;
 use crate::gateway::Gateway;
 use crate::gateway::duty_rendezvous_weight;
 use crate::gateway::stable_hash;
@@ -28,6 +30,7 @@
 use crate::shard_writer::WriterLevel;
 use crate::stage::VmStage;
 use crate::store_task::StoreTask;
+use crate::writer_absence::WriterAbsences;
 
 /// Number of VMs of a shard that may be granted whole budgets: the keeper, and the VM that
 /// takes over.
@@ -44,6 +47,15 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(6);
 
 impl ShardWorker {
+    /// Sets the age of the oldest copy from which the store may come back.
+    pub(super) fn set_max_copy_age<S: ConfigStore>(&mut self, gateway: &Gateway, store: &S) {
+        let age = match store.latest_era() {
+            Some(_) => gateway.settings.max_copy_age,
+            None => Duration::ZERO,
+        };
+        self.registration.set_max_copy_age(age);
+    }
+
     /// Lets the holdings of the shard enter the store's era, if it is a new one.
     pub(super) fn enter_era(&mut self, gateway: &Gateway) {
         let era = gateway.known_era();
@@ -103,6 +115,8 @@
         self.shard.era != self.revision.era
             || self.shard.awaits_report(vm).is_some()
             || self.is_settling_due(gateway, &self.shard, now)
+            || !self.known_from_former(gateway, &self.shard).is_empty()
+            || self.is_withdrawal_due(gateway, now)
             || (!self.registration.is_immediate()
                 && self.register(gateway, &mut self.shard.clone(), now))
     }
@@ -116,6 +130,7 @@
                 "before" => self.shard.era.0, "era" => shard.era.0,
                 "reports_awaited" => shard.awaited().count(), "revision" => %self.revision);
         }
+        shard.lower_announced();
         let has_taken_over = self.take_over(gateway, shard);
         has_entered | has_taken_over | self.register(gateway, shard, gateway.now())
     }
@@ -169,6 +184,7 @@
                     "tokens" => grant.tokens.0, "replaces" => %self.revision);
             }
         }
+        let has_adopted = self.adopt_known(gateway, shard, prepaid);
         let settles = self.is_settling_due(gateway, shard, now);
         if settles {
             for vm in shard.awaited() {
@@ -183,7 +199,88 @@
                     "tokens" => counted.tokens.0, "replaces" => %self.revision);
             }
         }
-        missing_since.is_some() || settles
+        missing_since.is_some() || has_adopted || settles
+    }
+
+    /// Returns the VMs whose grants this process knows from the era before.
+    fn known_from_former(&self, gateway: &Gateway, shard: &BudgetShard) -> Vec<UnsettledVm> {
+        if !shard.has_unsettled() {
+            return Vec::new();
+        }
+        let memories = gateway.shard_memories.borrow();
+        let former = memories.get(&self.number).and_then(ShardMemory::former);
+        former.map_or_else(Vec::new, |former| shard.known_from(former))
+    }
+
+    /// Tells what this process knows from the era before of VMs whose processes had ended or
+    /// that were absent; returns whether that changes the shard.
+    fn adopt_known(
+        &self,
+        gateway: &Gateway,
+        shard: &mut BudgetShard,
+        prepaid: &IndexMap<u64, TokenCount>,
+    ) -> bool {
+        let known = self.known_from_former(gateway, shard);
+        let memories = gateway.shard_memories.borrow();
+        let former = memories.get(&self.number).and_then(ShardMemory::former);
+        let Some(former) = former else {
+            return false;
+        };
+        for vm in &known {
+            shard.adopt(former, vm, prepaid);
+            info!(gateway.log, "grants of an ended vm reported"; "shard" => self.number,
+                "era" => shard.era.0, "vm" => vm.vm, "level_before" => ?vm.level,
+                "still_awaited" => shard.is_vm_unsettled(vm.vm),
+                "reports_awaited" => shard.awaited().count());
+        }
+        !known.is_empty()
+    }
+
+    /// Tracks which registered VMs are gone, as the keeper of the shard.
+    pub(super) fn watch_absences(&mut self, gateway: &Gateway) {
+        let now = gateway.now();
+        let is_duty = self.is_loaded
+            && !self.registration.is_immediate()
+            && self.shard.era == self.revision.era
+            && !self.shard.is_unsettled()
+            && !gateway.store_contact.get().is_failing()
+            && remote_keeper(gateway, self.number, now).is_none();
+        if !is_duty {
+            self.absences = WriterAbsences::default();
+            return;
+        }
+        let own = stable_hash(gateway.settings.vm.as_str());
+        let peers = gateway.peers.borrow();
+        let listed: Vec<u64> = peers.vms().map(|vm| stable_hash(vm.as_str())).collect();
+        let is_listed = |vm| vm == own || listed.contains(&vm);
+        self.absences.record(&self.shard.writers, is_listed, now);
+    }
+
+    /// Returns whether this VM, as the keeper, should withdraw the registration of another one.
+    fn is_withdrawal_due(&self, gateway: &Gateway, now: Instant) -> bool {
+        let is_keeper = remote_keeper(gateway, self.number, now).is_none();
+        self.absences.due(now).next().is_some() || (is_keeper && self.shard.can_lower_announced())
+    }
+
+    /// Ends this process in the shard, if this is its last write, or withdraws the registrations
+    /// of VMs that are gone; returns whether that changes the shard.
+    pub(super) fn end_or_withdraw(&self, gateway: &Gateway, shard: &mut BudgetShard) -> bool {
+        if self.registration.is_immediate() {
+            return false;
+        }
+        if self.is_ending {
+            let vm = stable_hash(gateway.settings.vm.as_str());
+            return shard.end_process(vm, gateway.incarnation);
+        }
+        let mut changed = false;
+        for vm in self.absences.due(gateway.now()) {
+            if shard.withdraw(vm) {
+                changed = true;
+                info!(gateway.log, "registration of an absent vm withdrawn";
+                    "shard" => self.number, "vm" => vm, "replaces" => %self.revision);
+            }
+        }
+        changed
     }
 
     /// Returns what this process knows of the grants of its VM that the store had lost when the
@@ -199,6 +296,17 @@
 
     /// Remembers the present state of the shard for reports in later eras.
     pub(super) fn remember(&self, gateway: &Gateway) {
+        self.with_memory(gateway, |memory| memory.observe(&self.shard));
+    }
+
+    /// Keeps the last known state of the shard in the era that has ended.
+    pub(super) fn leave_era(&self, gateway: &Gateway) {
+        self.with_memory(gateway, |memory| memory.leave_era(self.shard.clone()));
+    }
+
+    /// Updates the memory of the shard, unless its present state may lack writes or the store
+    /// never comes back from a copy.
+    fn with_memory(&self, gateway: &Gateway, update: impl FnOnce(&mut ShardMemory)) {
         if self.shard.era != self.revision.era || self.registration.is_immediate() {
             return;
         }
@@ -207,7 +315,7 @@
         let memory = memories
             .entry(self.number)
             .or_insert_with(|| ShardMemory::new(vm, gateway.incarnation));
-        memory.observe(&self.shard);
+        update(memory);
     }
 
     /// Logs that a grant of an earlier era is claimed.
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -21,6 +21,7 @@
 use crate::budget_exchange::workspace_name;
 use crate::budget_record::GrantRequest;
 use crate::gateway::Gateway;
+use crate::gateway::stable_hash;
 use crate::local_response::jitter;
 use crate::store_task::StoreTask;
 use crate::token_request::report_use;
@@ -64,6 +65,7 @@
             continue;
         };
         let mut worker = ShardWorker::new(gateway, number);
+        worker.set_max_copy_age(gateway, store);
         worker.apply_stored(gateway, era, Some(stored))?;
         worker.close_earlier_runs(gateway, store).await?;
     }
@@ -169,14 +171,24 @@
         gateway: &Gateway,
         store: &S,
     ) -> Result<(), StoreError> {
-        if !self.has_grants_to_return(gateway) {
+        let names_eras = store.latest_era().is_some();
+        if !names_eras && !self.has_grants_to_return(gateway) {
             return Ok(());
         }
         if !self.is_loaded {
             self.load(gateway, store).await?;
         }
+        let vm = stable_hash(gateway.settings.vm.as_str());
+        let own = self.shard.writer(vm);
+        if own.is_some_and(|own| own.has_ended(gateway.incarnation)) {
+            // An earlier attempt was applied.
+            return Ok(());
+        }
         let requests = self.plan_returns(gateway);
-        self.write_grant_requests(gateway, store, &requests).await
+        self.is_ending = true;
+        let result = self.write_grant_requests(gateway, store, &requests).await;
+        self.is_ending = false;
+        result
     }
 
     fn has_grants_to_return(&self, gateway: &Gateway) -> bool {
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -28,6 +28,7 @@
         let key = self.key(gateway);
         let call = store.list(&key, None);
         let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+        self.set_max_copy_age(gateway, store);
         let era = listing.revision.era;
         gateway.observe_era(era, StoreTask::Budgets)?;
         let entry = listing.entries.into_iter().find(|(name, _)| *name == key);
@@ -111,6 +112,9 @@
                 }
             },
         };
+        if self.revision.era < era {
+            self.leave_era(gateway);
+        }
         self.shard = shard;
         self.revision = revision;
         self.is_loaded = true;
@@ -123,13 +127,13 @@
     /// the records would show.
     fn update_holdings(&mut self, gateway: &Gateway) {
         let era = self.revision.era;
-        if self.shard.era != era && !self.shard.writers.is_empty() {
+        if self.is_ending || (self.shard.era != era && !self.shard.writers.is_empty()) {
             return;
         }
         let vm = stable_hash(gateway.settings.vm.as_str());
         let now = gateway.now();
         let own = self.shard.writer(vm);
-        let own = own.filter(|writer| writer.incarnation == gateway.incarnation);
+        let own = own.filter(|writer| writer.is_running(gateway.incarnation));
         let announced = own.map_or(WriterLevel::None, |writer| writer.announced);
         self.registration.record(era, announced, now);
         self.unsettled_since = match self.shard.is_unsettled() {
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -339,6 +339,42 @@
         request.claimed
     }
 
+    /// Counts what a process was granted and has not returned as used, since it has ended;
+    /// returns whether it had a grant.
+    pub fn end_process(&mut self, vm: u64, incarnation: u64) -> bool {
+        let is_own = |holder: &BudgetHolder| holder.vm == vm && holder.incarnation == incarnation;
+        let Some(own) = self.holders.iter().position(is_own) else {
+            return false;
+        };
+        let own = self.holders.swap_remove(own);
+        self.add_ended(vm, own.granted);
+        true
+    }
+
+    /// Replaces what the record shows of a VM by what another record shows, and counts up to
+    /// `most` tokens as unclaimed where some did before. `has_other_run` tells that a later
+    /// process of the VM runs, so that what the other record shows as granted counts as used.
+    pub fn adopt(&mut self, vm: u64, shown: &BudgetRecord, most: TokenCount, has_other_run: bool) {
+        let is_own = |holder: &&BudgetHolder| holder.vm == vm;
+        let shown_holders = shown.holders.iter().chain(&shown.former).filter(is_own);
+        let mut ended = shown.ended_of(vm);
+        match has_other_run {
+            true => {
+                let held: TokenCount = shown_holders.map(|holder| holder.granted).sum();
+                ended = ended.saturating_add(held);
+                self.former.retain(|holder| holder.vm != vm);
+            }
+            false => {
+                self.former.retain(|holder| holder.vm != vm);
+                self.former.extend(shown_holders);
+            }
+        }
+        self.set_ended(vm, ended);
+        for lost in self.unclaimed.iter_mut().filter(|lost| lost.vm == vm) {
+            lost.tokens = lost.tokens.min(most);
+        }
+    }
+
     /// Removes the grants of all processes of a VM but `incarnation`, and sets what they may have
     /// used.
     pub fn replace_earlier_runs(&mut self, vm: u64, incarnation: u64, ended: TokenCount) {
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -23,6 +23,10 @@
 use crate::shard_memory::EndedByWorkspace;
 use crate::shard_writer::ShardWriter;
 use crate::shard_writer::WriterLevel;
+use crate::shard_writer::WriterState;
+
+/// Maximum number of withdrawn registrations that are kept, for reports in later eras.
+const MAX_WITHDRAWN_WRITERS: usize = 64;
 
 /// Whether a process knows all grants that its VM had when the store came back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +51,28 @@
     pub level: WriterLevel,
     /// What it has reported.
     pub state: ReportState,
+    /// Changes of its registration that the copy shows from which the store came back.
+    #[serde(default)]
+    pub changes: u64,
+}
+
+/// Adds a VM to those that have to report; `since` is the first era that began without its
+/// grants.
+fn await_report(unsettled: &mut Vec<UnsettledVm>, writer: &ShardWriter, since: StoreEra) {
+    let known = unsettled.iter_mut().find(|other| other.vm == writer.vm);
+    match known {
+        Some(known) => {
+            known.level = known.level.max(writer.announced);
+            known.changes = writer.changes;
+        }
+        None => unsettled.push(UnsettledVm {
+            vm: writer.vm,
+            since,
+            level: writer.announced,
+            state: ReportState::Missing,
+            changes: writer.changes,
+        }),
+    }
 }
 
 /// What a process knows of the grants of its VM that the store may have lost.
@@ -152,24 +178,13 @@
         if has_no_eras {
             return true;
         }
+        // What an earlier return of the store left open stays so, and has to be told again.
+        for known in &mut self.unsettled {
+            known.state = ReportState::Missing;
+        }
         for writer in &self.writers {
-            let level = writer.announced;
-            // What an earlier return of the store left open stays so.
-            match self
-                .unsettled
-                .iter_mut()
-                .find(|other| other.vm == writer.vm)
-            {
-                Some(known) => {
-                    known.level = known.level.max(level);
-                    known.state = ReportState::Missing;
-                }
-                None => self.unsettled.push(UnsettledVm {
-                    vm: writer.vm,
-                    since,
-                    level,
-                    state: ReportState::Missing,
-                }),
+            if writer.announced > WriterLevel::None {
+                await_report(&mut self.unsettled, writer, since);
             }
         }
         for record in self.records.values_mut() {
@@ -184,6 +199,11 @@
         self.awaited().next().is_some()
     }
 
+    /// Returns whether the records may lack what some VM holds, though grants may go on.
+    pub fn has_unsettled(&self) -> bool {
+        !self.unsettled.is_empty()
+    }
+
     /// Returns the VMs whose reports or whose settlement grants wait for.
     pub fn awaited(&self) -> impl Iterator<Item = &UnsettledVm> {
         let unsettled = self.unsettled.iter();
@@ -294,6 +314,115 @@
         true
     }
 
+    /// Ends a process of a VM as planned: what it was granted and has not returned counts as
+    /// used; returns whether that changes the shard.
+    pub fn end_process(&mut self, vm: u64, incarnation: u64) -> bool {
+        let mut changed = false;
+        for record in self.records.values_mut() {
+            changed |= record.end_process(vm, incarnation);
+        }
+        let mut writers = self.writers.iter_mut();
+        let own = writers.find(|writer| writer.vm == vm && writer.is_running(incarnation));
+        let Some(own) = own else {
+            return changed;
+        };
+        own.end();
+        true
+    }
+
+    /// Withdraws the registration of a VM whose process has ended or is absent; returns whether
+    /// that changes the shard.
+    pub fn withdraw(&mut self, vm: u64) -> bool {
+        let mut writers = self.writers.iter_mut();
+        let writer = writers.find(|writer| writer.vm == vm);
+        let Some(writer) = writer.filter(|writer| writer.mature > WriterLevel::None) else {
+            return false;
+        };
+        writer.withdraw();
+        true
+    }
+
+    /// Returns whether [`BudgetShard::lower_announced`] would change the shard.
+    pub fn can_lower_announced(&self) -> bool {
+        self.writers.iter().any(ShardWriter::can_lower_announced)
+    }
+
+    /// Lowers the announced levels of VMs whose processes have ended or are absent, in a shard as
+    /// the store shows it; returns whether that changes the shard.
+    pub fn lower_announced(&mut self) -> bool {
+        let mut changed = false;
+        for writer in &mut self.writers {
+            changed |= writer.lower_announced();
+        }
+        let is_withdrawn = |writer: &ShardWriter| {
+            writer.announced == WriterLevel::None && writer.state != WriterState::Running
+        };
+        let withdrawn = self.writers.iter().filter(|writer| is_withdrawn(writer));
+        let mut excess = withdrawn.count().saturating_sub(MAX_WITHDRAWN_WRITERS);
+        self.writers.retain(|writer| {
+            let is_kept = excess == 0 || !is_withdrawn(writer);
+            excess -= usize::from(!is_kept);
+            is_kept
+        });
+        changed
+    }
+
+    /// Returns the VMs whose grants an earlier state of the shard tells: `former` is the last
+    /// known state of the era before, it shows that the VM's process had ended or was absent,
+    /// and this era began with an older state or the same.
+    pub fn known_from(&self, former: &BudgetShard) -> Vec<UnsettledVm> {
+        if former.era.0 + 1 != self.era.0 {
+            return Vec::new();
+        }
+        let is_known = |other: &&UnsettledVm| {
+            former.writer(other.vm).is_some_and(|writer| {
+                writer.state != WriterState::Running
+                    && writer.changes >= other.changes
+                    && writer.mature < other.level
+            }) && !former.is_vm_unsettled(other.vm)
+        };
+        self.unsettled.iter().filter(is_known).copied().collect()
+    }
+
+    /// Replaces what the records show of a VM by what an earlier state of the shard shows, see
+    /// [`BudgetShard::known_from`]. `prepaid` is the size of each budget, by workspace.
+    pub fn adopt(
+        &mut self,
+        former: &BudgetShard,
+        known: &UnsettledVm,
+        prepaid: &IndexMap<u64, TokenCount>,
+    ) {
+        let vm = known.vm;
+        let Some(writer) = former.writer(vm).copied() else {
+            return;
+        };
+        for workspace in former.records.keys() {
+            self.records.entry(*workspace).or_default();
+        }
+        for (workspace, record) in &mut self.records {
+            let shown = former.records.get(workspace).cloned().unwrap_or_default();
+            let prepaid = prepaid.get(workspace).copied();
+            let most = writer
+                .mature
+                .max_granted(prepaid.unwrap_or(TokenCount(u64::MAX)));
+            record.adopt(vm, &shown, most, known.state == ReportState::Incomplete);
+        }
+        if let Some(own) = self.writers.iter_mut().find(|own| own.vm == vm)
+            && known.state != ReportState::Incomplete
+        {
+            *own = writer;
+        }
+        match writer.mature {
+            WriterLevel::None => self.unsettled.retain(|other| other.vm != vm),
+            level => {
+                let mut unsettled = self.unsettled.iter_mut();
+                if let Some(other) = unsettled.find(|other| other.vm == vm) {
+                    other.level = level;
+                }
+            }
+        }
+    }
+
     /// Drops which VMs' ended processes used tokens, for a store that never comes back from a
     /// copy.
     pub fn merge_ended(&mut self) {
@@ -312,9 +441,13 @@
 
     /// Ends the wait for reports: what unsettled VMs may hold counts as taken, and what their
     /// ended processes may have held as used. `prepaid` is the
-    /// size of each budget, by workspace. Returns the tokens that count so.
+    /// size of each budget of the shard, by workspace. Returns the tokens that count so.
     pub fn settle(&mut self, prepaid: &IndexMap<u64, TokenCount>) -> Vec<WorkspaceTokens> {
         let unsettled: Vec<UnsettledVm> = self.awaited().copied().collect();
+        // The copy may be older than a budget's first grant.
+        for workspace in prepaid.keys() {
+            self.records.entry(*workspace).or_default();
+        }
         let mut counted = Vec::new();
         for (workspace, record) in &mut self.records {
             let taken_before = record.taken();
@@ -356,8 +489,7 @@
     /// of the oldest copy; returns whether that changes the shard. `incarnation` is that of the
     /// process, which has taken over any earlier registration.
     ///
-    /// A level is never lowered: a late write could lower it in a copy, from before the VM was
-    /// granted tokens.
+    /// A level is not lowered while the process runs.
     pub fn register(
         &mut self,
         vm: u64,
@@ -366,15 +498,17 @@
         mature: WriterLevel,
     ) -> bool {
         let before = self.writer(vm).copied();
-        let announced = before.map_or(level, |before| before.announced.max(level));
-        let known = before.map_or(WriterLevel::None, |before| before.mature);
-        let registered = ShardWriter {
+        let new = ShardWriter {
             vm,
-            announced,
-            mature: known.max(mature.min(announced)),
-            incarnation: before.map_or(incarnation, |before| before.incarnation),
+            announced: level,
+            mature: WriterLevel::None,
+            incarnation,
+            state: WriterState::Running,
+            changes: 0,
         };
-        if before == Some(registered) || announced == WriterLevel::None {
+        let mut registered = before.unwrap_or(new);
+        registered.register(level, mature);
+        if before == Some(registered) || registered.announced == WriterLevel::None {
             return false;
         }
         self.writers.retain(|writer| writer.vm != vm);
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -76,6 +76,7 @@
 mod upstream;
 mod upstream_follower;
 mod wire_format;
+mod writer_absence;
 
 pub use admission::Admission;
 pub use admission::admit;
@@ -173,6 +174,7 @@
 pub use shard_writer::RegistrationAge;
 pub use shard_writer::ShardWriter;
 pub use shard_writer::WriterLevel;
+pub use shard_writer::WriterState;
 pub use short_watch::uses_short_watch;
 pub use spending_pace::DatedPace;
 pub use spending_pace::SpendingPace;
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -193,6 +193,11 @@
             .filter(|peer| peer.record.stage == VmStage::Serving)
     }
 
+    /// Returns the ids of all other VMs, including silent ones.
+    pub fn vms(&self) -> impl Iterator<Item = &VmId> {
+        self.peers.keys()
+    }
+
     /// Returns the gossip addresses of all other VMs, including silent ones.
     pub fn gossip_addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.peers.values().map(|peer| peer.record.gossip)
--- a/lib/gateway/src/shard_memory.rs
+++ b/lib/gateway/src/shard_memory.rs
@@ -19,6 +19,8 @@
     /// What the earlier processes of the VM may have used, once this process has taken over its
     /// registration. No write of theirs can take effect any more, so it is final.
     ended: Option<EndedByWorkspace>,
+    /// Last known state of the shard in the era before the present one.
+    former: Option<BudgetShard>,
 }
 
 impl ShardMemory {
@@ -28,9 +30,20 @@
             vm,
             incarnation,
             ended: None,
+            former: None,
         }
     }
 
+    /// Keeps the last known state of an era that has ended.
+    pub fn leave_era(&mut self, shard: BudgetShard) {
+        self.former = Some(shard);
+    }
+
+    /// Returns the last known state of the shard in the era before the present one.
+    pub fn former(&self) -> Option<&BudgetShard> {
+        self.former.as_ref()
+    }
+
     /// Records a state of the shard that shows all writes of its era up to then.
     pub fn observe(&mut self, shard: &BudgetShard) {
         let is_own = |incarnation| incarnation == self.incarnation;
--- a/lib/gateway/src/shard_writer.rs
+++ b/lib/gateway/src/shard_writer.rs
@@ -37,7 +37,24 @@
     }
 }
 
+/// What is known of the process that a registration is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WriterState {
+    /// It may be granted tokens at the mature level.
+    #[default]
+    Running,
+    /// It has ended as planned, and the records show all that it used. A later process may be
+    /// granted tokens at the mature level.
+    Ended,
+    /// It was absent for long. It is granted nothing until it has registered again.
+    Suspended,
+}
+
 /// Registration of a VM in a shard.
+///
+/// The mature level, which permits grants, may be lowered at any time. The announced level, by
+/// which a VM has to report, may be lowered only in a shard that shows the lower mature level
+/// already: a late write of it then finds no copy from before a higher level was mature again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardWriter {
     /// The VM, as a hash of its id.
@@ -49,18 +66,86 @@
     /// Incarnation of the VM's process that registered or took over last; zero if it is unknown.
     #[serde(default)]
     pub incarnation: u64,
+    /// What is known of that process.
+    #[serde(default)]
+    pub state: WriterState,
+    /// Number of changes of the process or of its state.
+    #[serde(default)]
+    pub changes: u64,
 }
 
 impl ShardWriter {
-    /// Registers a later process of the VM, whose earlier process may have been killed.
+    /// Registers a later process of the VM.
     ///
-    /// What is granted at the limited level counts once, so that the next process has to wait
-    /// until every copy shows its own registration.
+    /// After a kill, what was granted at the limited level counts once, so that the next process
+    /// has to wait until every copy shows its own registration.
     pub fn take_over(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
-        if self.mature < WriterLevel::Full {
+        if self.state != WriterState::Ended && self.mature < WriterLevel::Full {
             self.mature = WriterLevel::None;
         }
+        self.set_state(WriterState::Running);
+    }
+
+    /// Ends the process as planned. A process that follows soon is granted tokens at a limited
+    /// level at once, so that restarts of all VMs in turn don't stop grants.
+    pub fn end(&mut self) {
+        self.mature = match self.mature {
+            WriterLevel::Full => WriterLevel::Limited,
+            WriterLevel::Limited | WriterLevel::None => WriterLevel::None,
+        };
+        self.set_state(WriterState::Ended);
+    }
+
+    /// Withdraws the registration of a process that has ended or is absent.
+    pub fn withdraw(&mut self) {
+        self.mature = WriterLevel::None;
+        let state = match self.state {
+            WriterState::Ended => WriterState::Ended,
+            WriterState::Running | WriterState::Suspended => WriterState::Suspended,
+        };
+        self.set_state(state);
+    }
+
+    /// Lets the announced level follow the mature one, if the process may not be granted more
+    /// before it registers again; returns whether that changes it.
+    pub fn lower_announced(&mut self) -> bool {
+        let is_lower = self.can_lower_announced();
+        if is_lower {
+            self.announced = self.mature;
+        }
+        is_lower
+    }
+
+    /// Returns whether the announced level should follow the mature one.
+    pub fn can_lower_announced(&self) -> bool {
+        self.state != WriterState::Running && self.mature < self.announced
+    }
+
+    /// Raises the levels to those that the running process announces and that are mature. A
+    /// process that was suspended has to wait until its new registration is mature.
+    pub fn register(&mut self, announced: WriterLevel, mature: WriterLevel) {
+        if self.state == WriterState::Suspended && announced > WriterLevel::None {
+            self.set_state(WriterState::Running);
+        }
+        self.announced = self.announced.max(announced);
+        self.mature = self.mature.max(mature.min(self.announced));
+    }
+
+    fn set_state(&mut self, state: WriterState) {
+        self.state = state;
+        self.changes += 1;
+    }
+
+    /// Returns whether the process `incarnation` was registered and has ended as planned.
+    pub fn has_ended(&self, incarnation: u64) -> bool {
+        self.state == WriterState::Ended && self.incarnation == incarnation
+    }
+
+    /// Returns whether the process was registered and may still be granted tokens, as the
+    /// process `incarnation`.
+    pub fn is_running(&self, incarnation: u64) -> bool {
+        self.state == WriterState::Running && self.incarnation == incarnation
     }
 }
 
