budget: a process promises its spending to a witness

Cause: what a killed process may have spent by the pace in its record counts as used. The pace has to bear an outage of the store: two seconds of demand at once, and after 1.5 s as much again as is asked for. So a kill costs seconds of demand, whatever the budget. Ruled out, by reading: tokens of other VMs (their totals go on), the keepers' change (a kill of a VM that keeps nothing costs 0.1 in 100). Ways weighed: a closer pace in the store stalls each outage or allows as much again while the process is away; a sign of death over a connection can be made by a reset; a quorum of witnesses is a replicated store. Taken: the process promises one other VM, named in the record, a closer bound, and spends beyond it only once that VM has taken the next promise. The VM's next process asks for the last promise before it writes. A witness that does not confirm is replaced through the record; in an outage promises are as loose as the pace. Without an answer the pace counts, as before. Safety: the pace and the promises that the named witness may hold all bind; a request that names another witness is never taken for redundant.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -40,6 +40,7 @@
 use crate::holding::HoldingRole;
 use crate::holding::PlanTime;
 use crate::local_response::jitter;
+use crate::promise_keeper::make_promises;
 use crate::shard_writer::RegistrationAge;
 use crate::token_request::answer_queue;
 use crate::token_request::queued_tokens;
@@ -98,6 +99,7 @@
 /// Maintains the grants of all workspaces until the process ends.
 pub async fn maintain_budgets<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     spawn_local(resend_transfers(Rc::clone(&gateway)));
+    spawn_local(make_promises(Rc::clone(&gateway)));
     spawn_local(close_earlier_runs(Rc::clone(&gateway), Rc::clone(&store)));
     for number in 0..SHARDS {
         let gateway = Rc::clone(&gateway);
@@ -112,6 +114,7 @@
         update_prepaid(&gateway);
         answer_queue(&gateway);
         gateway.shard_notify.notify_waiters();
+        gateway.promise_notify.notify_one();
     }
 }
 
@@ -174,6 +177,10 @@
             self.load(gateway, store).await?;
         }
         answer_queue(gateway);
+        if !gateway.earlier_runs_known.get() {
+            // A write would close the earlier runs without what their witnesses tell.
+            return Ok(PassOutcome::Idle);
+        }
         if gateway.is_closing.get() {
             // Returned grants must not be requested again.
             return Ok(PassOutcome::Idle);
@@ -391,7 +398,7 @@
 
 /// Returns the time at which to plan grant requests. The boot clock is read first,
 /// because [`PlanTime::boot`] must not be later than [`PlanTime::now`].
-fn plan_time(gateway: &Gateway) -> PlanTime {
+pub fn plan_time(gateway: &Gateway) -> PlanTime {
     let boot = gateway.boot_timestamp();
     let now = gateway.now();
     PlanTime { now, boot }
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -23,6 +23,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::local_response::jitter;
+use crate::promise_keeper::collect_testimonies;
+use crate::spending_witness::WitnessRef;
 use crate::store_task::StoreTask;
 use crate::token_request::report_use;
 use crate::transfer::TransferTarget;
@@ -58,6 +60,7 @@
     let listing = gateway.call_store(StoreTask::Budgets, call).await?;
     let era = listing.revision.era;
     gateway.observe_era(era, StoreTask::Budgets)?;
+    let mut workers = Vec::new();
     for (key, stored) in listing.entries {
         let number = key.strip_prefix(prefix).and_then(|text| text.parse().ok());
         let Some(number) = number else {
@@ -67,11 +70,32 @@
         let mut worker = ShardWorker::new(gateway, number);
         worker.set_max_copy_age(gateway, store);
         worker.apply_stored(gateway, era, Some(stored))?;
+        workers.push(worker);
+    }
+    if !gateway.earlier_runs_known.get() {
+        collect_testimonies(gateway, witnessed_runs(gateway, &workers)).await;
+        gateway.earlier_runs_known.set(true);
+        gateway.shard_notify.notify_waiters();
+    }
+    for mut worker in workers {
         worker.close_earlier_runs(gateway, store).await?;
     }
     Ok(())
 }
 
+/// Returns the earlier processes of this VM whose spending has a witness, each once.
+fn witnessed_runs(gateway: &Gateway, workers: &[ShardWorker]) -> Vec<(u64, WitnessRef)> {
+    let vm = stable_hash(gateway.settings.vm.as_str());
+    let shards = workers.iter().map(|worker| &worker.shard);
+    let mut runs = Vec::new();
+    for run in shards.flat_map(|shard| shard.witnessed_runs(vm, gateway.incarnation)) {
+        if !runs.contains(&run) {
+            runs.push(run);
+        }
+    }
+    runs
+}
+
 /// Transfers unused tokens to other VMs when the process ends, and returns the rest to
 /// the store.
 pub async fn close_budgets<S: ConfigStore>(gateway: &Gateway, store: &S) {
--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -10,6 +10,8 @@
 
 use crate::spending_pace::DatedPace;
 use crate::spending_pace::SpendingPace;
+use crate::spending_witness::SpendingTestimony;
+use crate::spending_witness::WitnessRef;
 
 /// Use below this amount is not written to the record on its own.
 const MIN_REPORTED_USE: TokenCount = TokenCount(2000);
@@ -44,6 +46,11 @@
         by_pace.map_or(self.granted, |spent| spent.min(self.granted))
     }
 
+    /// Returns the witness of the process's spending.
+    pub fn witness(&self) -> Option<WitnessRef> {
+        self.pace.and_then(|dated| dated.witness)
+    }
+
     /// Returns the part of the grant that may be spent immediately.
     fn ceiling(&self) -> TokenCount {
         match self.pace {
@@ -178,6 +185,8 @@
     pub own_sequence: u64,
     /// Limit on how fast this process may spend its grant.
     pub own_pace: Option<SpendingPace>,
+    /// Witness of this process's spending.
+    pub own_witness: Option<WitnessRef>,
 }
 
 impl BudgetRecord {
@@ -255,6 +264,7 @@
             own_used: own.map_or(TokenCount::ZERO, |own| own.used),
             own_sequence: own.map_or(0, |own| own.sequence),
             own_pace: own.and_then(|own| own.pace).map(|dated| dated.pace),
+            own_witness: own.and_then(BudgetHolder::witness),
         }
     }
 
@@ -278,6 +288,7 @@
                 && request.granted >= own.granted
                 && newly_used < MIN_REPORTED_USE
                 && !is_faster
+                && request.pace.and_then(|dated| dated.witness) == own.witness()
         };
         if own.is_some_and(is_redundant) {
             return false;
@@ -339,6 +350,30 @@
         request.claimed
     }
 
+    /// Lowers the grant of an ended process to what it can have spent by its promises, where the
+    /// record names the witness that tells them. `end` is a time at which the process had ended.
+    pub fn apply_testimony(
+        &mut self,
+        vm: u64,
+        testimony: &SpendingTestimony,
+        promised: &DatedPace,
+        end: Option<BootTimestamp>,
+    ) {
+        let Some(spent) = end.and_then(|end| promised.max_spent(end)) else {
+            return;
+        };
+        let is_witnessed = |holder: &&mut BudgetHolder| {
+            let witness = holder.witness();
+            holder.vm == vm
+                && holder.incarnation == testimony.incarnation
+                && witness.is_some_and(|witness| witness.incarnation == testimony.witness)
+        };
+        // What the copy shows of a process of an earlier era may be outdated.
+        for holder in self.holders.iter_mut().filter(is_witnessed) {
+            holder.granted = holder.granted.min(spent);
+        }
+    }
+
     /// Counts what a process was granted and has not returned as used, since it has ended;
     /// returns whether it had a grant.
     pub fn end_process(&mut self, vm: u64, incarnation: u64) -> bool {
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -24,6 +24,8 @@
 use crate::shard_writer::ShardWriter;
 use crate::shard_writer::WriterLevel;
 use crate::shard_writer::WriterState;
+use crate::spending_witness::SpendingTestimony;
+use crate::spending_witness::WitnessRef;
 
 /// Maximum number of withdrawn registrations that are kept, for reports in later eras.
 const MAX_WITHDRAWN_WRITERS: usize = 64;
@@ -423,6 +425,30 @@
         }
     }
 
+    /// Lowers the grants of an ended process of a VM to what it can have spent by its promises.
+    pub fn apply_testimony(
+        &mut self,
+        vm: u64,
+        testimony: &SpendingTestimony,
+        end: Option<BootTimestamp>,
+    ) {
+        for (workspace, promised) in &testimony.paces {
+            if let Some(record) = self.records.get_mut(workspace) {
+                record.apply_testimony(vm, testimony, promised, end);
+            }
+        }
+    }
+
+    /// Returns the earlier processes of a VM whose spending has a witness.
+    pub fn witnessed_runs(&self, vm: u64, incarnation: u64) -> Vec<(u64, WitnessRef)> {
+        let records = self.records.values();
+        let holders = records.flat_map(|record| &record.holders);
+        let earlier = holders.filter(|holder| holder.vm == vm && holder.incarnation != incarnation);
+        earlier
+            .filter_map(|holder| Some((holder.incarnation, holder.witness()?)))
+            .collect()
+    }
+
     /// Drops which VMs' ended processes used tokens, for a store that never comes back from a
     /// copy.
     pub fn merge_ended(&mut self) {
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -39,12 +39,16 @@
 use crate::peers::PeerTable;
 use crate::peers::VmRecord;
 use crate::pool::ConnectionPool;
+use crate::promise_keeper::WitnessLink;
 use crate::rate_table::RateTable;
 use crate::response_memory::ResponseMemory;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
 use crate::shard_memory::ShardMemory;
+use crate::spending_witness::SpendingTestimony;
+use crate::spending_witness::WitnessLog;
+use crate::spending_witness::WitnessRef;
 use crate::stage::VmStage;
 use crate::stop_plan::StopPlan;
 use crate::store_contact::StoreContact;
@@ -127,6 +131,16 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// This VM's holdings of the budgets, by workspace.
     pub holdings: RefCell<IndexMap<WorkspaceId, BudgetHolding>>,
+    /// Whether the witnesses of earlier runs of this VM have been asked, or there are none.
+    pub earlier_runs_known: Cell<bool>,
+    /// Earlier runs of this VM, by incarnation, with their witnesses and what these told.
+    pub testimonies: RefCell<Vec<(u64, WitnessRef, Option<SpendingTestimony>)>>,
+    /// This run's relation to the witness of its spending.
+    pub witness_link: RefCell<WitnessLink>,
+    /// Promises that this run keeps as the witness of other VMs.
+    pub witness_log: RefCell<WitnessLog>,
+    /// Wakes the task that makes promises.
+    pub promise_notify: Notify,
     /// What this run remembers of the shards of the budget records, by their numbers.
     pub shard_memories: RefCell<IndexMap<u64, ShardMemory>>,
     /// Workspaces whose budget is scarce at this VM, announced by gossip.
@@ -249,6 +263,11 @@
             retry_budget: RefCell::new(retry_budget),
             holdings: RefCell::default(),
             shard_memories: RefCell::default(),
+            earlier_runs_known: Cell::new(false),
+            testimonies: RefCell::default(),
+            witness_link: RefCell::default(),
+            witness_log: RefCell::default(),
+            promise_notify: Notify::new(),
             scarce_budgets: RefCell::default(),
             peer_scarce_budgets: RefCell::default(),
             peers: RefCell::default(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -29,9 +29,17 @@
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
 use crate::peers::VmRecord;
+use crate::promise_keeper::handle_promise;
+use crate::promise_keeper::handle_query;
+use crate::promise_keeper::handle_receipt;
+use crate::promise_keeper::handle_testimony;
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
 use crate::rate_table::RateAnnouncement;
+use crate::spending_witness::PromiseQuery;
+use crate::spending_witness::PromiseReceipt;
+use crate::spending_witness::SpendingPromise;
+use crate::spending_witness::SpendingTestimony;
 use crate::token_request::FreeTokens;
 use crate::token_request::TokenAnswer;
 use crate::token_request::TokenRequest;
@@ -129,6 +137,14 @@
     /// Like `FeatureNews`, to be relayed to the other VMs of the receiver's data centre.
     #[serde(rename = "RelayPartNews")]
     RelayFeatureNews(Box<FeatureNews>),
+    /// Promise of the sender to its witness, the receiver.
+    SpendingPromise(Box<SpendingPromise>),
+    /// Confirms a promise of the receiver.
+    PromiseReceipt(PromiseReceipt),
+    /// Asks for the promises of an earlier process of the sender's VM.
+    PromiseQuery(PromiseQuery),
+    /// Answers a question of the receiver for promises.
+    SpendingTestimony(Box<SpendingTestimony>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -298,6 +314,14 @@
             Ok(PeerMessage::TokenAnswer(answer)) => handle_token_answer(&gateway, sender, answer),
             Ok(PeerMessage::Transfer(transfer)) => handle_transfer(&gateway, sender, transfer),
             Ok(PeerMessage::TransferTaken(number)) => acknowledge_transfer(&gateway, number),
+            Ok(PeerMessage::SpendingPromise(promise)) => {
+                handle_promise(&gateway, sender, &promise);
+            }
+            Ok(PeerMessage::PromiseReceipt(receipt)) => handle_receipt(&gateway, receipt),
+            Ok(PeerMessage::PromiseQuery(query)) => handle_query(&gateway, sender, query),
+            Ok(PeerMessage::SpendingTestimony(testimony)) => {
+                handle_testimony(&gateway, *testimony);
+            }
             Err(error) => {
                 gateway.metrics.count("gossip.malformed");
                 debug!(gateway.log, "failed to decode peer message"; "error" => %error);
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -17,6 +17,7 @@
 mod balance;
 mod era_claim;
 mod grant_size;
+mod promise;
 mod request_plan;
 
 use std::time::Instant;
@@ -27,9 +28,11 @@
 use snipegate_types::TokenCount;
 
 use self::allowance::Allowance;
+use self::promise::WitnessedSpending;
 use crate::budget_record::BudgetTotals;
 use crate::budget_record::BudgetView;
 use crate::demand::DemandMeter;
+use crate::spending_witness::WitnessRef;
 
 /// Fraction of the free tokens that may be transferred beyond the receiver's immediate
 /// need.
@@ -38,6 +41,9 @@
 /// Minimum number of tokens that are worth returning or reporting.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
+/// Factor by which the recent cost of requests falls with each one.
+const COST_DECAY: f64 = 0.9;
+
 /// Safety factor on the unused fraction of completed reservations, when estimating what
 /// running requests will leave unused.
 const UNUSED_MARGIN: f64 = 2.0;
@@ -49,6 +55,8 @@
     sequence: u64,
     /// Strictest allowance of all of them.
     allowance: Allowance,
+    /// Whether one of them names another witness than the record.
+    has_other_witness: bool,
 }
 
 /// The time at which a grant request is planned.
@@ -102,6 +110,9 @@
     /// Newest known totals over all VMs.
     totals: Option<BudgetTotals>,
     pending: Option<PendingGrantRequest>,
+    /// Witness to name in grant requests.
+    witness: Option<WitnessRef>,
+    promise: Option<WitnessedSpending>,
     sequence: u64,
     /// Tokens used by completed requests.
     used: TokenCount,
@@ -127,6 +138,8 @@
     demand: DemandMeter,
     /// Demand of this VM alone.
     own_demand: DemandMeter,
+    /// Cost of recent requests, in tokens: rises with a larger one at once, and falls slowly.
+    recent_cost: f64,
 }
 
 impl BudgetHolding {
@@ -150,6 +163,8 @@
             applied_at: now,
             totals: None,
             pending: None,
+            witness: None,
+            promise: None,
             sequence: 0,
             used: TokenCount::ZERO,
             settled_reserved: TokenCount::ZERO,
@@ -163,6 +178,7 @@
             unreported_demand: TokenCount::ZERO,
             demand: DemandMeter::new(now),
             own_demand: DemandMeter::new(now),
+            recent_cost: 0.0,
         }
     }
 
@@ -202,6 +218,7 @@
             self.pending = None;
         }
         self.view = Some(view);
+        self.release_promise();
     }
 
     /// Applies the record's totals as reported by another VM, unless newer ones are
@@ -240,7 +257,7 @@
 
     /// Returns the tokens that are certain to be granted.
     pub fn granted(&self) -> TokenCount {
-        self.allowance().granted
+        self.record_allowance().granted
     }
 
     /// Returns the grant of this process according to the record.
@@ -249,7 +266,7 @@
     }
 
     /// Returns the strictest allowance of all grant requests that may be in effect.
-    fn allowance(&self) -> Allowance {
+    fn record_allowance(&self) -> Allowance {
         let view = self.view.unwrap_or_default();
         let recorded = Allowance {
             granted: view.own_granted,
@@ -264,7 +281,14 @@
 
     /// Returns the tokens that can be reserved now.
     pub fn free(&self, now: Instant) -> TokenCount {
-        self.unspent(self.allowance().spendable_at(now))
+        let recorded = self.record_allowance().spendable_at(now);
+        let promised = self.promised_spending(now);
+        self.unspent(promised.map_or(recorded, |promised| promised.min(recorded)))
+    }
+
+    /// Returns the tokens that could be reserved now if there were no promises.
+    fn free_by_record(&self, now: Instant) -> TokenCount {
+        self.unspent(self.record_allowance().spendable_at(now))
     }
 
     /// Returns the unspent tokens, including those that the pace does not allow yet.
@@ -309,7 +333,8 @@
     /// them.
     pub fn withdraw(&mut self, need: TokenCount, wish: TokenCount, now: Instant) -> TokenCount {
         let free = self.free(now);
-        let spare = TokenCount((free.saturating_sub(need).0 as f64 * PREFETCH_FRACTION) as u64);
+        let spare = self.free_by_record(now).saturating_sub(need);
+        let spare = TokenCount((spare.0 as f64 * PREFETCH_FRACTION) as u64);
         let given = need.saturating_add(wish.min(spare)).min(free);
         self.given = self.given.saturating_add(given);
         given
@@ -349,9 +374,15 @@
     pub fn record_request(&mut self, cost: TokenCount, now: Instant) {
         self.unreported_demand = self.unreported_demand.saturating_add(cost);
         self.own_demand.record(cost, now);
+        self.record_cost(cost);
         self.record_demand(cost, now);
     }
 
+    /// Records what a request of this VM or of another one needs at once.
+    pub fn record_cost(&mut self, cost: TokenCount) {
+        self.recent_cost = (cost.0 as f64).max(self.recent_cost * COST_DECAY);
+    }
+
     /// Returns the demand that has not been reported to the keeper, and marks it as
     /// reported.
     pub fn take_unreported_demand(&mut self) -> TokenCount {
--- a/lib/gateway/src/holding/era_claim.rs
+++ b/lib/gateway/src/holding/era_claim.rs
@@ -15,13 +15,15 @@
             return;
         }
         self.era = era;
-        let allowance = self.allowance();
+        let own_witness = self.view.and_then(|view| view.own_witness);
+        let allowance = self.record_allowance();
         self.pending = None;
         self.claim = Some(allowance.granted).filter(|claim| !claim.is_zero());
         self.applied_at = allowance.since;
         self.view = self.claim.map(|claim| BudgetView {
             own_granted: claim,
             own_pace: allowance.pace,
+            own_witness,
             ..BudgetView::default()
         });
     }
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -91,7 +91,7 @@
             _ => self.largest_waiting.saturating_add(queued),
         };
         let target = TokenCount(self.target(role, now) as u64);
-        let urgent = !wanted.is_zero() && self.free(now) < wanted;
+        let urgent = !wanted.is_zero() && self.free_by_record(now) < wanted;
         let low =
             (held.0 as f64) < target.0 as f64 * RENEW_FRACTION && !self.unassigned().is_zero();
         if urgent || low {
@@ -99,6 +99,11 @@
             let granted = self.granted().saturating_add(missing);
             return Some(GrantNeed { granted, urgent });
         }
+        if self.needs_new_witness() {
+            let granted = self.granted();
+            let urgent = self.is_held_up_by_promise(wanted, now);
+            return Some(GrantNeed { granted, urgent });
+        }
         if self.has_pending_return() || self.has_claim() {
             let granted = self.granted();
             let urgent = false;
@@ -146,7 +151,7 @@
     /// Returns whether the pace should be renewed: it leaves too little for current
     /// demand, or so much that a kill would cost too much.
     fn needs_new_pace(&self, now: Instant) -> bool {
-        let allowance = self.allowance();
+        let allowance = self.record_allowance();
         if allowance.pace.is_none() {
             return false;
         }
--- a/lib/gateway/src/holding/request_plan.rs
+++ b/lib/gateway/src/holding/request_plan.rs
@@ -61,14 +61,22 @@
         self.sequence += 1;
         self.last_reported_use = self.accounted_use();
         self.largest_waiting = TokenCount::ZERO;
-        let pace = time.boot.map(|set_at| DatedPace { pace, set_at });
+        let pace = time.boot.map(|set_at| DatedPace {
+            pace,
+            set_at,
+            witness: self.witness,
+        });
         let allowance = Allowance {
             granted,
             pace: pace.map(|dated| dated.pace),
             since: time.now,
         };
+        let is_other = |known: &PendingGrantRequest| known.has_other_witness;
+        let view = self.view.unwrap_or_default();
         self.pending = Some(PendingGrantRequest {
             sequence: self.sequence,
+            has_other_witness: self.pending.as_ref().is_some_and(is_other)
+                || self.witness != view.own_witness,
             allowance: match self.pending {
                 Some(pending) => pending.allowance.intersect(allowance),
                 None => allowance,
--- a/lib/gateway/src/spending_pace.rs
+++ b/lib/gateway/src/spending_pace.rs
@@ -16,6 +16,8 @@
 use snipegate_types::BootTimestamp;
 use snipegate_types::TokenCount;
 
+use crate::spending_witness::WitnessRef;
+
 /// Upper bound on the spending of a grant, as a function of the time since the pace was
 /// set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +55,9 @@
     pub pace: SpendingPace,
     /// Time at which the pace was set, on the clock of the machine's boot.
     pub set_at: BootTimestamp,
+    /// Process to which the spending process promises closer bounds.
+    #[serde(default)]
+    pub witness: Option<WitnessRef>,
 }
 
 impl DatedPace {
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -243,6 +243,9 @@
     with_holding(gateway, request.workspace, |_, holding| {
         holding.record_reported_use(request.report);
         holding.record_demand(request.demand, now);
+        if !request.need.is_zero() {
+            holding.record_cost(request.need);
+        }
     });
 }
 
@@ -262,12 +265,23 @@
 /// Returns whether a token request should be answered now, with or without tokens.
 fn is_due(gateway: &Gateway, queued: &QueuedTokenRequest, now: Instant) -> bool {
     let waited = now.saturating_duration_since(queued.queued_at);
+    if waited < MAX_QUEUE_TIME && waits_for_promise(gateway, &queued.request, now) {
+        return false;
+    }
     free_tokens(gateway, queued.request.workspace) >= queued.request.need
         || waited >= MAX_QUEUE_TIME
         || gateway.store_contact.get().is_failing()
         || cannot_be_granted(gateway, queued)
 }
 
+/// Returns whether the tokens of a request are there as soon as the witness has taken a promise.
+fn waits_for_promise(gateway: &Gateway, request: &TokenRequest, now: Instant) -> bool {
+    with_holding(gateway, request.workspace, |_, holding| {
+        holding.named_witness().is_some() && holding.is_held_up_by_promise(request.need, now)
+    })
+    .unwrap_or(false)
+}
+
 /// Returns the number of tokens of a budget that other VMs are waiting for.
 pub fn queued_tokens(gateway: &Gateway, workspace: u64) -> TokenCount {
     let queue = gateway.queued_token_requests.borrow();
