gateway: memory for responses is shared by upstream, service and workspace

Cause: the room (a quarter of the memory) went to whoever came first, for as long as it liked. Change: while there is room each response takes what it needs. Then one that needs more displaces the largest response of the upstream, the service or the workspace that uses most, if that uses more than its own would with the addition; so equals don't displace each other in turn. The displaced read or write ends at once; a stream may go on at another upstream, a caller that does not read is closed. A success without a signature is given up at its head, since nothing after it makes it valid, and an error response above 64 KiB is not kept while another upstream is tried.

--- a/lib/gateway/src/attempt.rs
+++ b/lib/gateway/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::rate_log::log_rate_change;
 use crate::rate_table::RateAnswer;
 use crate::response_memory::MemoryReservation;
+use crate::response_memory::NoResponseMemory;
 use crate::upstream::UpstreamEntry;
 use crate::wire_format::ForwardMetadata;
 
@@ -80,8 +81,10 @@
     UnnamedRefusal,
     /// No response head came in time.
     Silent,
-    /// The response exceeds the size limit or the memory left for response buffers.
+    /// The response exceeds the size limit.
     TooLarge,
+    /// There is no memory for the response, or its memory was needed for others.
+    Displaced,
 }
 
 impl SendFailure {
@@ -171,9 +174,8 @@
             return Err(SendFailure::TooLarge);
         }
         let mut body = BytesMut::new();
-        while let Some(part) = self.read_part().await? {
-            if !memory.try_grow(part.len()) || (body.len() + part.len()) as u64 > MAX_BUFFERED_BODY
-            {
+        while let Some(part) = self.read_part_into(memory).await? {
+            if (body.len() + part.len()) as u64 > MAX_BUFFERED_BODY {
                 return Err(SendFailure::TooLarge);
             }
             body.extend_from_slice(&part);
@@ -181,6 +183,28 @@
         Ok(body.freeze())
     }
 
+    /// Reads the next part of the body into memory reserved from `memory`; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is truncated or malformed, or if there is no memory for it.
+    pub async fn read_part_into(
+        &mut self,
+        memory: &mut MemoryReservation,
+    ) -> Result<Option<Bytes>, SendFailure> {
+        let displaced = memory.displaced();
+        let part = tokio::select! {
+            biased;
+            part = self.read_part() => part?,
+            () = displaced => return Err(SendFailure::Displaced),
+        };
+        let length = part.as_ref().map_or(0, Bytes::len);
+        let reserved = memory.try_grow(length);
+        reserved
+            .map(|()| part)
+            .map_err(|NoResponseMemory| SendFailure::Displaced)
+    }
+
     /// Discards the body of a refusal; returns the connection to the pool if the body ends in
     /// time.
     pub async fn discard_refusal(mut self, gateway: &Gateway, id: &UpstreamId) {
--- a/lib/gateway/src/crash_probe.rs
+++ b/lib/gateway/src/crash_probe.rs
@@ -87,7 +87,8 @@
         | SendFailure::NothingSent
         | SendFailure::UnnamedRefusal
         | SendFailure::Silent
-        | SendFailure::TooLarge => false,
+        | SendFailure::TooLarge
+        | SendFailure::Displaced => false,
     }
 }
 
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::request_guards::LoadGuard;
 use crate::request_guards::Reservation;
 use crate::response_memory::MemoryReservation;
+use crate::response_memory::ResponseOwner;
 use crate::upstream::UpstreamEntry;
 use crate::wire_format::ForwardMetadata;
 
@@ -54,6 +55,9 @@
 /// end marker.
 const EXTRA_EVENTS: u64 = 16;
 
+/// Largest body of an error response, in bytes, that is kept while another upstream is tried.
+const MAX_FALLBACK_BODY: usize = 64 << 10;
+
 /// A request that was read completely.
 pub struct CallerRequest {
     /// The head.
@@ -122,8 +126,6 @@
     progress: StreamProgress,
     /// The last error response, forwarded if no attempt succeeds.
     fallback: Option<(ResponseHead, Bytes)>,
-    /// Memory reserved for buffered parts of responses.
-    memory: MemoryReservation,
 }
 
 impl<'a> Relay<'a> {
@@ -152,7 +154,6 @@
             may_have_run: false,
             progress: StreamProgress::default(),
             fallback: None,
-            memory: MemoryReservation::new(gateway),
         }
     }
 
@@ -203,7 +204,7 @@
             self.current = Some(entry.id.clone());
             self.attempt_events = 0;
             self.first_event_at = None;
-            self.memory.clear();
+            self.drop_large_fallback();
             let outcome = self.send_once(caller, &entry, &choice).await?;
             self.current = None;
             self.record_outcome(&entry.id, &outcome);
@@ -234,6 +235,15 @@
         }
     }
 
+    /// Drops a large error response before the next attempt, which would otherwise be kept for
+    /// as long as that lasts.
+    fn drop_large_fallback(&mut self) {
+        let is_large = |(_, body): &(ResponseHead, Bytes)| body.len() > MAX_FALLBACK_BODY;
+        if self.fallback.as_ref().is_some_and(is_large) {
+            self.fallback = None;
+        }
+    }
+
     /// Makes one attempt at an upstream and relays the response.
     async fn send_once(
         &mut self,
@@ -260,6 +270,10 @@
             // The caller is within a stream, in which only events may follow.
             return Ok(SendOutcome::Broken(SendFailure::Malformed));
         }
+        if response.head.is_success() && !response.metadata.signed {
+            // Whatever follows, it is no response of the upstream.
+            return Ok(SendOutcome::Broken(SendFailure::Malformed));
+        }
         if self.admission.route.retry_safety.is_stream() && response.head.is_success() {
             return self
                 .relay_stream(caller, entry, choice, &load_guard, response)
@@ -315,20 +329,14 @@
         load_guard: &LoadGuard,
         mut response: UpstreamResponse,
     ) -> Result<SendOutcome, CallerDisconnected> {
-        let body = match response.read_body(&mut self.memory).await {
+        let mut memory = self.reserve_memory(entry);
+        let body = match response.read_body(&mut memory).await {
             Ok(body) => body,
-            Err(failure) => {
-                self.memory.clear();
-                return Ok(SendOutcome::Broken(failure));
-            }
+            Err(failure) => return Ok(SendOutcome::Broken(failure)),
         };
         let head = response.head.clone();
-        let signed = response.metadata.signed;
         let is_framed = !response.ends_with_connection();
         response.release(self.gateway, &entry.id);
-        if head.is_success() && !signed {
-            return Ok(SendOutcome::Broken(SendFailure::Malformed));
-        }
         if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
             return Ok(SendOutcome::Failed(head, body));
         }
@@ -344,9 +352,8 @@
         if head.is_success() && is_framed {
             self.record_sound_answer(now);
         }
-        caller
-            .write_response(strip_hop_by_hop_fields(&head), &body)
-            .await?;
+        let write = caller.write_response(strip_hop_by_hop_fields(&head), &body);
+        unless_displaced(&memory, write).await?;
         self.record_answered(&entry.id, elapsed);
         Ok(SendOutcome::Answered)
     }
@@ -360,13 +367,11 @@
         load_guard: &LoadGuard,
         mut response: UpstreamResponse,
     ) -> Result<SendOutcome, CallerDisconnected> {
-        if !response.metadata.signed {
-            return Ok(SendOutcome::Broken(SendFailure::Malformed));
-        }
+        let mut memory = self.reserve_memory(entry);
         let mut splitter = EventSplitter::default();
         let mut is_first_part = true;
         loop {
-            let part = match response.read_part().await {
+            let part = match response.read_part_into(&mut memory).await {
                 Ok(Some(part)) => part,
                 Ok(None) if splitter.has_partial() => {
                     return Ok(SendOutcome::Broken(SendFailure::Malformed));
@@ -382,7 +387,7 @@
                 is_first_part = false;
                 self.record_first_byte(entry, choice, load_guard);
             }
-            if splitter.exceeds_limit() || !self.memory.try_grow(part.len()) {
+            if splitter.exceeds_limit() {
                 return Ok(SendOutcome::Broken(SendFailure::TooLarge));
             }
             let Some(batch) = splitter.push(&part) else {
@@ -399,11 +404,12 @@
             match caller.state() {
                 ResponseState::NotStarted => {
                     let head = strip_hop_by_hop_fields(&response.head);
-                    caller.begin_stream(head, &batch.bytes).await?;
+                    let write = caller.begin_stream(head, &batch.bytes);
+                    unless_displaced(&memory, write).await?;
                 }
-                _ => caller.write_chunk(&batch.bytes).await?,
+                _ => unless_displaced(&memory, caller.write_chunk(&batch.bytes)).await?,
             }
-            self.memory.clear();
+            memory.clear();
             if batch.last_id.is_some() {
                 self.progress.last_event = batch.last_id;
             }
@@ -428,6 +434,16 @@
         Ok(SendOutcome::Answered)
     }
 
+    /// Reserves memory for a response of an upstream.
+    fn reserve_memory(&self, entry: &UpstreamEntry) -> MemoryReservation {
+        let owner = ResponseOwner {
+            upstream: entry.id.clone(),
+            service: entry.service.clone(),
+            workspace: self.admission.workspace.clone(),
+        };
+        MemoryReservation::new(self.gateway, owner)
+    }
+
     /// Returns the maximum number of events in a stream. Each carries at least one token, except
     /// for the extra ones.
     fn max_events(&self) -> u64 {
@@ -449,3 +465,16 @@
         })
     }
 }
+
+/// Writes to the caller, unless the memory that the write holds is needed for others: a caller
+/// that does not read ends without a complete response then.
+async fn unless_displaced<T>(
+    memory: &MemoryReservation,
+    write: impl Future<Output = Result<T, CallerDisconnected>>,
+) -> Result<T, CallerDisconnected> {
+    tokio::select! {
+        biased;
+        result = write => result,
+        () = memory.displaced() => Err(CallerDisconnected),
+    }
+}
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -37,6 +37,12 @@
 /// Pause between two chunks of [`EndlessPart::Refusal`].
 const REFUSAL_CHUNK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two bytes of [`EndlessPart::HalfEvent`].
+const HALF_EVENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bytes of [`EndlessPart::HalfEvent`] that come at once.
+const HALF_EVENT_BYTES: usize = 960 * 1024;
+
 /// Pause between two packets of [`RunnerScript::CutHead`].
 const PACKET_PAUSE: Duration = Duration::from_millis(2);
 
@@ -367,6 +373,10 @@
         RunnerScript::TruncateStream(events) => {
             stream_events(state, stream, request, events, Duration::ZERO, true).await
         }
+        RunnerScript::LargeBody(size) => {
+            let head = signed_head(state, request, 200);
+            write_response(stream, head, "x".repeat(size).as_bytes()).await
+        }
         RunnerScript::Endless(part) => {
             write_endless(state, stream, request, part).await;
             false
@@ -431,6 +441,7 @@
     let chunked = |head| with_field(head, "Transfer-Encoding", "chunked");
     let pause = match part {
         EndlessPart::Refusal => REFUSAL_CHUNK_PAUSE,
+        EndlessPart::HalfEvent => HALF_EVENT_PAUSE,
         _ => Duration::ZERO,
     };
     let stray = with_field(ResponseHead::new(200, "OK"), "X-Attempt-Id", "another");
@@ -451,9 +462,14 @@
             Some(chunked(signed_head(state, request, 200))),
             "X-More: and more\r\n".to_owned(),
         ),
+        EndlessPart::HalfEvent => (Some(stream_head(state, request)), encode_chunk("x")),
     };
     let mut open = match (head, part) {
         (Some(head), EndlessPart::Trailer) => write_raw(stream, &head, b"0\r\n").await,
+        (Some(head), EndlessPart::HalfEvent) => {
+            let begin = encode_chunk(&format!("data: {}", "x".repeat(HALF_EVENT_BYTES)));
+            write_raw(stream, &head, begin.as_bytes()).await
+        }
         (Some(head), _) => write_raw(stream, &head, b"").await,
         (None, EndlessPart::Head) => write_all(stream, b"HTTP/1.1 200 OK\r\n").await.is_ok(),
         (None, _) => true,
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -24,6 +24,8 @@
     Events,
     /// The trailer fields after the last chunk.
     Trailer,
+    /// An event of which a large part comes at once and the rest slowly.
+    HalfEvent,
 }
 
 /// How the body of a response is framed.
@@ -108,6 +110,8 @@
     TruncateStream(u64),
     /// It sends this part of a response until the client closes the connection.
     Endless(EndlessPart),
+    /// Respond with a sound body of this many bytes.
+    LargeBody(usize),
 }
 
 /// What in a request crashes a runner.
