budget: parts of the change that a newcomer would stop at

Earlier runs with a witness, starts of absences and grants of earlier processes have types in place of tuples; buffers of responses are opened in one step; the simulations and the tests of returns share what they set up. A settlement counts budgets of its own shard only: it made records of all workspaces in each shard (no test covers that; found by reading). Tests of the gateway's budgets, memory and returns pass.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -357,7 +357,8 @@
         }
         let mut shard = self.shard.clone();
         let mut changed = self.begin_era(gateway, &mut shard);
-        let prepaid = prepaid_by_hash(gateway);
+        let mut prepaid = prepaid_by_hash(gateway);
+        prepaid.retain(|workspace, _| workspace % SHARDS == self.number);
         for request in requests {
             let prepaid = prepaid.get(&request.workspace).copied().unwrap_or_default();
             let before = shard.totals_closed(request.workspace);
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -338,8 +338,8 @@
     /// the shard.
     pub(super) fn take_over(&self, gateway: &Gateway, shard: &mut BudgetShard) -> bool {
         let vm = stable_hash(gateway.settings.vm.as_str());
-        let testimonies = gateway.testimonies.borrow();
-        for testimony in testimonies.iter().filter_map(|known| known.2.as_ref()) {
+        let runs = gateway.earlier_runs.borrow();
+        for testimony in runs.iter().filter_map(|run| run.testimony.as_ref()) {
             shard.apply_testimony(vm, testimony, gateway.started_at);
         }
         shard.take_over(vm, gateway.incarnation, gateway.started_at)
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -23,8 +23,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::local_response::jitter;
+use crate::promise_keeper::EarlierRun;
 use crate::promise_keeper::collect_testimonies;
-use crate::spending_witness::WitnessRef;
 use crate::store_task::StoreTask;
 use crate::token_request::report_use;
 use crate::transfer::TransferTarget;
@@ -84,13 +84,22 @@
 }
 
 /// Returns the earlier processes of this VM whose spending has a witness, each once.
-fn witnessed_runs(gateway: &Gateway, workers: &[ShardWorker]) -> Vec<(u64, WitnessRef)> {
+fn witnessed_runs(gateway: &Gateway, workers: &[ShardWorker]) -> Vec<EarlierRun> {
     let vm = stable_hash(gateway.settings.vm.as_str());
     let shards = workers.iter().map(|worker| &worker.shard);
-    let mut runs = Vec::new();
-    for run in shards.flat_map(|shard| shard.witnessed_runs(vm, gateway.incarnation)) {
-        if !runs.contains(&run) {
-            runs.push(run);
+    let mut runs: Vec<EarlierRun> = Vec::new();
+    for holder in shards.flat_map(|shard| shard.earlier_holders(vm, gateway.incarnation)) {
+        let is_known = |run: &EarlierRun| {
+            run.incarnation == holder.incarnation && Some(run.witness) == holder.witness()
+        };
+        if let Some(witness) = holder.witness()
+            && !runs.iter().any(is_known)
+        {
+            runs.push(EarlierRun {
+                incarnation: holder.incarnation,
+                witness,
+                testimony: None,
+            });
         }
     }
     runs
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -15,6 +15,7 @@
 use snipegate_types::BootTimestamp;
 use snipegate_types::TokenCount;
 
+use crate::budget_record::BudgetHolder;
 use crate::budget_record::BudgetRecord;
 use crate::budget_record::BudgetView;
 use crate::budget_record::GrantLimit;
@@ -25,7 +26,6 @@
 use crate::shard_writer::WriterLevel;
 use crate::shard_writer::WriterState;
 use crate::spending_witness::SpendingTestimony;
-use crate::spending_witness::WitnessRef;
 
 /// Maximum number of withdrawn registrations that are kept, for reports in later eras.
 const MAX_WITHDRAWN_WRITERS: usize = 64;
@@ -439,14 +439,15 @@
         }
     }
 
-    /// Returns the earlier processes of a VM whose spending has a witness.
-    pub fn witnessed_runs(&self, vm: u64, incarnation: u64) -> Vec<(u64, WitnessRef)> {
+    /// Returns the grants of earlier processes of a VM.
+    pub fn earlier_holders(
+        &self,
+        vm: u64,
+        incarnation: u64,
+    ) -> impl Iterator<Item = &BudgetHolder> {
         let records = self.records.values();
         let holders = records.flat_map(|record| &record.holders);
-        let earlier = holders.filter(|holder| holder.vm == vm && holder.incarnation != incarnation);
-        earlier
-            .filter_map(|holder| Some((holder.incarnation, holder.witness()?)))
-            .collect()
+        holders.filter(move |holder| holder.vm == vm && holder.incarnation != incarnation)
     }
 
     /// Drops which VMs' ended processes used tokens, for a store that never comes back from a
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -39,6 +39,7 @@
 use crate::peers::PeerTable;
 use crate::peers::VmRecord;
 use crate::pool::ConnectionPool;
+use crate::promise_keeper::EarlierRun;
 use crate::promise_keeper::WitnessLink;
 use crate::rate_table::RateTable;
 use crate::response_memory::ResponseMemory;
@@ -46,9 +47,7 @@
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
 use crate::shard_memory::ShardMemory;
-use crate::spending_witness::SpendingTestimony;
 use crate::spending_witness::WitnessLog;
-use crate::spending_witness::WitnessRef;
 use crate::stage::VmStage;
 use crate::stop_plan::StopPlan;
 use crate::store_contact::StoreContact;
@@ -133,8 +132,8 @@
     pub holdings: RefCell<IndexMap<WorkspaceId, BudgetHolding>>,
     /// Whether the witnesses of earlier runs of this VM have been asked, or there are none.
     pub earlier_runs_known: Cell<bool>,
-    /// Earlier runs of this VM, by incarnation, with their witnesses and what these told.
-    pub testimonies: RefCell<Vec<(u64, WitnessRef, Option<SpendingTestimony>)>>,
+    /// Earlier runs of this VM whose spending had a witness.
+    pub earlier_runs: RefCell<Vec<EarlierRun>>,
     /// This run's relation to the witness of its spending.
     pub witness_link: RefCell<WitnessLink>,
     /// Promises that this run keeps as the witness of other VMs.
@@ -264,7 +263,7 @@
             holdings: RefCell::default(),
             shard_memories: RefCell::default(),
             earlier_runs_known: Cell::new(false),
-            testimonies: RefCell::default(),
+            earlier_runs: RefCell::default(),
             witness_link: RefCell::default(),
             witness_log: RefCell::default(),
             promise_notify: Notify::new(),
--- a/lib/gateway/src/promise_keeper.rs
+++ b/lib/gateway/src/promise_keeper.rs
@@ -69,6 +69,17 @@
     failed: IndexMap<SocketAddr, Instant>,
 }
 
+/// An earlier run of this VM whose spending had a witness.
+#[derive(Clone, Debug)]
+pub struct EarlierRun {
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The witness that the record names.
+    pub witness: WitnessRef,
+    /// What the witness told; `None` if it has not answered.
+    pub testimony: Option<SpendingTestimony>,
+}
+
 /// Makes promises until the process ends.
 pub async fn make_promises(gateway: Rc<Gateway>) {
     if gateway.boot_timestamp().is_none() {
@@ -242,45 +253,47 @@
 
 /// Records what an earlier process of this VM had promised.
 pub fn handle_testimony(gateway: &Gateway, testimony: SpendingTestimony) {
-    let mut testimonies = gateway.testimonies.borrow_mut();
-    let is_expected = |known: &&mut (u64, WitnessRef, Option<SpendingTestimony>)| {
-        known.0 == testimony.incarnation && known.1.incarnation == testimony.witness
+    let mut runs = gateway.earlier_runs.borrow_mut();
+    let is_expected = |run: &&mut EarlierRun| {
+        run.incarnation == testimony.incarnation && run.witness.incarnation == testimony.witness
     };
-    if let Some(known) = testimonies.iter_mut().find(is_expected) {
-        known.2 = Some(testimony);
+    if let Some(run) = runs.iter_mut().find(is_expected) {
+        run.testimony = Some(testimony);
     }
 }
 
 /// Asks the witnesses of earlier processes of this VM for what those promised, and waits a
 /// short time for the answers.
-pub async fn collect_testimonies(gateway: &Gateway, runs: Vec<(u64, WitnessRef)>) {
-    let unanswered = runs
-        .into_iter()
-        .map(|(incarnation, witness)| (incarnation, witness, None));
-    *gateway.testimonies.borrow_mut() = unanswered.collect();
+pub async fn collect_testimonies(gateway: &Gateway, runs: Vec<EarlierRun>) {
+    *gateway.earlier_runs.borrow_mut() = runs;
     let began = gateway.now();
     while gateway.now().saturating_duration_since(began) < QUERY_TIMEOUT {
-        let open: Vec<(u64, WitnessRef)> = {
-            let testimonies = gateway.testimonies.borrow();
-            let open = testimonies.iter().filter(|known| known.2.is_none());
-            open.map(|known| (known.0, known.1)).collect()
-        };
-        if open.is_empty() {
+        if !send_queries(gateway) {
             break;
         }
-        for (incarnation, witness) in open {
-            let query = PromiseQuery {
-                vm: stable_hash(gateway.settings.vm.as_str()),
-                incarnation,
-                witness: witness.incarnation,
-            };
-            gateway.send_direct(witness.address, PeerMessage::PromiseQuery(query));
-        }
         sleep(QUERY_INTERVAL).await;
     }
-    for (incarnation, witness, testimony) in gateway.testimonies.borrow().iter() {
-        info!(gateway.log, "witness of an earlier run asked"; "incarnation" => incarnation,
-            "witness" => %witness.address, "answered" => testimony.is_some(),
-            "budgets" => testimony.as_ref().map_or(0, |testimony| testimony.paces.len()));
+    for run in gateway.earlier_runs.borrow().iter() {
+        let testimony = run.testimony.as_ref();
+        info!(gateway.log, "witness of an earlier run asked"; "incarnation" => run.incarnation,
+            "witness" => %run.witness.address, "answered" => testimony.is_some(),
+            "budgets" => testimony.map_or(0, |testimony| testimony.paces.len()));
+    }
+}
+
+/// Asks all witnesses that have not answered; returns whether there are any.
+fn send_queries(gateway: &Gateway) -> bool {
+    let runs = gateway.earlier_runs.borrow();
+    let open = runs.iter().filter(|run| run.testimony.is_none());
+    let mut is_any = false;
+    for run in open {
+        is_any = true;
+        let query = PromiseQuery {
+            vm: stable_hash(gateway.settings.vm.as_str()),
+            incarnation: run.incarnation,
+            witness: run.witness.incarnation,
+        };
+        gateway.send_direct(run.witness.address, PeerMessage::PromiseQuery(query));
     }
+    is_any
 }
--- a/lib/gateway/src/response_memory.rs
+++ b/lib/gateway/src/response_memory.rs
@@ -101,16 +101,21 @@
 
     /// Opens an empty buffer; returns its number.
     pub fn open(&self, owner: ResponseOwner) -> u64 {
+        self.open_state(owner).0
+    }
+
+    fn open_state(&self, owner: ResponseOwner) -> (u64, Rc<BufferState>) {
         let number = self.next_buffer.get();
         self.next_buffer.set(number + 1);
-        let state = BufferState {
+        let state = Rc::new(BufferState {
             owner,
             bytes: Cell::default(),
             is_displaced: Cell::default(),
             displaced: Notify::new(),
-        };
-        self.buffers.borrow_mut().insert(number, Rc::new(state));
-        number
+        });
+        let mut buffers = self.buffers.borrow_mut();
+        buffers.insert(number, Rc::clone(&state));
+        (number, state)
     }
 
     /// Reserves memory for a buffer, displacing others if there is no room; returns these.
@@ -178,9 +183,8 @@
             for state in buffers.values() {
                 *used.entry(group.member(&state.owner)).or_default() += state.bytes.get().0;
             }
-            let most = used
-                .get(&own)
-                .map_or(0, |used| used.saturating_add(bytes.0));
+            let most = used.get(&own).copied().unwrap_or(0);
+            let most = most.saturating_add(bytes.0);
             // The largest buffer decides among the groups that use too much.
             let excessive = buffers.values().filter(|state| {
                 let other = group.member(&state.owner);
@@ -217,13 +221,11 @@
 impl MemoryReservation {
     /// Creates an empty reservation.
     pub fn new(gateway: &Rc<Gateway>, owner: ResponseOwner) -> Self {
-        let memory = &gateway.response_memory;
-        let buffer = memory.open(owner.clone());
-        let state = memory.state(buffer);
+        let (buffer, state) = gateway.response_memory.open_state(owner);
         Self {
             gateway: Rc::clone(gateway),
             buffer,
-            state: state.unwrap_or_else(|| unreachable!("the buffer was just opened")),
+            state,
         }
     }
 
--- a/lib/gateway/src/writer_absence.rs
+++ b/lib/gateway/src/writer_absence.rs
@@ -13,11 +13,19 @@
 /// less.
 const ABSENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// First sight of a registered VM that is gone.
+#[derive(Clone, Copy, Debug)]
+struct AbsenceStart {
+    /// Changes of the registration at that time.
+    changes: u64,
+    since: Instant,
+}
+
 /// When registered VMs were first seen to be gone.
 #[derive(Clone, Debug, Default)]
 pub struct WriterAbsences {
-    /// Keyed by the hash of the VM's id, with the changes of its registration at that time.
-    gone_since: IndexMap<u64, (u64, Instant)>,
+    /// Keyed by the hash of the VM's id.
+    by_vm: IndexMap<u64, AbsenceStart>,
 }
 
 impl WriterAbsences {
@@ -34,20 +42,24 @@
             writer.mature > WriterLevel::None && (has_ended || !is_listed(writer.vm))
         };
         let gone = writers.iter().filter(|writer| is_gone(writer));
-        let since = gone.map(|writer| {
-            let known = self.gone_since.get(&writer.vm);
-            let known = known.filter(|(changes, _)| *changes == writer.changes);
-            let since = known.map_or(now, |(_, since)| *since);
-            (writer.vm, (writer.changes, since))
+        let starts = gone.map(|writer| {
+            let known = self.by_vm.get(&writer.vm);
+            let known = known.filter(|start| start.changes == writer.changes);
+            let new = AbsenceStart {
+                changes: writer.changes,
+                since: now,
+            };
+            (writer.vm, known.copied().unwrap_or(new))
         });
-        self.gone_since = since.collect();
+        self.by_vm = starts.collect();
     }
 
     /// Returns the VMs whose registrations should be withdrawn.
     pub fn due(&self, now: Instant) -> impl Iterator<Item = u64> {
-        let is_due = move |since: Instant| now.saturating_duration_since(since) >= ABSENCE_TIMEOUT;
-        let gone = self.gone_since.iter();
-        gone.filter(move |(_, (_, since))| is_due(*since))
-            .map(|(vm, _)| *vm)
+        let is_due = move |start: &AbsenceStart| {
+            now.saturating_duration_since(start.since) >= ABSENCE_TIMEOUT
+        };
+        let due = self.by_vm.iter().filter(move |(_, start)| is_due(start));
+        due.map(|(vm, _)| *vm)
     }
 }
--- a/lib/gateway/tests/test_store_return.rs
+++ b/lib/gateway/tests/test_store_return.rs
@@ -164,18 +164,24 @@
     assert!(spent > PREPAID.0, "{spent} tokens spent");
 }
 
-/// Returns the tokens spent if the withdrawal of a VM is executed in a copy from before the VM
-/// was granted tokens.
-fn spend_with_late_withdrawal(fault: PlantedFault) -> u64 {
+/// Starts two VMs that may be granted whole budgets.
+fn start_two_writers(fault: PlantedFault) -> (TestStore, [TestVm; 2], Instant) {
     let start = Instant::now();
     let mut store = TestStore::new(fault);
     let mut vms = [0, 1].map(|vm| TestVm::new(vm, vm + 1, store.era, start, fault));
-    for now in [start, start + 2 * MAX_COPY_AGE] {
+    let mature = start + 2 * MAX_COPY_AGE;
+    for now in [start, mature] {
         for vm in &mut vms {
             vm.write(&mut store, WriterLevel::Full, now);
         }
     }
-    let now = start + 2 * MAX_COPY_AGE;
+    (store, vms, mature)
+}
+
+/// Returns the tokens spent if the withdrawal of a VM is executed in a copy from before the VM
+/// was granted tokens.
+fn spend_with_late_withdrawal(fault: PlantedFault) -> u64 {
+    let (mut store, mut vms, now) = start_two_writers(fault);
     store.keep_copy(now);
     let late = vms[0].plan_withdrawal(&mut store, 1, now);
     let mut spent = 0;
@@ -204,15 +210,7 @@
 /// Returns the tokens spent if a process stops in a new era after it has spent all of a budget
 /// and another VM goes on.
 fn spend_beside_stop(fault: PlantedFault) -> u64 {
-    let start = Instant::now();
-    let mut store = TestStore::new(fault);
-    let mut vms = [0, 1].map(|vm| TestVm::new(vm, vm + 1, store.era, start, fault));
-    for now in [start, start + 2 * MAX_COPY_AGE] {
-        for vm in &mut vms {
-            vm.write(&mut store, WriterLevel::Full, now);
-        }
-    }
-    let now = start + 2 * MAX_COPY_AGE;
+    let (mut store, mut vms, now) = start_two_writers(fault);
     let mut spent = 0;
     for _ in 0..60 {
         spent += vms[0].serve(0, 50, now);
