budget: a shard that was never read does not replace what is remembered

A worker that reads a shard for the first time, as at a planned stop, kept its empty state as the last one of the era before, and dropped what the process knew of ended VMs. Found by reading; no test shows it, since the running worker has told it by then in all tests. Reports and registrations have modules of their own.

--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -20,9 +20,9 @@
 use crate::budget_exchange::workspace_name;
 use crate::budget_record::GrantRequest;
 use crate::budget_shard::BudgetShard;
-use crate::budget_shard::EraReport;
-use crate::budget_shard::GrantKnowledge;
-use crate::budget_shard::UnsettledVm;
+use crate::era_report::EraReport;
+use crate::era_report::GrantKnowledge;
+use crate::era_report::UnsettledVm;
 use crate::gateway::Gateway;
 use crate::gateway::duty_rendezvous_weight;
 use crate::gateway::stable_hash;
@@ -174,8 +174,9 @@
             for claim in &claims {
                 self.log_claim(gateway, claim);
             }
+            let is_complete = report.knowledge != GrantKnowledge::Incomplete;
             info!(gateway.log, "grants reported"; "shard" => self.number, "era" => shard.era.0,
-                "complete" => report.knowledge != GrantKnowledge::Incomplete, "reports_awaited" => shard.awaited().count(),
+                "complete" => is_complete, "reports_awaited" => shard.awaited().count(),
                 "since" => since.0, "closing" => gateway.is_closing.get());
             for grant in forgotten {
                 gateway.metrics.count("budget.unclaimed_grant_removed");
@@ -307,7 +308,9 @@
     /// Updates the memory of the shard, unless its present state may lack writes or the store
     /// never comes back from a copy.
     fn with_memory(&self, gateway: &Gateway, update: impl FnOnce(&mut ShardMemory)) {
-        if self.shard.era != self.revision.era || self.registration.is_immediate() {
+        let era = self.revision.era;
+        let is_unread = era == StoreEra::default();
+        if is_unread || self.shard.era != era || self.registration.is_immediate() {
             return;
         }
         let vm = stable_hash(gateway.settings.vm.as_str());
--- a/lib/gateway/src/budget_shard.rs
+++ b/lib/gateway/src/budget_shard.rs
@@ -5,6 +5,8 @@
 //! it holds, whether or not the copy shows it. Nothing else is granted until all have reported.
 //! What a VM that can't tell may hold, at most, counts as taken.
 
+mod registrations;
+
 use indexmap::IndexMap;
 use rmp_serde::decode;
 use rmp_serde::encode;
@@ -21,43 +23,15 @@
 use crate::budget_record::GrantLimit;
 use crate::budget_record::GrantRequest;
 use crate::budget_record::UnclaimedTokens;
+use crate::era_report::EraReport;
+use crate::era_report::GrantKnowledge;
+use crate::era_report::ReportState;
+use crate::era_report::UnsettledVm;
 use crate::shard_memory::EndedByWorkspace;
 use crate::shard_writer::ShardWriter;
 use crate::shard_writer::WriterLevel;
-use crate::shard_writer::WriterState;
 use crate::spending_witness::SpendingTestimony;
 
-/// Maximum number of withdrawn registrations that are kept, for reports in later eras.
-const MAX_WITHDRAWN_WRITERS: usize = 64;
-
-/// Whether a process knows all grants that its VM had when the store came back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ReportState {
-    /// No process of the VM has reported.
-    Missing,
-    /// An earlier process of the VM may have been granted tokens that the store lost.
-    Incomplete,
-    /// No process of the VM had reported when the wait for reports ended. What it may hold
-    /// counts as taken until one does.
-    Late,
-}
-
-/// A VM that may hold tokens that the records don't show.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UnsettledVm {
-    /// The VM, as a hash of its id.
-    pub vm: u64,
-    /// First era that began without the grants that it has to report.
-    pub since: StoreEra,
-    /// Most that it may have been granted.
-    pub level: WriterLevel,
-    /// What it has reported.
-    pub state: ReportState,
-    /// Changes of its registration that the copy shows from which the store came back.
-    #[serde(default)]
-    pub changes: u64,
-}
-
 /// Adds a VM to those that have to report; `since` is the first era that began without its
 /// grants.
 fn await_report(unsettled: &mut Vec<UnsettledVm>, writer: &ShardWriter, since: StoreEra) {
@@ -77,42 +51,6 @@
     }
 }
 
-/// What a process knows of the grants of its VM that the store may have lost.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GrantKnowledge {
-    /// It knows all of them: those that it holds it claims.
-    Complete {
-        /// What earlier processes of the VM may have used; `None` if the records show it.
-        ended: Option<EndedByWorkspace>,
-    },
-    /// An earlier process may have been granted tokens that this one does not know.
-    Incomplete,
-}
-
-impl GrantKnowledge {
-    /// Returns the knowledge of a process that remembers nothing of the records. `is_old` tells
-    /// that it was there before the oldest copy from which the store can have come back.
-    pub fn of_age(is_old: bool) -> Self {
-        match is_old {
-            true => Self::Complete { ended: None },
-            false => Self::Incomplete,
-        }
-    }
-}
-
-/// Report of a process in a new era of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EraReport {
-    /// The VM, as a hash of its id.
-    pub vm: u64,
-    /// Incarnation of its process.
-    pub incarnation: u64,
-    /// Start time of the process.
-    pub began: Option<BootTimestamp>,
-    /// What the process knows of the grants of its VM that the store may have lost.
-    pub knowledge: GrantKnowledge,
-}
-
 /// Tokens of a budget, as part of a change to its record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorkspaceTokens {
@@ -296,135 +234,6 @@
         }
     }
 
-    /// Counts what earlier processes of a VM may have used, and lets a process take over its
-    /// registration, so that no write of theirs takes effect any more; returns whether that
-    /// changes the shard. A VM that has to report does both in its report.
-    pub fn take_over(&mut self, vm: u64, incarnation: u64, began: Option<BootTimestamp>) -> bool {
-        if self.is_vm_unsettled(vm) {
-            return false;
-        }
-        let mut changed = false;
-        for record in self.records.values_mut() {
-            changed |= record.close_earlier_runs(vm, incarnation, began);
-        }
-        let mut writers = self.writers.iter_mut();
-        let own = writers.find(|writer| writer.vm == vm);
-        let Some(own) = own.filter(|own| own.incarnation != incarnation) else {
-            return changed;
-        };
-        own.take_over(incarnation);
-        true
-    }
-
-    /// Ends a process of a VM as planned: what it was granted and has not returned counts as
-    /// used; returns whether that changes the shard.
-    pub fn end_process(&mut self, vm: u64, incarnation: u64) -> bool {
-        let mut changed = false;
-        for record in self.records.values_mut() {
-            changed |= record.end_process(vm, incarnation);
-        }
-        let mut writers = self.writers.iter_mut();
-        let own = writers.find(|writer| writer.vm == vm && writer.is_running(incarnation));
-        let Some(own) = own else {
-            return changed;
-        };
-        own.end();
-        true
-    }
-
-    /// Withdraws the registration of a VM whose process has ended or is absent; returns whether
-    /// that changes the shard.
-    pub fn withdraw(&mut self, vm: u64) -> bool {
-        let mut writers = self.writers.iter_mut();
-        let writer = writers.find(|writer| writer.vm == vm);
-        let Some(writer) = writer.filter(|writer| writer.mature > WriterLevel::None) else {
-            return false;
-        };
-        writer.withdraw();
-        true
-    }
-
-    /// Returns whether [`BudgetShard::lower_announced`] would change the shard.
-    pub fn can_lower_announced(&self) -> bool {
-        self.writers.iter().any(ShardWriter::can_lower_announced)
-    }
-
-    /// Lowers the announced levels of VMs whose processes have ended or are absent, in a shard as
-    /// the store shows it; returns whether that changes the shard.
-    pub fn lower_announced(&mut self) -> bool {
-        let mut changed = false;
-        for writer in &mut self.writers {
-            changed |= writer.lower_announced();
-        }
-        let is_withdrawn = |writer: &ShardWriter| {
-            writer.announced == WriterLevel::None && writer.state != WriterState::Running
-        };
-        let withdrawn = self.writers.iter().filter(|writer| is_withdrawn(writer));
-        let mut excess = withdrawn.count().saturating_sub(MAX_WITHDRAWN_WRITERS);
-        self.writers.retain(|writer| {
-            let is_kept = excess == 0 || !is_withdrawn(writer);
-            excess -= usize::from(!is_kept);
-            is_kept
-        });
-        changed
-    }
-
-    /// Returns the VMs whose grants an earlier state of the shard tells: `former` is the last
-    /// known state of the era before, it shows that the VM's process had ended or was absent,
-    /// and this era began with an older state or the same.
-    pub fn known_from(&self, former: &BudgetShard) -> Vec<UnsettledVm> {
-        if former.era.0 + 1 != self.era.0 {
-            return Vec::new();
-        }
-        let is_known = |other: &&UnsettledVm| {
-            former.writer(other.vm).is_some_and(|writer| {
-                writer.state != WriterState::Running
-                    && writer.changes >= other.changes
-                    && writer.mature < other.level
-            }) && !former.is_vm_unsettled(other.vm)
-        };
-        self.unsettled.iter().filter(is_known).copied().collect()
-    }
-
-    /// Replaces what the records show of a VM by what an earlier state of the shard shows, see
-    /// [`BudgetShard::known_from`]. `prepaid` is the size of each budget, by workspace.
-    pub fn adopt(
-        &mut self,
-        former: &BudgetShard,
-        known: &UnsettledVm,
-        prepaid: &IndexMap<u64, TokenCount>,
-    ) {
-        let vm = known.vm;
-        let Some(writer) = former.writer(vm).copied() else {
-            return;
-        };
-        for workspace in former.records.keys() {
-            self.records.entry(*workspace).or_default();
-        }
-        for (workspace, record) in &mut self.records {
-            let shown = former.records.get(workspace).cloned().unwrap_or_default();
-            let prepaid = prepaid.get(workspace).copied();
-            let most = writer
-                .mature
-                .max_granted(prepaid.unwrap_or(TokenCount(u64::MAX)));
-            record.adopt(vm, &shown, most, known.state == ReportState::Incomplete);
-        }
-        if let Some(own) = self.writers.iter_mut().find(|own| own.vm == vm)
-            && known.state != ReportState::Incomplete
-        {
-            *own = writer;
-        }
-        match writer.mature {
-            WriterLevel::None => self.unsettled.retain(|other| other.vm != vm),
-            level => {
-                let mut unsettled = self.unsettled.iter_mut();
-                if let Some(other) = unsettled.find(|other| other.vm == vm) {
-                    other.level = level;
-                }
-            }
-        }
-    }
-
     /// Lowers the grants of an ended process of a VM to what it can have spent by its promises.
     pub fn apply_testimony(
         &mut self,
@@ -507,42 +316,6 @@
         counted
     }
 
-    /// Returns the registration of a VM.
-    pub fn writer(&self, vm: u64) -> Option<&ShardWriter> {
-        self.writers.iter().find(|writer| writer.vm == vm)
-    }
-
-    /// Registers a VM with at least a level, where its registration was at `mature` for the age
-    /// of the oldest copy; returns whether that changes the shard. `incarnation` is that of the
-    /// process, which has taken over any earlier registration.
-    ///
-    /// A level is not lowered while the process runs.
-    pub fn register(
-        &mut self,
-        vm: u64,
-        incarnation: u64,
-        level: WriterLevel,
-        mature: WriterLevel,
-    ) -> bool {
-        let before = self.writer(vm).copied();
-        let new = ShardWriter {
-            vm,
-            announced: level,
-            mature: WriterLevel::None,
-            incarnation,
-            state: WriterState::Running,
-            changes: 0,
-        };
-        let mut registered = before.unwrap_or(new);
-        registered.register(level, mature);
-        if before == Some(registered) || registered.announced == WriterLevel::None {
-            return false;
-        }
-        self.writers.retain(|writer| writer.vm != vm);
-        self.writers.push(registered);
-        true
-    }
-
     /// Returns the limits on grants to a VM, of a budget of `prepaid` tokens.
     pub fn grant_limit(&self, vm: u64, prepaid: TokenCount) -> GrantLimit {
         let level = self.writer(vm).map_or(WriterLevel::None, |own| own.mature);
--- a/lib/gateway/src/shard_memory.rs
+++ b/lib/gateway/src/shard_memory.rs
@@ -5,7 +5,7 @@
 use snipegate_types::TokenCount;
 
 use crate::budget_shard::BudgetShard;
-use crate::budget_shard::GrantKnowledge;
+use crate::era_report::GrantKnowledge;
 
 /// Tokens that a VM's ended processes may have used, keyed by the hash of the workspace id.
 pub type EndedByWorkspace = IndexMap<u64, TokenCount>;
