budget: a VM that may not be granted tokens is not the keeper

Cause: the keeper of a shard is chosen by hash alone. One that has just registered, or whose level fell with the planned stop before, is granted nothing or a twentieth; it answered 'none left', and nobody asked another. New VMs had that before; the levels that end with their process made it more. Evidence: the 503 begin with the kill and end 8 s after it, with budgets a twentieth used. Change: such a VM is the keeper as a last resort only, and answers as one that can't reach the store does, so that another is asked. Duties that need no grants stay where they were, or nobody would settle while all VMs are new. Without eras nothing changes.

--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -68,9 +68,27 @@
 ///
 /// VMs that receive gossip from each other agree on the keeper by weighted hashing.
 /// They choose a VM that reaches the store, as long as there is one. VMs that failed to
-/// answer recently are skipped, and a VM that is leaving is chosen only if there is no
-/// other.
+/// answer recently are skipped, and a VM that is leaving or that may not be granted whole
+/// budgets is chosen only if there is no other.
 pub fn remote_keeper(gateway: &Gateway, shard: u64, now: Instant) -> Option<TransferTarget> {
+    let is_restricted = gateway.restricted_shards.borrow().contains(&shard);
+    heavier_vm(gateway, shard, is_restricted, now)
+}
+
+/// Returns the VM that has the duties of a shard that need no grants, such as ending the wait
+/// for reports; `None` if it is this VM.
+pub fn remote_duty_holder(gateway: &Gateway, shard: u64, now: Instant) -> Option<TransferTarget> {
+    heavier_vm(gateway, shard, false, now)
+}
+
+/// Returns the VM that is chosen for a shard, unless it is this one, which is a last resort if
+/// it `is_restricted`.
+fn heavier_vm(
+    gateway: &Gateway,
+    shard: u64,
+    is_restricted: bool,
+    now: Instant,
+) -> Option<TransferTarget> {
     let weight = |vm: &VmId| duty_rendezvous_weight(vm, shard);
     let is_cut_off = gateway.store_contact.get().is_failing();
     let failed = gateway.failed_keepers.borrow();
@@ -100,8 +118,9 @@
             .map(|record| (weight(&record.vm), record))
             .max_by(by_weight)?,
     };
-    let is_last_resort =
-        gateway.stage.get() == VmStage::Leaving || (is_cut_off && reaching.is_some());
+    let is_last_resort = gateway.stage.get() == VmStage::Leaving
+        || is_restricted
+        || (is_cut_off && reaching.is_some());
     let own = if is_last_resort {
         0
     } else {
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -15,7 +15,7 @@
 
 use super::ShardWorker;
 use super::plan_time;
-use crate::budget_exchange::remote_keeper;
+use crate::budget_exchange::remote_duty_holder;
 use crate::budget_exchange::shard_of;
 use crate::budget_exchange::workspace_name;
 use crate::budget_record::GrantRequest;
@@ -245,7 +245,7 @@
             && self.shard.era == self.revision.era
             && !self.shard.is_unsettled()
             && !gateway.store_contact.get().is_failing()
-            && remote_keeper(gateway, self.number, now).is_none();
+            && remote_duty_holder(gateway, self.number, now).is_none();
         if !is_duty {
             self.absences = WriterAbsences::default();
             return;
@@ -259,7 +259,7 @@
 
     /// Returns whether this VM, as the keeper, should withdraw the registration of another one.
     fn is_withdrawal_due(&self, gateway: &Gateway, now: Instant) -> bool {
-        let is_keeper = remote_keeper(gateway, self.number, now).is_none();
+        let is_keeper = remote_duty_holder(gateway, self.number, now).is_none();
         self.absences.due(now).next().is_some() || (is_keeper && self.shard.can_lower_announced())
     }
 
@@ -295,6 +295,21 @@
         })
     }
 
+    /// Notes whether this VM, which is registered at the `mature` level, may be granted all of a
+    /// budget of the shard. As long as it may not, another VM should be the keeper.
+    pub(super) fn note_restriction(&self, gateway: &Gateway, mature: Option<WriterLevel>) {
+        let is_restricted = !self.registration.is_immediate() && mature != Some(WriterLevel::Full);
+        let mut restricted = gateway.restricted_shards.borrow_mut();
+        let changed = match is_restricted {
+            true => restricted.insert(self.number),
+            false => restricted.swap_remove(&self.number),
+        };
+        if changed {
+            info!(gateway.log, "grants of the shard restricted"; "shard" => self.number,
+                "restricted" => is_restricted, "level" => ?mature, "revision" => %self.revision);
+        }
+    }
+
     /// Remembers the present state of the shard for reports in later eras.
     pub(super) fn remember(&self, gateway: &Gateway) {
         self.with_memory(gateway, |memory| memory.observe(&self.shard));
@@ -333,7 +348,7 @@
     fn is_settling_due(&self, gateway: &Gateway, shard: &BudgetShard, now: Instant) -> bool {
         let has_waited = |since: Instant| now.saturating_duration_since(since) >= REPORT_TIMEOUT;
         shard.is_unsettled()
-            && remote_keeper(gateway, self.number, now).is_none()
+            && remote_duty_holder(gateway, self.number, now).is_none()
             && (shard.has_all_reports() || self.unsettled_since.is_some_and(has_waited))
     }
 
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -141,6 +141,7 @@
             false => None,
         };
         self.remember(gateway);
+        self.note_restriction(gateway, own.map(|writer| writer.mature));
         // What the next write can grant.
         let mut view_of = self.shard.clone();
         self.register(gateway, &mut view_of, now);
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use siphasher::sip::SipHasher13;
 use slog::Logger;
 use slog::info;
@@ -140,6 +141,8 @@
     pub witness_log: RefCell<WitnessLog>,
     /// Wakes the task that makes promises.
     pub promise_notify: Notify,
+    /// Shards of the budget records in which this run may not be granted all of a budget.
+    pub restricted_shards: RefCell<IndexSet<u64>>,
     /// What this run remembers of the shards of the budget records, by their numbers.
     pub shard_memories: RefCell<IndexMap<u64, ShardMemory>>,
     /// Workspaces whose budget is scarce at this VM, announced by gossip.
@@ -262,6 +265,7 @@
             retry_budget: RefCell::new(retry_budget),
             holdings: RefCell::default(),
             shard_memories: RefCell::default(),
+            restricted_shards: RefCell::default(),
             earlier_runs_known: Cell::new(false),
             earlier_runs: RefCell::default(),
             witness_link: RefCell::default(),
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::budget_exchange::SHARDS;
 use crate::budget_exchange::with_holding;
 use crate::budget_record::BudgetTotals;
 use crate::gateway::Gateway;
@@ -67,7 +68,7 @@
     Given,
     /// The receiver has too few tokens and cannot obtain more.
     NoneLeft,
-    /// The receiver has too few tokens and cannot reach the store.
+    /// The receiver has too few tokens, and cannot reach the store or may not be granted more.
     StoreLost,
 }
 
@@ -270,10 +271,18 @@
     }
     free_tokens(gateway, queued.request.workspace) >= queued.request.need
         || waited >= MAX_QUEUE_TIME
+        || is_restricted(gateway, &queued.request)
         || gateway.store_contact.get().is_failing()
         || cannot_be_granted(gateway, queued)
 }
 
+/// Returns whether this VM may not be granted all of the budget, so that another one should
+/// be asked as the keeper.
+fn is_restricted(gateway: &Gateway, request: &TokenRequest) -> bool {
+    let shard = request.workspace % SHARDS;
+    request.as_keeper && gateway.restricted_shards.borrow().contains(&shard)
+}
+
 /// Returns whether the tokens of a request are there as soon as the witness has taken a promise.
 fn waits_for_promise(gateway: &Gateway, request: &TokenRequest, now: Instant) -> bool {
     with_holding(gateway, request.workspace, |_, holding| {
@@ -315,7 +324,9 @@
     );
     let outcome = match transfer {
         Some(_) => TokenRequestOutcome::Given,
-        None if gateway.store_contact.get().is_failing() => TokenRequestOutcome::StoreLost,
+        None if gateway.store_contact.get().is_failing() || is_restricted(gateway, request) => {
+            TokenRequestOutcome::StoreLost
+        }
         None => TokenRequestOutcome::NoneLeft,
     };
     let answer = TokenAnswer {
