budget: promises to a witness count from when it was chosen

A witness that was replaced and chosen again still knew the process's earlier promises, which bind no longer once the record names another VM. If the process was killed before its next promise arrived there, the next one believed the old bound, and tokens that were spent could be granted again. The record names the witness with the number of the last promise before it was chosen, and only later ones are told. Test: witness_that_is_chosen_again_tells_no_earlier_promise (its interface is new; without the filter the old promise is told).

--- a/lib/gateway/src/budget_record.rs
+++ b/lib/gateway/src/budget_record.rs
@@ -366,7 +366,9 @@
             let witness = holder.witness();
             holder.vm == vm
                 && holder.incarnation == testimony.incarnation
-                && witness.is_some_and(|witness| witness.incarnation == testimony.witness)
+                && witness.is_some_and(|witness| {
+                    witness.incarnation == testimony.witness && witness.since == testimony.since
+                })
         };
         // What the copy shows of a process of an earlier era may be outdated.
         for holder in self.holders.iter_mut().filter(is_witnessed) {
--- a/lib/gateway/src/promise_keeper.rs
+++ b/lib/gateway/src/promise_keeper.rs
@@ -136,6 +136,7 @@
     let chosen = best.map(|peer| WitnessRef {
         address: peer.gossip,
         incarnation: peer.incarnation,
+        since: link.number,
     });
     if chosen == link.current {
         return;
@@ -255,7 +256,9 @@
 pub fn handle_testimony(gateway: &Gateway, testimony: SpendingTestimony) {
     let mut runs = gateway.earlier_runs.borrow_mut();
     let is_expected = |run: &&mut EarlierRun| {
-        run.incarnation == testimony.incarnation && run.witness.incarnation == testimony.witness
+        run.incarnation == testimony.incarnation
+            && run.witness.incarnation == testimony.witness
+            && run.witness.since == testimony.since
     };
     if let Some(run) = runs.iter_mut().find(is_expected) {
         run.testimony = Some(testimony);
@@ -292,6 +295,7 @@
             vm: stable_hash(gateway.settings.vm.as_str()),
             incarnation: run.incarnation,
             witness: run.witness.incarnation,
+            since: run.witness.since,
         };
         gateway.send_direct(run.witness.address, PeerMessage::PromiseQuery(query));
     }
--- a/lib/gateway/src/spending_witness.rs
+++ b/lib/gateway/src/spending_witness.rs
@@ -30,6 +30,8 @@
     pub address: SocketAddr,
     /// Incarnation of the process.
     pub incarnation: u64,
+    /// Number of the last promise before it was chosen. Earlier promises to it bind no longer.
+    pub since: u64,
 }
 
 /// Promise of a process to spend no faster than some paces.
@@ -67,6 +69,8 @@
     pub incarnation: u64,
     /// Incarnation of the witness.
     pub witness: u64,
+    /// Number after which promises count.
+    pub since: u64,
 }
 
 /// Last promises of an ended process.
@@ -76,6 +80,8 @@
     pub incarnation: u64,
     /// Incarnation of the witness.
     pub witness: u64,
+    /// Number after which promises count.
+    pub since: u64,
     /// Last promised paces, with the hash of the workspace.
     pub paces: Vec<(u64, DatedPace)>,
 }
@@ -122,7 +128,8 @@
         is_kept
     }
 
-    /// Returns the last promises of a process; none if it made none to this witness.
+    /// Returns the last promises of a process; none if it made none to this witness since that was
+    /// chosen.
     pub fn testimony(&self, query: &PromiseQuery) -> SpendingTestimony {
         let run = self.runs.get(&query.vm);
         let run = run.filter(|run| run.incarnation == query.incarnation);
@@ -130,7 +137,9 @@
         SpendingTestimony {
             incarnation: query.incarnation,
             witness: query.witness,
+            since: query.since,
             paces: paces
+                .filter(|(_, promised)| promised.number > query.since)
                 .map(|(workspace, promised)| (*workspace, promised.dated))
                 .collect(),
         }
--- a/lib/gateway/tests/test_spending_witness.rs
+++ b/lib/gateway/tests/test_spending_witness.rs
@@ -65,6 +65,7 @@
     WitnessRef {
         address: "127.0.0.1:9".parse().expect("address should be valid"),
         incarnation,
+        since: 0,
     }
 }
 
@@ -239,6 +240,7 @@
                 vm: SPENDER,
                 incarnation: self.incarnation,
                 witness: named.map_or(0, |named| named.incarnation),
+                since: named.map_or(0, |named| named.since),
             };
             let testimony = self.log.testimony(&query);
             for (_, promised) in testimony.paces.iter().filter(|_| is_answered) {
@@ -355,3 +357,25 @@
     let closed = world.record.closed_total().0;
     (closed - spent) as f64 / cost as f64
 }
+
+/// Guards against a promise that no longer binds, since another VM was the witness in between:
+/// what was spent after it must not come back.
+#[test]
+fn witness_that_is_chosen_again_tells_no_earlier_promise() {
+    let mut world = World::new(100_000, PlantedFault::None);
+    world.serve(false, 100);
+    world.write(2);
+    world.promise(2);
+    let query = PromiseQuery {
+        vm: SPENDER,
+        incarnation: 1,
+        witness: 1,
+        since: 0,
+    };
+    assert_eq!(world.log.testimony(&query).paces.len(), 1);
+    let chosen_again = PromiseQuery {
+        since: world.promises,
+        ..query
+    };
+    assert!(world.log.testimony(&chosen_again).paces.is_empty());
+}
