gateway: decode the limits of a VM and what cold upstreams take

The settings' link, processor and regions, the bounds of cold upstreams, and the fields of routes, services and upstream entries that the coming parts need are decoded once.

--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -138,10 +138,15 @@
         address_ttl: site.address_ttl.min(MAX_ADDRESS_TTL),
         grace: site.grace,
         caller_connections: site
-            .max_descriptors
+            .capacity
+            .descriptors
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(64),
-        memory: site.memory,
+        memory: site.capacity.memory,
+        contact_timeout: site.contact_timeout,
+        capacity: site.capacity,
+        cold_tolerance: site.cold_tolerance,
+        regions: site.regions.clone(),
         max_copy_age,
     }
 }
--- a/lib/gateway/src/config.rs
+++ b/lib/gateway/src/config.rs
@@ -5,6 +5,8 @@
 
 use indexmap::IndexMap;
 use snipegate_types::ByteCount;
+use snipegate_types::RegionName;
+use snipegate_types::RequestRate;
 use snipegate_types::TokenCount;
 use snipegate_types::WorkspaceId;
 use strum::Display;
@@ -78,6 +80,10 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without an API key.
     pub public: bool,
+    /// Longest pause between two events of a stream that callers accept.
+    pub max_event_gap: Option<Duration>,
+    /// Regions whose upstreams may process the requests; empty if all may.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 impl RouteRule {
@@ -99,6 +105,24 @@
     }
 }
 
+/// How long an upstream of a service stays cold, and what it can take meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRule {
+    /// How long an upstream stays cold after its start.
+    pub duration: Duration,
+    /// Requests that a cold upstream takes from all VMs together.
+    pub rate: RequestRate,
+}
+
+/// What cold upstreams tolerate beyond their stated rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// Factor on the rate, in any one second.
+    pub overrun: f64,
+    /// Requests beyond that, in any one second.
+    pub slack: f64,
+}
+
 /// Properties of the model engines of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineRule {
@@ -117,6 +141,8 @@
     pub engine: Option<EngineRule>,
     /// Number of connections that each upstream accepts from all VMs together, if known.
     pub connections: Option<u32>,
+    /// What cold upstreams take; `None` if upstreams of the service don't turn cold.
+    pub cold: Option<ColdRule>,
 }
 
 /// Limits on what callers may send.
@@ -139,6 +165,8 @@
     pub priority: Option<u8>,
     /// Purchased tokens; `None` if the workspace has no budget.
     pub prepaid: Option<TokenCount>,
+    /// Regions whose upstreams may process its requests; empty if all may.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// One version of a fleet's configuration.
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use snipegate_types::BootTimestamp;
 use snipegate_types::ByteCount;
 use snipegate_types::DataCentre;
+use snipegate_types::RegionName;
 use snipegate_types::TimeSource;
 use snipegate_types::UpstreamId;
 use snipegate_types::VmId;
@@ -29,6 +30,7 @@
 use tokio::sync::oneshot;
 
 use crate::change_hint::ChangeHint;
+use crate::config::ColdTolerance;
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
 use crate::era_contacts::EraContacts;
@@ -47,6 +49,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
+use crate::room::VmCapacity;
 use crate::shard_memory::ShardMemory;
 use crate::spending_witness::WitnessLog;
 use crate::stage::VmStage;
@@ -85,6 +88,14 @@
     pub caller_connections: usize,
     /// Memory limit of the process.
     pub memory: ByteCount,
+    /// A VM or a store that was not reachable for this long is out of contact.
+    pub contact_timeout: Duration,
+    /// What this VM can carry.
+    pub capacity: VmCapacity,
+    /// What cold upstreams tolerate beyond their stated rate.
+    pub cold_tolerance: ColdTolerance,
+    /// Region of each data centre.
+    pub regions: IndexMap<DataCentre, RegionName>,
     /// Age of the oldest copy from which the configuration store may come back.
     pub max_copy_age: Duration,
 }
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -51,6 +51,10 @@
     pub phase: UpstreamPhase,
     /// Start time in milliseconds since the Unix epoch, if published.
     pub started_ms: Option<u64>,
+    /// Number of requests that it processes concurrently.
+    pub slots: u32,
+    /// How much longer it was cold when it published the entry.
+    pub cold_left: Duration,
 }
 
 #[derive(Clone, Debug)]
--- a/lib/gateway/tests/rate_simulation/mod.rs
+++ b/lib/gateway/tests/rate_simulation/mod.rs
@@ -295,5 +295,7 @@
         data_centre: "z1".parse().expect("a name"),
         phase: UpstreamPhase::Ready,
         started_ms: Some(7),
+        slots: 8,
+        cold_left: Duration::ZERO,
     }
 }
--- a/lib/gateway/tests/test_placement.rs
+++ b/lib/gateway/tests/test_placement.rs
@@ -28,6 +28,8 @@
             data_centre: "z1".parse().expect("a name"),
             phase: UpstreamPhase::Ready,
             started_ms: None,
+            slots: 8,
+            cold_left: Duration::ZERO,
         })
         .collect()
 }
--- a/lib/gateway/tests/test_tables.rs
+++ b/lib/gateway/tests/test_tables.rs
@@ -26,6 +26,8 @@
         data_centre: "z1".parse().expect("a name"),
         phase,
         started_ms: None,
+        slots: 8,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -209,6 +211,8 @@
 fn started_entry(name: &str, phase: UpstreamPhase) -> UpstreamEntry {
     UpstreamEntry {
         started_ms: Some(1_000),
+        slots: 8,
+        cold_left: Duration::ZERO,
         ..entry(name, phase)
     }
 }
@@ -229,6 +233,8 @@
     // A later run under the same id is another one.
     let restarted = UpstreamEntry {
         started_ms: Some(2_000),
+        slots: 8,
+        cold_left: Duration::ZERO,
         ..ready
     };
     table.put(&id, Some(restarted), after_return(10), now);
--- a/lib/types/src/lib.rs
+++ b/lib/types/src/lib.rs
@@ -35,6 +35,7 @@
 pub use result_code::ResultCode;
 pub use result_code::RunState;
 pub use size::ByteCount;
+pub use size::ByteRate;
 pub use size::RequestRate;
 pub use size::SizeError;
 pub use size::TokenCount;
--- a/lib/types/src/size.rs
+++ b/lib/types/src/size.rs
@@ -168,6 +168,32 @@
     }
 }
 
+/// Bytes per second. Finite and non-negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ByteRate(pub f64);
+
+impl ByteRate {
+    /// Returns the rate of a link of `megabits` per second.
+    pub fn from_megabits(megabits: f64) -> Self {
+        Self(megabits * 1e6 / 8.0)
+    }
+}
+
+impl fmt::Display for ByteRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for ByteRate {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_rate(text).map(Self)
+    }
+}
+
 /// Parses a rate per second with an optional `/s` suffix.
 fn parse_rate(text: &str) -> Result<f64, SizeError> {
     let digits = text.strip_suffix("/s").unwrap_or(text);
