http1: reject response heads with a status outside 100 to 599

An upstream in trouble answered with the status 000, and callers got that as an answer, with body and signature: the parser accepts any three digits. 000, 001, 099, 600 and 999 now are malformed heads, as 20, 2000, +200 and letters were, so the request may have run, is answered 502, and goes to another upstream only where the route allows it. test_invalid_statuses fails without the change for the five codes.

The other case seen elsewhere, a 200 without a length that is cut by a reset while the upload is still written, does not pass for a whole answer here; test_early_answers keeps it so for bookings, reads and streams, short and long uploads, fast and slow callers.

--- a/lib/http1/src/head.rs
+++ b/lib/http1/src/head.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use bytes::BufMut;
 use bytes::BytesMut;
@@ -224,21 +225,31 @@
     Ok(Some((head, length)))
 }
 
+/// Status codes that a response may have.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Parses a response head. Returns `None` while it is incomplete.
 ///
 /// Otherwise returns the head and its length in bytes.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are malformed or have too many header fields.
+/// Returns an error if the bytes are malformed, the status code is none of [`STATUS_CODES`], or
+/// there are too many header fields.
 pub fn parse_response_head(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>, HeadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut fields);
     let httparse::Status::Complete(length) = response.parse(bytes)? else {
         return Ok(None);
     };
+    // The parser accepts any three digits, but other codes have no class that says what the
+    // response means.
+    let status = response
+        .code
+        .filter(|status| STATUS_CODES.contains(status))
+        .ok_or(HeadError::Malformed)?;
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         reason: response.reason.unwrap_or_default().into(),
         minor_version: response.version.unwrap_or(1),
         headers: HeaderList::from_parsed(response.headers),
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -239,7 +239,10 @@
 async fn serve(state: Rc<State>, stream: TcpStream) {
     let mut buffer = BytesMut::new();
     while let Some(head) = read_head(&stream, &mut buffer).await {
-        let responds_early = state.script.get() == RunnerScript::EarlyResponse;
+        let responds_early = matches!(
+            state.script.get(),
+            RunnerScript::EarlyResponse | RunnerScript::EarlyReset(_)
+        );
         if responds_early {
             state.record_request(&head, Vec::new());
             if !respond(&state, &stream, &head, b"").await {
@@ -308,6 +311,26 @@
             };
             write_response(stream, signed_head(state, request, status), body).await
         }
+        RunnerScript::StatusText(status) => {
+            let head = match is_stream_path(request) {
+                true => with_field(head, "Content-Type", "text/event-stream"),
+                false => head,
+            };
+            write_status_text(stream, head, status).await
+        }
+        RunnerScript::EarlyReset(delay) => {
+            let (head, part) = match is_stream_path(request) {
+                true => (
+                    with_field(head, "Content-Type", "text/event-stream"),
+                    encode_event(1),
+                ),
+                false => (head, "part of the answer".to_owned()),
+            };
+            let _ = write_raw(stream, &head, part.as_bytes()).await;
+            sleep(delay).await;
+            let _ = stream.set_zero_linger();
+            false
+        }
         RunnerScript::EarlierRefusalFirst => {
             let _ = write_response(stream, unnamed_refusal_head(state), b"").await;
             write_response(stream, head, body).await
@@ -412,8 +435,24 @@
     }
 }
 
+fn is_stream_path(request: &RequestHead) -> bool {
+    request.target.starts_with("/stream/") || request.target.starts_with("/resume/")
+}
+
+/// Writes a complete response with a text in place of the status.
+async fn write_status_text(stream: &TcpStream, head: ResponseHead, status: &str) -> bool {
+    let body = encode_event(1);
+    let head = with_field(head, "Content-Length", &body.len().to_string());
+    let mut bytes = BytesMut::new();
+    head.write(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).replacen(" 200 ", &format!(" {status} "), 1);
+    write_all(stream, format!("{text}{body}").as_bytes())
+        .await
+        .is_ok()
+}
+
 async fn echo(state: &State, stream: &TcpStream, request: &RequestHead, pause: Duration) -> bool {
-    if request.target.starts_with("/stream/") || request.target.starts_with("/resume/") {
+    if is_stream_path(request) {
         return stream_events(state, stream, request, ECHO_EVENT_COUNT, pause, false).await;
     }
     sleep(pause).await;
--- a/testing/site/src/runner_script.rs
+++ b/testing/site/src/runner_script.rs
@@ -69,6 +69,11 @@
     Fail,
     /// It sends a signed response with this status.
     Status(u16),
+    /// It sends a complete, signed response with this text in place of a status.
+    StatusText(&'static str),
+    /// It responds with 200 and no length before it has read the body, sends part of the
+    /// response, and resets the connection after this time.
+    EarlyReset(Duration),
     /// It sends a refusal without an id, as it did for an earlier request, and then runs the
     /// request and responds.
     EarlierRefusalFirst,
