--- a/lib/http1/src/connection.rs
+++ b/lib/http1/src/connection.rs
@@ -17,6 +17,8 @@
 use crate::head::parse_response_head;
 use crate::socket::read_available;
 use crate::socket::write_all;
+use crate::traffic::count_received;
+use crate::traffic::count_sent;
 
 /// Maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 * 1024;
@@ -102,7 +104,10 @@
         };
         while sent < request.len() {
             match self.stream.try_write(&request[sent..]) {
-                Ok(count) => sent += count,
+                Ok(count) => {
+                    count_sent(count);
+                    sent += count;
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     tokio::select! {
                         ready = self.stream.writable() => {
@@ -126,8 +131,13 @@
     ///
     /// Readiness can be reported spuriously, so a readable socket may have no input.
     fn try_read_would_block(&mut self) -> bool {
-        let result = self.stream.try_read_buf(&mut self.buffer);
-        matches!(result, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(count) => {
+                count_received(count);
+                false
+            }
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        }
     }
 
     /// Sends bytes without checking for an early response.
--- a/lib/http1/src/lib.rs
+++ b/lib/http1/src/lib.rs
@@ -10,6 +10,7 @@
 mod framing;
 mod head;
 mod socket;
+mod traffic;
 
 pub use body::BodyDecoder;
 pub use body::DecodeStep;
@@ -31,3 +32,6 @@
 pub use socket::connect;
 pub use socket::read_available;
 pub use socket::write_all;
+pub use traffic::SocketTraffic;
+pub use traffic::count_received;
+pub use traffic::count_sent;
--- a/lib/http1/src/socket.rs
+++ b/lib/http1/src/socket.rs
@@ -13,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::traffic::count_received;
+use crate::traffic::count_sent;
+
 /// Minimum free buffer capacity for each read, in bytes.
 const MIN_READ_CAPACITY: usize = 4096;
 
@@ -78,7 +81,7 @@
         buffer.reserve(MIN_READ_CAPACITY);
         match stream.try_read_buf(buffer) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            result => return result,
+            result => return result.inspect(|&count| count_received(count)),
         }
     }
 }
@@ -92,7 +95,10 @@
     let mut written = 0;
     while written < bytes.len() {
         match stream.try_write(&bytes[written..]) {
-            Ok(count) => written += count,
+            Ok(count) => {
+                count_sent(count);
+                written += count;
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 stream.writable().await.map_err(|error| (written, error))?;
             }
