gateway: an overloaded VM reports that it is not ready

Callers that stick to a VM leave it only when its readiness check fails twice, so a small VM stays overloaded for as long as they call it. The load is sampled every 200 ms; a link that is saturated in one direction, or a timer that fires late, in three successive samples is an overload. The VM is then not ready for 30 s, twice as long each time that it recurs, and serves what arrives.

Bytes that sockets accept beyond what the link can carry count in the samples after, up to 400 ms of the link: otherwise a burst that keeps the link busy shows as one full sample between free ones. Ruled out: the mean of the last 0.6 s, which a burst of 0.45 s at the full rate exceeds as well.

--- a/bin/edge/src/main.rs
+++ b/bin/edge/src/main.rs
@@ -23,6 +23,7 @@
 use snipegate_gateway::maintain_budgets;
 use snipegate_gateway::maintain_membership;
 use snipegate_gateway::maintain_quarantine;
+use snipegate_gateway::monitor_load;
 use snipegate_gateway::serve_addresses;
 use snipegate_gateway::serve_callers;
 use snipegate_gateway::serve_metrics;
@@ -88,6 +89,7 @@
     start_servers(arguments, &site, &gateway).await?;
     start_store_tasks(&gateway, &store);
     spawn_local(exchange_gossip(Rc::clone(&gateway), gossip_socket));
+    spawn_local(monitor_load(Rc::clone(&gateway)));
     serve_until_shutdown(&gateway, &store, &arguments.settings).await
 }
 
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -50,6 +50,7 @@
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
 use crate::room::VmCapacity;
+use crate::room::VmRoom;
 use crate::shard_memory::ShardMemory;
 use crate::spending_witness::WitnessLog;
 use crate::stage::VmStage;
@@ -182,6 +183,8 @@
     pub stage: Cell<VmStage>,
     /// When this VM began to serve.
     pub serving_since: Cell<Option<Instant>>,
+    /// Load and readiness of this VM.
+    pub room: VmRoom,
     /// Number of requests that are not fully answered.
     pub active: Cell<usize>,
     /// Number of open caller connections.
@@ -255,6 +258,7 @@
             ..timestamp
         });
         let created_at = clock.now();
+        let room = VmRoom::new(&settings.capacity);
         Self {
             settings,
             incarnation: fastrand::u64(1..),
@@ -295,6 +299,7 @@
             store_regained: Notify::new(),
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
+            room,
             active: Cell::new(0),
             connections: Cell::new(0),
             peer_free_tokens: RefCell::default(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
+use snipegate_http1::count_received;
+use snipegate_http1::count_sent;
 use snipegate_platform::StoreRevision;
 use snipegate_types::PartId;
 use snipegate_types::TokenCount;
@@ -238,9 +240,13 @@
         }
     };
     for target in targets {
-        if let Err(error) = socket.try_send_to(&bytes, *target) {
-            gateway.metrics.count("gossip.send_failed");
-            debug!(gateway.log, "failed to send peer message"; "to" => %target, "error" => %error);
+        match socket.try_send_to(&bytes, *target) {
+            Ok(count) => count_sent(count),
+            Err(error) => {
+                gateway.metrics.count("gossip.send_failed");
+                debug!(gateway.log, "failed to send peer message"; "to" => %target,
+                    "error" => %error);
+            }
         }
     }
 }
@@ -295,6 +301,7 @@
                 continue;
             }
         };
+        count_received(length);
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_gossip(&gateway, *message),
             Ok(PeerMessage::Relay(message)) => {
--- a/lib/gateway/src/plain_server.rs
+++ b/lib/gateway/src/plain_server.rs
@@ -70,8 +70,8 @@
         return (404, Bytes::new());
     }
     match gateway.stage.get() {
-        VmStage::Serving => (200, Bytes::new()),
-        VmStage::Starting | VmStage::Leaving => (503, Bytes::new()),
+        VmStage::Serving if gateway.room.readiness.borrow().is_ready() => (200, Bytes::new()),
+        VmStage::Starting | VmStage::Serving | VmStage::Leaving => (503, Bytes::new()),
     }
 }
 
--- a/lib/gateway/src/request_guards.rs
+++ b/lib/gateway/src/request_guards.rs
@@ -156,9 +156,11 @@
 }
 
 impl ActiveRequestGuard {
-    /// Increments the number of active requests.
+    /// Increments the number of active requests and that of all requests.
     pub fn new(gateway: &Rc<Gateway>) -> Self {
         gateway.active.set(gateway.active.get() + 1);
+        let requests = &gateway.room.requests;
+        requests.set(requests.get() + 1);
         Self {
             gateway: Rc::clone(gateway),
         }
