gateway: VMs tell each other their room and decide on readiness by it

Where an overloaded VM is not ready, its callers go to any other VM. In a data centre of mostly small VMs that is another small one, which they overload next, and each move costs them some seconds. They also come back when the hold ends.

Each VM sends a RoomNotice once a second, and at once when its readiness changes or it hears a VM for the first time: capacity, load, readiness, and the hold with the traffic that caused it. A VM that this traffic would overload is not ready for the same hold, if the VMs that could take it have twice that room. It compares when it first hears of the hold: later the callers may be at it already.

VMs decide by themselves. Each relies only on VMs after it in one order (link, processor, hash), so two that decide at the same moment can't rely on each other, and the last one stays ready. If a VM hears no ready one after it, it is ready again.

A hold is prolonged two seconds before its end while some VM carries the callers, by the growth of its traffic since the overload; without the lead the others are ready for a moment and the callers return. VMs tell of the holds of others, so that a restarted VM learns of its own. A VM remembers ended holds for a minute: without that, late notices began a hold anew, and VMs went on to pass it on (found by restarted_vm_learns_of_the_hold_from_others).

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
+use crate::room::RoomOwner;
 use crate::room::VmCapacity;
 use crate::room::VmRoom;
 use crate::shard_memory::ShardMemory;
@@ -258,10 +259,17 @@
             ..timestamp
         });
         let created_at = clock.now();
-        let room = VmRoom::new(&settings.capacity);
+        let incarnation = fastrand::u64(1..);
+        let room_owner = RoomOwner {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            capacity: settings.capacity,
+        };
+        let room = VmRoom::new(room_owner, created_at);
         Self {
             settings,
-            incarnation: fastrand::u64(1..),
+            incarnation,
             started_at,
             wire_format,
             clock,
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -30,6 +30,7 @@
 use crate::gateway::stable_hash;
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
+use crate::peers::GossipTargets;
 use crate::peers::VmRecord;
 use crate::promise_keeper::handle_promise;
 use crate::promise_keeper::handle_query;
@@ -38,6 +39,9 @@
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
 use crate::rate_table::RateAnnouncement;
+use crate::room::RoomNotice;
+use crate::room::announce_room;
+use crate::room::apply_notice;
 use crate::spending_witness::PromiseQuery;
 use crate::spending_witness::PromiseReceipt;
 use crate::spending_witness::SpendingPromise;
@@ -147,6 +151,10 @@
     PromiseQuery(PromiseQuery),
     /// Answers a question of the receiver for promises.
     SpendingTestimony(Box<SpendingTestimony>),
+    /// Capacity, load and readiness of the sender.
+    RoomNotice(Box<RoomNotice>),
+    /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
+    RelayRoomNotice(Box<RoomNotice>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -154,6 +162,7 @@
     let socket = Rc::new(socket);
     let receiver = Rc::clone(&socket);
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
+    tokio::task::spawn_local(announce_room(Rc::clone(&gateway), Rc::clone(&socket)));
     let mut number = 0;
     loop {
         let wake = timeout(MAX_GOSSIP_INTERVAL, gateway.gossip_notify.notified());
@@ -196,11 +205,7 @@
     let now = gateway.now();
     let message = Box::new(build_gossip(gateway, number, now));
     gateway.peers.borrow_mut().remove_gone(now);
-    let own = &gateway.settings.data_centre;
-    let targets = gateway
-        .peers
-        .borrow()
-        .gossip_targets(own, MIN_VMS_FOR_RELAY, now);
+    let targets = gossip_targets(gateway, now);
     let direct = PeerMessage::Gossip(message.clone());
     send_to(gateway, socket, &direct, &targets.direct);
     send_to(
@@ -220,6 +225,13 @@
     gateway.metrics.count("gossip.sent");
 }
 
+/// Returns the recipients of a message to all other VMs.
+pub fn gossip_targets(gateway: &Gateway, now: Instant) -> GossipTargets {
+    let own = &gateway.settings.data_centre;
+    let peers = gateway.peers.borrow();
+    peers.gossip_targets(own, MIN_VMS_FOR_RELAY, now)
+}
+
 /// Relays a message to the other VMs of this data centre.
 fn relay_message(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage) {
     let own = &gateway.settings.data_centre;
@@ -228,7 +240,13 @@
     gateway.metrics.count("gossip.passed_on");
 }
 
-fn send_to(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
+/// Sends a message to each of the targets.
+pub fn send_to(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    targets: &[SocketAddr],
+) {
     if targets.is_empty() {
         return;
     }
@@ -315,6 +333,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_feature_news(&gateway, *news);
             }
+            Ok(PeerMessage::RoomNotice(notice)) => apply_notice(&gateway, *notice),
+            Ok(PeerMessage::RelayRoomNotice(notice)) => {
+                let relayed = PeerMessage::RoomNotice(notice.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_notice(&gateway, *notice);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
@@ -359,7 +383,7 @@
     }
     let peer = stable_hash(message.sender.vm.as_str());
     let vm = message.sender.vm.clone();
-    let stage = message.sender.stage;
+    let (stage, address) = (message.sender.stage, message.sender.gossip);
     if gateway
         .peers
         .borrow_mut()
@@ -368,6 +392,8 @@
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
         gateway.rates.borrow_mut().announce_all(now);
         gateway.crash_features.table.borrow_mut().announce_all(now);
+        let notice = Box::new(gateway.room.readiness.borrow().notice(now));
+        gateway.send_direct(address, PeerMessage::RoomNotice(notice));
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -47,6 +47,17 @@
     reaches_store: bool,
 }
 
+/// Whether another VM can take callers, as far as gossip tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerContact {
+    /// It serves and is heard.
+    Heard,
+    /// It served when it was last heard of, and is silent.
+    Silent,
+    /// It does not serve, or is not known.
+    NotServing,
+}
+
 /// Recipients of a gossip message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GossipTargets {
@@ -193,6 +204,16 @@
             .filter(|peer| peer.record.stage == VmStage::Serving)
     }
 
+    /// Returns whether a VM can take callers.
+    pub fn contact(&self, vm: &VmId, now: Instant) -> PeerContact {
+        match self.peers.get(vm) {
+            Some(peer) if peer.record.stage != VmStage::Serving => PeerContact::NotServing,
+            Some(peer) if peer.is_silent(now) => PeerContact::Silent,
+            Some(_) => PeerContact::Heard,
+            None => PeerContact::NotServing,
+        }
+    }
+
     /// Returns the ids of all other VMs, including silent ones.
     pub fn vms(&self) -> impl Iterator<Item = &VmId> {
         self.peers.keys()
--- a/lib/gateway/src/response_memory.rs
+++ b/lib/gateway/src/response_memory.rs
@@ -159,6 +159,11 @@
         self.buffers.borrow_mut().swap_remove(&number);
     }
 
+    /// Returns the share that is not reserved.
+    pub fn free_share(&self) -> f64 {
+        1.0 - self.reserved.get().0 as f64 / self.limit.0.max(1) as f64
+    }
+
     /// Returns the bytes that are reserved.
     pub fn reserved(&self) -> ByteCount {
         self.reserved.get()
--- a/lib/gateway/src/room/load_meter.rs
+++ b/lib/gateway/src/room/load_meter.rs
@@ -14,19 +14,23 @@
 /// Bytes of packet headers per byte of payload.
 const HEADER_SHARE: f64 = 0.06;
 
-/// Counters of a process since its start.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LoadTotals {
+/// Counters of a process since its start, and what is free of its memory and descriptors.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadReading {
     /// Payload that its sockets have carried.
     pub traffic: SocketTraffic,
     /// Requests of callers.
     pub requests: u64,
+    /// Free share of the memory for responses.
+    pub free_memory: f64,
+    /// Free share of the connections that callers may open.
+    pub free_descriptors: f64,
 }
 
-/// Load of a VM between two samples.
+/// Load of a VM between two readings.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadSample {
-    /// Time that the sample covers.
+    /// Time between the readings.
     pub span: Duration,
     /// Traffic received, with packet headers.
     pub received: ByteRate,
@@ -36,30 +40,37 @@
     pub requests: RequestRate,
     /// How late the timer of the sample fired, a sign of a saturated processor.
     pub lateness: Duration,
+    /// Free share of the memory for responses at the end.
+    pub free_memory: f64,
+    /// Free share of the connections that callers may open, at the end.
+    pub free_descriptors: f64,
 }
 
-/// Turns counters into rates.
+/// Turns readings into rates.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadMeter {
     at: Instant,
-    totals: LoadTotals,
+    last: LoadReading,
 }
 
 impl LoadMeter {
     /// Creates a meter whose first sample begins now.
-    pub fn new(totals: LoadTotals, now: Instant) -> Self {
-        Self { at: now, totals }
+    pub fn new(reading: LoadReading, now: Instant) -> Self {
+        Self {
+            at: now,
+            last: reading,
+        }
     }
 
-    /// Returns the load since the last sample; `None` if no time has passed.
-    pub fn sample(&mut self, totals: LoadTotals, now: Instant) -> Option<LoadSample> {
+    /// Returns the load since the last reading; `None` if no time has passed.
+    pub fn sample(&mut self, reading: LoadReading, now: Instant) -> Option<LoadSample> {
         let span = now.saturating_duration_since(self.at);
         if span.is_zero() {
             return None;
         }
-        let before = std::mem::replace(self, Self { at: now, totals }).totals;
-        let traffic = totals.traffic.since(before.traffic);
-        let requests = totals.requests.saturating_sub(before.requests);
+        let before = std::mem::replace(self, Self::new(reading, now)).last;
+        let traffic = reading.traffic.since(before.traffic);
+        let requests = reading.requests.saturating_sub(before.requests);
         let seconds = span.as_secs_f64();
         let rate = |bytes: ByteCount| ByteRate(bytes.0 as f64 * (1.0 + HEADER_SHARE) / seconds);
         Some(LoadSample {
@@ -68,6 +79,8 @@
             sent: rate(traffic.sent),
             requests: RequestRate(requests as f64 / seconds),
             lateness: span.saturating_sub(SAMPLE_INTERVAL),
+            free_memory: reading.free_memory,
+            free_descriptors: reading.free_descriptors,
         })
     }
 }
--- a/lib/gateway/src/room/overload.rs
+++ b/lib/gateway/src/room/overload.rs
@@ -8,6 +8,8 @@
 
 use crate::room::capacity::VmCapacity;
 use crate::room::load_meter::LoadSample;
+use crate::room::notice::CallerDemand;
+use crate::room::notice::RoomUse;
 
 /// Share of a link's rate above which it is saturated. Requests come in bursts, so they wait
 /// for the link well before its mean use reaches its rate.
@@ -45,6 +47,19 @@
     pub traffic: ByteRate,
 }
 
+impl VmOverload {
+    /// Returns what the callers need that overloaded a VM with this room.
+    pub fn demand(&self, room: &RoomUse) -> CallerDemand {
+        CallerDemand {
+            traffic: self.traffic,
+            cores: match self.cause {
+                OverloadCause::Link => 0.0,
+                OverloadCause::Processor => room.cores,
+            },
+        }
+    }
+}
+
 /// Detects overload from samples of the load.
 #[derive(Clone, Debug)]
 pub struct OverloadState {
--- /dev/null
+++ b/lib/gateway/src/room/takeover.rs
@@ -0,0 +1,114 @@
+//! The VMs that an overloaded VM's callers can go to.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use snipegate_types::ByteRate;
+use snipegate_types::VmId;
+
+use crate::gateway::stable_hash;
+use crate::peers::PeerContact;
+use crate::room::notice::CallerDemand;
+use crate::room::notice::RoomNotice;
+use crate::room::notice::RoomUse;
+use crate::room::overload::OverloadCause;
+use crate::room::overload::VmOverload;
+use crate::room::room_table::RoomTable;
+
+/// The VMs that take over must together have this many times the room that the callers need,
+/// since the load comes in bursts.
+const TAKEOVER_MARGIN: f64 = 2.0;
+
+/// Share of the callers' traffic by which that of a VM has to have grown to be taken for
+/// theirs, since that of its other callers may have become less.
+const CARRIED_SHARE: f64 = 0.5;
+
+/// The ready VMs of a data centre that come after this one in the order in which VMs rely on
+/// others.
+#[derive(Clone, Debug)]
+pub struct TakeoverView {
+    own: RoomUse,
+    /// All of them, by the hash of their name. A VM that has just become silent is one: if it
+    /// counted as ended and was not, callers would be drawn back to a VM that can't take them.
+    ready: IndexMap<u64, RoomUse>,
+    /// Those that are heard and not overloaded.
+    relieved: Vec<RoomUse>,
+    /// Age of the oldest notice.
+    pub oldest_notice: Duration,
+}
+
+impl TakeoverView {
+    /// Collects the view of the VM `own`. `contact` tells which VMs serve and are heard.
+    pub fn new(
+        own: &RoomNotice,
+        table: &RoomTable,
+        contact: impl Fn(&VmId) -> PeerContact,
+        now: Instant,
+    ) -> Self {
+        let mut view = Self {
+            own: own.room,
+            ready: IndexMap::new(),
+            relieved: Vec::new(),
+            oldest_notice: Duration::ZERO,
+        };
+        for dated in table.current(now) {
+            let notice = &dated.notice;
+            let is_near = notice.data_centre == own.data_centre;
+            let contact = contact(&notice.vm);
+            let is_candidate = is_near && notice.is_ready && notice.is_after(own);
+            if !is_candidate || contact == PeerContact::NotServing {
+                continue;
+            }
+            let vm = stable_hash(notice.vm.as_str());
+            view.ready.insert(vm, notice.room);
+            if contact == PeerContact::Heard && !notice.is_overloaded {
+                view.relieved.push(notice.room);
+            }
+            view.oldest_notice = view.oldest_notice.max(dated.age(now));
+        }
+        view
+    }
+
+    /// Returns the number of VMs.
+    pub fn count(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Returns whether the callers that overload this VM fare better at another one: it has
+    /// more room left than this VM has in all.
+    pub fn has_more_room(&self, overload: &VmOverload) -> bool {
+        let demand = overload.demand(&self.own);
+        self.relieved.iter().any(|room| match overload.cause {
+            OverloadCause::Link => self.own.link.is_some_and(|link| room.free_link() > link),
+            OverloadCause::Processor => room.can_take(&demand) == Some(true),
+        })
+    }
+
+    /// Returns whether VMs that these callers would not overload have room for them. Those
+    /// that they would overload don't count: they are about to be not ready as well.
+    pub fn can_take_over(&self, demand: &CallerDemand) -> bool {
+        let can_take = |room: &&RoomUse| room.can_take(demand) == Some(true);
+        let takers = || self.relieved.iter().filter(can_take);
+        let traffic: f64 = takers().map(|room| room.free_link().0).sum();
+        let cores: f64 = takers().map(RoomUse::free_cores).sum();
+        takers().next().is_some()
+            && traffic >= demand.traffic.0 * TAKEOVER_MARGIN
+            && cores >= demand.cores * TAKEOVER_MARGIN
+    }
+
+    /// Returns the highest recent traffic of each VM, by the hash of its name.
+    pub fn peaks(&self) -> IndexMap<u64, ByteRate> {
+        let peaks = self.ready.iter();
+        peaks.map(|(vm, room)| (*vm, room.load.peak)).collect()
+    }
+
+    /// Returns whether one of the VMs carries these callers, by how much its highest recent
+    /// traffic exceeds that of before they came, `peaks_before`.
+    pub fn carries(&self, demand: &CallerDemand, peaks_before: &IndexMap<u64, ByteRate>) -> bool {
+        self.ready.iter().any(|(vm, room)| {
+            let before = peaks_before.get(vm).copied().unwrap_or_default();
+            room.load.peak.0 - before.0 >= demand.traffic.0 * CARRIED_SHARE
+        })
+    }
+}
--- a/lib/gateway/tests/test_overload.rs
+++ b/lib/gateway/tests/test_overload.rs
@@ -32,6 +32,8 @@
         sent: ByteRate(sent * link),
         requests: RequestRate(100.0),
         lateness: Duration::from_millis(late_ms),
+        free_memory: 1.0,
+        free_descriptors: 1.0,
     }
 }
 
