gossip: own traffic yields to that of callers

A relay sends each message of another data centre to all VMs of its own. Chosen evenly, a VM with a link of 10 Mbit/s relays as much as one of 200. Relays are now chosen in proportion to their free link rate, and an overloaded VM sends gossip twice a second at most, which still leaves two messages within the silence timeout. Where no VM's link rate is known the choice is even, as before. Ruled out: leaving small VMs out, since a data centre may have no others.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -386,6 +386,11 @@
         self.peers.borrow().count() + 1
     }
 
+    /// Returns whether this VM is overloaded.
+    pub fn is_overloaded(&self) -> bool {
+        self.room.readiness.borrow().is_overloaded(self.now())
+    }
+
     /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
     /// the quarantined features are known.
     pub fn update_stage(&self) {
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -65,6 +65,10 @@
 /// Longest pause between two gossip messages.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest pause between two gossip messages of an overloaded VM, so that its own traffic
+/// yields to that of callers. Other VMs still hear it in time if a message is lost.
+const OVERLOADED_GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a change that VMs announce is included in every message.
 pub const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -176,7 +180,11 @@
         send_gossip(&gateway, &socket, number);
         number += 1;
         send_direct_messages(&gateway, &socket);
-        let pause = sleep(gossip_spacing(gateway.vm_count()));
+        let mut spacing = gossip_spacing(gateway.vm_count());
+        if gateway.is_overloaded() {
+            spacing = spacing.max(OVERLOADED_GOSSIP_INTERVAL);
+        }
+        let pause = sleep(spacing);
         tokio::pin!(pause);
         loop {
             tokio::select! {
@@ -229,7 +237,9 @@
 pub fn gossip_targets(gateway: &Gateway, now: Instant) -> GossipTargets {
     let own = &gateway.settings.data_centre;
     let peers = gateway.peers.borrow();
-    peers.gossip_targets(own, MIN_VMS_FOR_RELAY, now)
+    let readiness = gateway.room.readiness.borrow();
+    let relay_weight = |vm: &VmId| readiness.table.relay_weight(vm, now);
+    peers.gossip_targets(own, MIN_VMS_FOR_RELAY, relay_weight, now)
 }
 
 /// Relays a message to the other VMs of this data centre.
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -148,12 +148,13 @@
     /// Returns the recipients of a gossip message from a VM in data centre `own`.
     ///
     /// Each VM gets the message directly, except in other data centres with at least
-    /// `min_vms_for_relay` VMs: there one VM that is not silent is picked at random to
-    /// relay it to the others, as long as there is one.
+    /// `min_vms_for_relay` VMs: there one VM that is not silent is picked at random, in
+    /// proportion to `relay_weight`, to relay it to the others, as long as there is one.
     pub fn gossip_targets(
         &self,
         own: &DataCentre,
         min_vms_for_relay: usize,
+        relay_weight: impl Fn(&VmId) -> f64,
         now: Instant,
     ) -> GossipTargets {
         let mut by_data_centre: IndexMap<&DataCentre, Vec<&PeerState>> = IndexMap::new();
@@ -163,8 +164,9 @@
         }
         let mut targets = GossipTargets::default();
         for (data_centre, peers) in by_data_centre {
-            let live: Vec<&&PeerState> = peers.iter().filter(|p| !p.is_silent(now)).collect();
-            let relay = fastrand::choice(live).filter(|_| peers.len() >= min_vms_for_relay);
+            let live = peers.iter().filter(|p| !p.is_silent(now));
+            let weighted = live.map(|p| (p, relay_weight(&p.record.vm))).collect();
+            let relay = choose_weighted(weighted).filter(|_| peers.len() >= min_vms_for_relay);
             match relay {
                 Some(relay) if data_centre != own => targets.relays.push(relay.record.gossip),
                 _ => targets
@@ -279,6 +281,17 @@
     }
 }
 
+/// Chooses one of the items at random, in proportion to their weights.
+fn choose_weighted<T>(items: Vec<(T, f64)>) -> Option<T> {
+    let total: f64 = items.iter().map(|(_, weight)| weight).sum();
+    let mut left = fastrand::f64() * total;
+    let is_chosen = |(_, weight): &(T, f64)| {
+        left -= weight;
+        left < 0.0
+    };
+    items.into_iter().find(is_chosen).map(|(item, _)| item)
+}
+
 impl PeerState {
     fn is_silent(&self, now: Instant) -> bool {
         self.last_heard
--- a/lib/gateway/src/room/readiness.rs
+++ b/lib/gateway/src/room/readiness.rs
@@ -127,6 +127,11 @@
         self.status == ReadinessStatus::Ready
     }
 
+    /// Returns whether the VM is overloaded.
+    pub fn is_overloaded(&self, now: Instant) -> bool {
+        self.overload.is_overloaded(now)
+    }
+
     /// Applies a sample of the load. `contact` tells which VMs serve and are heard.
     pub fn record_sample(
         &mut self,
--- a/lib/gateway/src/room/room_table.rs
+++ b/lib/gateway/src/room/room_table.rs
@@ -66,6 +66,14 @@
         self.notices.get(vm)
     }
 
+    /// Returns the weight of a VM in the choice of one that relays messages: its free link rate,
+    /// so that small and overloaded VMs carry callers' traffic instead. A VM whose room is not
+    /// known relays only where that holds for all.
+    pub fn relay_weight(&self, vm: &VmId, now: Instant) -> f64 {
+        let current = self.notices.get(vm).filter(|dated| dated.is_current(now));
+        current.map_or(1.0, |dated| 1.0 + dated.notice.room.free_link().0)
+    }
+
     /// Returns the notices that tell the load of their VMs.
     pub fn current(&self, now: Instant) -> impl Iterator<Item = &DatedNotice> {
         let is_current = move |dated: &&DatedNotice| dated.is_current(now);
