types: weighted rendezvous hashing, moved from lib/fleet

The directory of the users' platform chooses addresses by free capacity, and does not depend on lib/fleet. The hashing of AddressAnswer::choose moves to lib/types, which both use; its choices stay the same. Ruled out: a second copy in lib/gateway, and lib/gateway depending on lib/fleet, which brings ntex.

--- a/lib/fleet/src/address_answer.rs
+++ b/lib/fleet/src/address_answer.rs
@@ -10,8 +10,8 @@
 use snipegate_types::ProcessRole;
 use snipegate_types::RegionName;
 use snipegate_types::VmId;
+use snipegate_types::weighted_rank;
 
-use crate::rendezvous::rendezvous_weight;
 use crate::view::FleetView;
 use crate::view::MemberEntry;
 
@@ -69,7 +69,12 @@
             .map(|entry| {
                 let distance = proximity(entry, data_centre, region);
                 let rank = (view.is_suspected(entry), distance);
-                (rank, weighted_rank(caller, entry), entry)
+                let weight = f64::from(entry.record.weight.max(1));
+                (
+                    rank,
+                    weighted_rank(caller, entry.id.0.as_str(), weight),
+                    entry,
+                )
             })
             .collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -114,14 +119,3 @@
         false => Proximity::Elsewhere,
     }
 }
-
-/// Returns the sort key of a member for `caller`.
-///
-/// The key is an exponential variate whose rate is the member's weight, so each
-/// member has the lowest key for a share of callers proportional to its weight.
-fn weighted_rank(caller: &str, entry: &MemberEntry) -> f64 {
-    let hash = rendezvous_weight(caller, entry.id.0.as_str());
-    // An f64 represents 53 bits exactly. Adding one half keeps the logarithm finite.
-    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-    -unit.ln() / f64::from(entry.record.weight.max(1))
-}
--- a/lib/fleet/src/follower_plan.rs
+++ b/lib/fleet/src/follower_plan.rs
@@ -7,8 +7,8 @@
 use snipegate_types::DataCentre;
 use snipegate_types::ProcessRole;
 use snipegate_types::VmId;
+use snipegate_types::rendezvous_weight;
 
-use crate::rendezvous::rendezvous_weight;
 use crate::view::FleetView;
 
 /// How long a process follows a fallback keeper before it tries the preferred one
--- a/lib/fleet/src/source_plan.rs
+++ b/lib/fleet/src/source_plan.rs
@@ -8,8 +8,8 @@
 use snipegate_types::DataCentre;
 use snipegate_types::ProcessRole;
 use snipegate_types::VmId;
+use snipegate_types::rendezvous_weight;
 
-use crate::rendezvous::rendezvous_weight;
 use crate::view::FleetView;
 
 /// The keepers that watch the store.
--- a/lib/fleet/src/view.rs
+++ b/lib/fleet/src/view.rs
@@ -16,6 +16,7 @@
 use snipegate_types::UpstreamId;
 use snipegate_types::VmId;
 use snipegate_types::WorkspaceId;
+use snipegate_types::rendezvous_owner;
 
 use crate::exchange::LeaveMark;
 use crate::exchange::MemberLiveness;
@@ -25,7 +26,6 @@
 use crate::profile::ProfileRecord;
 use crate::record::ConfigEntry;
 use crate::record::FleetRecord;
-use crate::rendezvous::rendezvous_owner;
 use crate::settings::FleetSettings;
 use crate::settings::StalePolicy;
 use crate::upstream::UpstreamRecord;
--- a/lib/types/src/lib.rs
+++ b/lib/types/src/lib.rs
@@ -1,11 +1,12 @@
-//! Identifiers, sizes, rates, result codes and the clock interface shared by all
-//! snipegate crates.
+//! Identifiers, sizes, rates, result codes, rendezvous hashing and the clock interface
+//! shared by all snipegate crates.
 
 mod boot;
 mod clock;
 mod id;
 mod part;
 mod place;
+mod rendezvous;
 mod request_digest;
 mod result_code;
 mod size;
@@ -31,6 +32,9 @@
 pub use place::ProcessRole;
 pub use place::RegionName;
 pub use place::VmId;
+pub use rendezvous::rendezvous_owner;
+pub use rendezvous::rendezvous_weight;
+pub use rendezvous::weighted_rank;
 pub use request_digest::RequestDigest;
 pub use result_code::ResultCode;
 pub use result_code::RunState;
--- a/lib/fleet/src/rendezvous.rs
+++ b/lib/types/src/rendezvous.rs
@@ -28,3 +28,15 @@
     };
     candidates.max_by_key(weight_and_id)
 }
+
+/// Returns the rank of `candidate` for `name`; the candidate with the lowest rank is chosen.
+///
+/// The rank is an exponential variate whose rate is the weight, so each candidate is chosen for
+/// a share of names proportional to its weight. When a weight changes, only names that the
+/// candidate gains or loses change their choice. `weight` has to be positive.
+pub fn weighted_rank(name: &str, candidate: &str, weight: f64) -> f64 {
+    let hash = rendezvous_weight(name, candidate);
+    // An f64 represents 53 bits exactly. Adding one half keeps the logarithm finite.
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -unit.ln() / weight
+}
