gateway: the directory names VMs in proportion to what they can take

The directory named all VMs, so one with a link of 10 Mbit/s got as many callers as one of 200. Each VM now tells how many requests it can take in addition: the lesser of what its link and its processor allow, times the least free share of what it can run out of. Where capacities differ by a factor of two, an answer names up to four VMs by weighted rendezvous hashing of the caller's IP number. VMs that are not ready or overloaded are named only where there is no other. Equal VMs: answers as before.

The link counts only as far as it carries traffic without being saturated. The size of a request is that of TCP traffic, so datagrams are counted apart.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::config::ColdTolerance;
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
+use crate::directory::DirectoryLog;
 use crate::era_contacts::EraContacts;
 use crate::feature_guard::FeatureGuard;
 use crate::gossip::PeerMessage;
@@ -186,6 +187,8 @@
     pub serving_since: Cell<Option<Instant>>,
     /// Load and readiness of this VM.
     pub room: VmRoom,
+    /// What the last answers to address queries were based on.
+    pub directory_log: DirectoryLog,
     /// Number of requests that are not fully answered.
     pub active: Cell<usize>,
     /// Number of open caller connections.
@@ -308,6 +311,7 @@
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
             room,
+            directory_log: DirectoryLog::default(),
             active: Cell::new(0),
             connections: Cell::new(0),
             peer_free_tokens: RefCell::default(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -12,8 +12,6 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
-use snipegate_http1::count_received;
-use snipegate_http1::count_sent;
 use snipegate_platform::StoreRevision;
 use snipegate_types::PartId;
 use snipegate_types::TokenCount;
@@ -269,7 +267,9 @@
     };
     for target in targets {
         match socket.try_send_to(&bytes, *target) {
-            Ok(count) => count_sent(count),
+            Ok(count) => gateway
+                .room
+                .count_datagram(|traffic| traffic.add_sent(count)),
             Err(error) => {
                 gateway.metrics.count("gossip.send_failed");
                 debug!(gateway.log, "failed to send peer message"; "to" => %target,
@@ -329,7 +329,9 @@
                 continue;
             }
         };
-        count_received(length);
+        gateway
+            .room
+            .count_datagram(|traffic| traffic.add_received(length));
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_gossip(&gateway, *message),
             Ok(PeerMessage::Relay(message)) => {
--- a/lib/gateway/src/plain_server.rs
+++ b/lib/gateway/src/plain_server.rs
@@ -1,5 +1,6 @@
 //! The auxiliary HTTP servers: addresses, readiness and metrics.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::caller::CallerWriter;
+use crate::directory::choose_addresses;
 use crate::gateway::Gateway;
 use crate::stage::VmStage;
 
@@ -28,8 +30,8 @@
 /// Delay before accepting again after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Returns the status and the body of the response to a request.
-type Handler = fn(&Gateway, &RequestHead) -> (u16, Bytes);
+/// Returns the status and the body of the response to a request of a client with this IP number.
+type Handler = fn(&Gateway, &RequestHead, IpAddr) -> (u16, Bytes);
 
 /// Serves callers' address queries.
 pub async fn serve_addresses(gateway: Rc<Gateway>, listener: TcpListener) {
@@ -46,15 +48,11 @@
     serve(gateway, listener, "text/plain", handle_metrics).await;
 }
 
-fn handle_addresses(gateway: &Gateway, head: &RequestHead) -> (u16, Bytes) {
+fn handle_addresses(gateway: &Gateway, head: &RequestHead, client: IpAddr) -> (u16, Bytes) {
     let Some(query) = gateway.wire_format.decode_address_query(head) else {
         return (404, Bytes::new());
     };
-    let own = gateway.own_record();
-    let own = (own.stage == VmStage::Serving).then_some(&own);
-    let now = gateway.now();
-    let peers = gateway.peers.borrow();
-    let addresses = peers.addresses(own, query.data_centre.as_deref(), now);
+    let addresses = choose_addresses(gateway, &query, client);
     gateway.metrics.count("addresses.answered");
     if addresses.is_empty() {
         return (503, Bytes::new());
@@ -65,7 +63,7 @@
     (200, body.into())
 }
 
-fn handle_readiness(gateway: &Gateway, head: &RequestHead) -> (u16, Bytes) {
+fn handle_readiness(gateway: &Gateway, head: &RequestHead, _client: IpAddr) -> (u16, Bytes) {
     if !gateway.wire_format.is_readiness_probe(head) {
         return (404, Bytes::new());
     }
@@ -75,7 +73,7 @@
     }
 }
 
-fn handle_metrics(gateway: &Gateway, _head: &RequestHead) -> (u16, Bytes) {
+fn handle_metrics(gateway: &Gateway, _head: &RequestHead, _client: IpAddr) -> (u16, Bytes) {
     (200, gateway.metrics.render().into())
 }
 
@@ -87,10 +85,11 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, client)) => {
                 let gateway = Rc::clone(&gateway);
                 tokio::task::spawn_local(async move {
-                    serve_connection(&gateway, &stream, content_type, handler).await;
+                    let client = client.ip();
+                    serve_connection(&gateway, &stream, client, content_type, handler).await;
                 });
             }
             Err(error) => {
@@ -104,12 +103,13 @@
 async fn serve_connection(
     gateway: &Gateway,
     stream: &TcpStream,
+    client: IpAddr,
     content_type: &str,
     handler: Handler,
 ) {
     let mut buffer = BytesMut::new();
     while let Ok(Some(request)) = timeout(REQUEST_TIMEOUT, read_head(stream, &mut buffer)).await {
-        let (status, body) = handler(gateway, &request);
+        let (status, body) = handler(gateway, &request, client);
         let reason = if status == 200 { "OK" } else { "Unavailable" };
         let mut head = ResponseHead::new(status, reason);
         head.headers.push("Content-Type", content_type);
--- a/lib/gateway/src/room/announce.rs
+++ b/lib/gateway/src/room/announce.rs
@@ -11,7 +11,7 @@
 use crate::gossip::gossip_spacing;
 use crate::gossip::gossip_targets;
 use crate::gossip::send_to;
-use crate::room::recent_load::FreeShares;
+use crate::room::notice::RoomNotice;
 
 /// Interval between two notices.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,7 +42,7 @@
 fn send_notice(gateway: &Gateway, socket: &UdpSocket) {
     let now = gateway.now();
     let notice = gateway.room.readiness.borrow_mut().next_notice(now);
-    record_gauges(gateway, notice.is_ready, &notice.room.load.free);
+    record_gauges(gateway, &notice);
     let targets = gossip_targets(gateway, now);
     let notice = Box::new(notice);
     let direct = PeerMessage::RoomNotice(notice.clone());
@@ -52,10 +52,12 @@
     gateway.metrics.count("room.notice_sent");
 }
 
-fn record_gauges(gateway: &Gateway, is_ready: bool, free: &FreeShares) {
+fn record_gauges(gateway: &Gateway, notice: &RoomNotice) {
+    let free = &notice.room.load.free;
     let percent = |share: f32| (share * 100.0).round() as u64;
     let metrics = &gateway.metrics;
-    metrics.set_gauge("room.ready", u64::from(is_ready));
+    metrics.set_gauge("room.ready", u64::from(notice.is_ready));
+    metrics.set_gauge("room.free_requests", notice.offer.free.0.round() as u64);
     metrics.set_gauge("room.free_link_percent", percent(free.link));
     metrics.set_gauge("room.free_processor_percent", percent(free.processor));
     metrics.set_gauge("room.free_memory_percent", percent(free.memory));
--- a/lib/gateway/src/room/load_meter.rs
+++ b/lib/gateway/src/room/load_meter.rs
@@ -17,8 +17,10 @@
 /// Counters of a process since its start, and what is free of its memory and descriptors.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadReading {
-    /// Payload that its sockets have carried.
-    pub traffic: SocketTraffic,
+    /// Payload of TCP connections.
+    pub streams: SocketTraffic,
+    /// Payload of datagrams.
+    pub datagrams: SocketTraffic,
     /// Requests of callers.
     pub requests: u64,
     /// Free share of the memory for responses.
@@ -36,6 +38,8 @@
     pub received: ByteRate,
     /// Traffic sent, with packet headers.
     pub sent: ByteRate,
+    /// Traffic of TCP connections in the busier direction, with packet headers.
+    pub streams: ByteRate,
     /// Requests of callers.
     pub requests: RequestRate,
     /// How late the timer of the sample fired, a sign of a saturated processor.
@@ -69,14 +73,16 @@
             return None;
         }
         let before = std::mem::replace(self, Self::new(reading, now)).last;
-        let traffic = reading.traffic.since(before.traffic);
+        let streams = reading.streams.since(before.streams);
+        let datagrams = reading.datagrams.since(before.datagrams);
         let requests = reading.requests.saturating_sub(before.requests);
         let seconds = span.as_secs_f64();
         let rate = |bytes: ByteCount| ByteRate(bytes.0 as f64 * (1.0 + HEADER_SHARE) / seconds);
         Some(LoadSample {
             span,
-            received: rate(traffic.received),
-            sent: rate(traffic.sent),
+            received: rate(streams.received.saturating_add(datagrams.received)),
+            sent: rate(streams.sent.saturating_add(datagrams.sent)),
+            streams: rate(streams.received.max(streams.sent)),
             requests: RequestRate(requests as f64 / seconds),
             lateness: span.saturating_sub(SAMPLE_INTERVAL),
             free_memory: reading.free_memory,
--- a/lib/gateway/src/room/monitor.rs
+++ b/lib/gateway/src/room/monitor.rs
@@ -31,7 +31,8 @@
     let used = gateway.connections.get() as f64;
     let accepted = gateway.settings.caller_connections.max(1) as f64;
     LoadReading {
-        traffic: SocketTraffic::total(),
+        streams: SocketTraffic::of_streams(),
+        datagrams: gateway.room.datagrams.get(),
         requests: gateway.room.requests.get(),
         free_memory: gateway.response_memory.free_share(),
         free_descriptors: 1.0 - used / accepted,
--- a/lib/gateway/src/room/notice.rs
+++ b/lib/gateway/src/room/notice.rs
@@ -10,6 +10,8 @@
 use snipegate_types::VmId;
 
 use crate::gateway::stable_hash;
+use crate::room::capacity::VmCapacity;
+use crate::room::offer::VmOffer;
 use crate::room::overload::SATURATED_SHARE;
 use crate::room::recent_load::VmLoad;
 
@@ -56,12 +58,27 @@
 }
 
 impl RoomUse {
+    /// Describes a VM with this capacity and load.
+    pub fn new(capacity: &VmCapacity, load: VmLoad) -> Self {
+        Self {
+            link: capacity.link,
+            cores: capacity.cores,
+            load,
+        }
+    }
+
     /// Returns the rate of the link that is not in use; 0 if the rate is not known.
     pub fn free_link(&self) -> ByteRate {
         let link = self.link.unwrap_or_default();
         ByteRate((link.0 - self.load.traffic().0).max(0.0))
     }
 
+    /// Returns the traffic that the link can carry without being saturated; 0 if its rate is not
+    /// known.
+    pub fn usable_link(&self) -> ByteRate {
+        ByteRate(self.link.unwrap_or_default().0 * SATURATED_SHARE)
+    }
+
     /// Returns the processor time per second that is not in use, in cores.
     pub fn free_cores(&self) -> f64 {
         self.cores * f64::from(self.load.free.processor)
@@ -71,7 +88,8 @@
     /// `None` if the rate of its link is not known.
     pub fn can_take(&self, demand: &CallerDemand) -> Option<bool> {
         let traffic = self.load.traffic().0 + demand.traffic.0;
-        let has_link = traffic <= self.link?.0 * SATURATED_SHARE;
+        self.link?;
+        let has_link = traffic <= self.usable_link().0;
         Some(has_link && (demand.cores == 0.0 || self.free_cores() > demand.cores))
     }
 }
@@ -89,6 +107,8 @@
     pub number: u64,
     /// Its capacity and load.
     pub room: RoomUse,
+    /// How many requests it can take.
+    pub offer: VmOffer,
     /// Whether it is ready, as far as its load decides.
     pub is_ready: bool,
     /// Whether it is overloaded.
--- a/lib/gateway/src/room/readiness.rs
+++ b/lib/gateway/src/room/readiness.rs
@@ -22,6 +22,7 @@
 use crate::room::notice::HoldId;
 use crate::room::notice::RoomNotice;
 use crate::room::notice::RoomUse;
+use crate::room::offer::OfferMeter;
 use crate::room::overload::OverloadState;
 use crate::room::overload::VmOverload;
 use crate::room::recent_load::RecentLoad;
@@ -88,6 +89,7 @@
     owner: RoomOwner,
     overload: OverloadState,
     load: RecentLoad,
+    offer: OfferMeter,
     /// What the other VMs told of their capacity and load.
     pub table: RoomTable,
     holds: HoldTable,
@@ -107,9 +109,11 @@
 impl ReadinessState {
     /// Creates the state of a VM that has just started.
     pub fn new(owner: RoomOwner, now: Instant) -> Self {
+        let load = RecentLoad::new(owner.capacity.link, now);
         Self {
             overload: OverloadState::new(&owner.capacity),
-            load: RecentLoad::new(owner.capacity.link, now),
+            load,
+            offer: OfferMeter::new(&RoomUse::new(&owner.capacity, load.load())),
             owner,
             table: RoomTable::default(),
             holds: HoldTable::default(),
@@ -141,6 +145,8 @@
     ) -> Option<ReadinessDecision> {
         self.load.record(sample, now);
         let overload = self.overload.record(sample, now);
+        let is_overloaded = self.overload.is_overloaded(now);
+        self.offer.record(sample, &self.room_use(), is_overloaded);
         self.is_kept_ready &= self.overload.is_overloaded(now);
         self.decide(overload, contact, now)
     }
@@ -186,6 +192,7 @@
             incarnation: self.owner.incarnation,
             number: self.notice_count,
             room: self.room_use(),
+            offer: self.offer.offer(),
             is_ready: self.is_ready(),
             is_overloaded: self.overload.is_overloaded(now),
             hold: hold.map(|hold| hold.describe(now)),
@@ -193,11 +200,7 @@
     }
 
     fn room_use(&self) -> RoomUse {
-        RoomUse {
-            link: self.owner.capacity.link,
-            cores: self.owner.capacity.cores,
-            load: self.load.load(),
-        }
+        RoomUse::new(&self.owner.capacity, self.load.load())
     }
 
     fn decide(
--- a/lib/gateway/src/room/recent_load.rs
+++ b/lib/gateway/src/room/recent_load.rs
@@ -31,6 +31,14 @@
     pub descriptors: f32,
 }
 
+impl FreeShares {
+    /// Returns the share of what is closest to running out.
+    pub fn least(&self) -> f32 {
+        let others = self.processor.min(self.memory).min(self.descriptors);
+        self.link.min(others)
+    }
+}
+
 /// Load of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct VmLoad {
--- a/lib/gateway/tests/room_simulation/mod.rs
+++ b/lib/gateway/tests/room_simulation/mod.rs
@@ -6,20 +6,19 @@
 use std::time::Instant;
 
 use fastrand::Rng;
-use snipegate_gateway::LoadSample;
 use snipegate_gateway::PeerContact;
 use snipegate_gateway::ReadinessDecision;
 use snipegate_gateway::ReadinessState;
 use snipegate_gateway::RoomNotice;
 use snipegate_gateway::RoomOwner;
-use snipegate_gateway::VmCapacity;
-use snipegate_types::ByteCount;
 use snipegate_types::ByteRate;
-use snipegate_types::RequestRate;
 use snipegate_types::VmId;
 
+use crate::room_samples::SAMPLE_INTERVAL;
+use crate::room_samples::owner;
+use crate::room_samples::sample;
+
 const STEP: Duration = Duration::from_millis(20);
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -106,43 +105,6 @@
     powered_off_at: Option<Instant>,
 }
 
-/// Returns what a VM with a link of `megabits` per second can carry.
-pub fn capacity(megabits: f64) -> VmCapacity {
-    VmCapacity {
-        link: Some(ByteRate::from_megabits(megabits)),
-        cores: 0.1 + megabits / 500.0,
-        memory: ByteCount(128 << 20),
-        descriptors: 4096,
-    }
-}
-
-/// Returns a VM whose link has this rate, in megabits per second.
-pub fn owner(number: usize, megabits: f64) -> RoomOwner {
-    RoomOwner {
-        vm: vm_id(number),
-        data_centre: "z1".parse().expect("a name"),
-        incarnation: 1 + number as u64,
-        capacity: capacity(megabits),
-    }
-}
-
-pub fn vm_id(number: usize) -> VmId {
-    format!("vm-{number}").parse().expect("a name")
-}
-
-/// Returns a sample of a link that carries `traffic` in both directions.
-pub fn sample(traffic: f64) -> LoadSample {
-    LoadSample {
-        span: SAMPLE_INTERVAL,
-        received: ByteRate(traffic),
-        sent: ByteRate(traffic),
-        requests: RequestRate(traffic / 5e3),
-        lateness: Duration::ZERO,
-        free_memory: 1.0,
-        free_descriptors: 1.0,
-    }
-}
-
 impl RoomSimulation {
     /// Creates VMs with links of these rates, in megabits per second. A twentieth of each link
     /// is used by callers that don't stick to it.
--- a/lib/gateway/tests/test_overload.rs
+++ b/lib/gateway/tests/test_overload.rs
@@ -30,6 +30,7 @@
         span: SPAN,
         received: ByteRate(received * link),
         sent: ByteRate(sent * link),
+        streams: ByteRate(0.0),
         requests: RequestRate(100.0),
         lateness: Duration::from_millis(late_ms),
         free_memory: 1.0,
--- a/lib/gateway/tests/test_uneven_vms.rs
+++ b/lib/gateway/tests/test_uneven_vms.rs
@@ -1,6 +1,7 @@
 //! What callers get that stick to a VM in a data centre of uneven VMs, and that enough VMs stay
 //! ready.
 
+mod room_samples;
 mod room_simulation;
 
 use std::time::Duration;
@@ -15,10 +16,10 @@
 use snipegate_gateway::RoomNotice;
 use snipegate_gateway::VmLoad;
 
+use crate::room_samples::owner;
+use crate::room_samples::sample;
 use crate::room_simulation::GroupTraffic;
 use crate::room_simulation::RoomSimulation;
-use crate::room_simulation::owner;
-use crate::room_simulation::sample;
 
 const UNEVEN_LINKS: [f64; 18] = [
     10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 25.0, 25.0, 25.0, 25.0,
--- a/lib/http1/src/lib.rs
+++ b/lib/http1/src/lib.rs
@@ -33,5 +33,3 @@
 pub use socket::read_available;
 pub use socket::write_all;
 pub use traffic::SocketTraffic;
-pub use traffic::count_received;
-pub use traffic::count_sent;
--- a/lib/http1/src/traffic.rs
+++ b/lib/http1/src/traffic.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes that the sockets of a thread carry.
+//! Counts the bytes that the TCP sockets of a thread carry.
 
 use std::cell::Cell;
 
@@ -8,9 +8,7 @@
     static TOTALS: Cell<SocketTraffic> = const { Cell::new(SocketTraffic::ZERO) };
 }
 
-/// Payload bytes that the sockets of this thread have carried.
-///
-/// A process that runs all its sockets on one thread has one count.
+/// Payload bytes that sockets have carried.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SocketTraffic {
     /// Bytes read.
@@ -25,12 +23,24 @@
         sent: ByteCount::ZERO,
     };
 
-    /// Returns the bytes since the thread began.
-    pub fn total() -> Self {
+    /// Returns what the TCP sockets of this thread have carried so far.
+    ///
+    /// A process that runs all its sockets on one thread has one count.
+    pub fn of_streams() -> Self {
         TOTALS.get()
     }
 
-    /// Returns the bytes since `earlier`, a total of the same thread.
+    /// Adds bytes that a socket has received.
+    pub fn add_received(&mut self, bytes: usize) {
+        self.received = self.received.saturating_add(ByteCount(bytes as u64));
+    }
+
+    /// Adds bytes that a socket has accepted for sending.
+    pub fn add_sent(&mut self, bytes: usize) {
+        self.sent = self.sent.saturating_add(ByteCount(bytes as u64));
+    }
+
+    /// Returns the bytes since `earlier`.
     pub fn since(self, earlier: Self) -> Self {
         Self {
             received: self.received.saturating_sub(earlier.received),
@@ -39,16 +49,16 @@
     }
 }
 
-/// Adds bytes that a socket has received.
-pub fn count_received(bytes: usize) {
+/// Adds bytes that a socket of this thread has received.
+pub(crate) fn count_received(bytes: usize) {
     let mut totals = TOTALS.get();
-    totals.received = totals.received.saturating_add(ByteCount(bytes as u64));
+    totals.add_received(bytes);
     TOTALS.set(totals);
 }
 
-/// Adds bytes that a socket has accepted for sending.
-pub fn count_sent(bytes: usize) {
+/// Adds bytes that a socket of this thread has accepted for sending.
+pub(crate) fn count_sent(bytes: usize) {
     let mut totals = TOTALS.get();
-    totals.sent = totals.sent.saturating_add(ByteCount(bytes as u64));
+    totals.add_sent(bytes);
     TOTALS.set(totals);
 }
--- a/lib/http1/tests/test_traffic.rs
+++ b/lib/http1/tests/test_traffic.rs
@@ -34,7 +34,7 @@
     runtime.block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
         let address = listener.local_addr().expect("an address");
-        let before = SocketTraffic::total();
+        let before = SocketTraffic::of_streams();
         let exchange = async {
             let stream = TcpStream::connect(address).await.expect("a connection");
             let mut connection = HttpConnection::new(stream, address, Instant::now());
@@ -43,7 +43,7 @@
             assert_eq!(&response.expect("a response").body[..], b"ok");
         };
         tokio::join!(exchange, serve_one(listener));
-        let traffic = SocketTraffic::total().since(before);
+        let traffic = SocketTraffic::of_streams().since(before);
         let expected = ByteCount((REQUEST.len() + RESPONSE.len()) as u64);
         assert_eq!((traffic.received, traffic.sent), (expected, expected));
     });
