gateway: lateness without callers is no overload, and only a full link slows gossip

And a saturated processor slowed its gossip, though fewer messages relieve the link alone; on deployments whose links are not known nothing changes now.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -50,6 +50,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
+use crate::room::OverloadCause;
 use crate::room::RoomOwner;
 use crate::room::VmCapacity;
 use crate::room::VmRoom;
@@ -390,9 +391,10 @@
         self.peers.borrow().count() + 1
     }
 
-    /// Returns whether this VM is overloaded.
-    pub fn is_overloaded(&self) -> bool {
-        self.room.readiness.borrow().is_overloaded(self.now())
+    /// Returns whether the link of this VM is saturated.
+    pub fn is_link_saturated(&self) -> bool {
+        let cause = self.room.readiness.borrow().overload_cause(self.now());
+        cause == Some(OverloadCause::Link)
     }
 
     /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -63,9 +63,9 @@
 /// Longest pause between two gossip messages.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Shortest pause between two gossip messages of an overloaded VM, so that its own traffic
-/// yields to that of callers. Other VMs still hear it in time if a message is lost.
-const OVERLOADED_GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest pause between two gossip messages of a VM whose link is saturated, so that its own
+/// traffic yields to that of callers. Other VMs still hear it in time if a message is lost.
+const SATURATED_GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long a change that VMs announce is included in every message.
 pub const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
@@ -179,8 +179,8 @@
         number += 1;
         send_direct_messages(&gateway, &socket);
         let mut spacing = gossip_spacing(gateway.vm_count());
-        if gateway.is_overloaded() {
-            spacing = spacing.max(OVERLOADED_GOSSIP_INTERVAL);
+        if gateway.is_link_saturated() {
+            spacing = spacing.max(SATURATED_GOSSIP_INTERVAL);
         }
         let pause = sleep(spacing);
         tokio::pin!(pause);
--- a/lib/gateway/src/room/overload.rs
+++ b/lib/gateway/src/room/overload.rs
@@ -67,7 +67,7 @@
     received: LinkDirection,
     sent: LinkDirection,
     late_samples: usize,
-    last_seen: Option<Instant>,
+    last_seen: Option<(Instant, OverloadCause)>,
 }
 
 /// One direction of a link.
@@ -97,7 +97,9 @@
         self.received
             .record(sample.received, sample.span, self.link);
         self.sent.record(sample.sent, sample.span, self.link);
-        self.late_samples = match sample.lateness > MAX_LATENESS {
+        // Work without callers, such as that of a start, leaves none to be led away.
+        let has_callers = sample.requests.0 > 0.0;
+        self.late_samples = match sample.lateness > MAX_LATENESS && has_callers {
             true => self.late_samples + 1,
             false => 0,
         };
@@ -108,17 +110,18 @@
         } else {
             return None;
         };
-        self.last_seen = Some(now);
+        self.last_seen = Some((now, cause));
         Some(VmOverload {
             cause,
             traffic: ByteRate(self.received.mean_rate().max(self.sent.mean_rate())),
         })
     }
 
-    /// Returns whether the VM is overloaded or was so until a moment ago.
-    pub fn is_overloaded(&self, now: Instant) -> bool {
-        let is_recent = |at| now.saturating_duration_since(at) < RELIEF_PERIOD;
-        self.last_seen.is_some_and(is_recent)
+    /// Returns what is saturated if the VM is overloaded, or was so until a moment ago.
+    pub fn recent_cause(&self, now: Instant) -> Option<OverloadCause> {
+        let (at, cause) = self.last_seen?;
+        let is_recent = now.saturating_duration_since(at) < RELIEF_PERIOD;
+        is_recent.then_some(cause)
     }
 }
 
--- a/lib/gateway/src/room/readiness.rs
+++ b/lib/gateway/src/room/readiness.rs
@@ -23,6 +23,7 @@
 use crate::room::notice::RoomNotice;
 use crate::room::notice::RoomUse;
 use crate::room::offer::OfferMeter;
+use crate::room::overload::OverloadCause;
 use crate::room::overload::OverloadState;
 use crate::room::overload::VmOverload;
 use crate::room::recent_load::RecentLoad;
@@ -131,9 +132,9 @@
         self.status == ReadinessStatus::Ready
     }
 
-    /// Returns whether the VM is overloaded.
-    pub fn is_overloaded(&self, now: Instant) -> bool {
-        self.overload.is_overloaded(now)
+    /// Returns what is saturated if the VM is overloaded.
+    pub fn overload_cause(&self, now: Instant) -> Option<OverloadCause> {
+        self.overload.recent_cause(now)
     }
 
     /// Applies a sample of the load. `contact` tells which VMs serve and are heard.
@@ -145,9 +146,9 @@
     ) -> Option<ReadinessDecision> {
         self.load.record(sample, now);
         let overload = self.overload.record(sample, now);
-        let is_overloaded = self.overload.is_overloaded(now);
+        let is_overloaded = self.overload_cause(now).is_some();
         self.offer.record(sample, &self.room_use(), is_overloaded);
-        self.is_kept_ready &= self.overload.is_overloaded(now);
+        self.is_kept_ready &= is_overloaded;
         self.decide(overload, contact, now)
     }
 
@@ -194,7 +195,7 @@
             room: self.room_use(),
             offer: self.offer.offer(),
             is_ready: self.is_ready(),
-            is_overloaded: self.overload.is_overloaded(now),
+            is_overloaded: self.overload_cause(now).is_some(),
             hold: hold.map(|hold| hold.describe(now)),
         }
     }
