--- a/lib/gateway/src/directory.rs
+++ b/lib/gateway/src/directory.rs
@@ -45,7 +45,7 @@
         let notice = readiness.table.get(&record.vm);
         AddressCandidate::new(record, notice, now)
     });
-    let own_candidate = own.map(|record| AddressCandidate::of_own(record, &own_notice));
+    let own_candidate = own.map(|record| AddressCandidate::from_notice(record, &own_notice));
     let candidates: Vec<AddressCandidate<'_>> = others.chain(own_candidate).collect();
     let caller = caller.to_canonical().to_string();
     let Some(choice) = AddressChoice::choose(&candidates, data_centre, &caller) else {
--- a/lib/gateway/src/directory/candidate.rs
+++ b/lib/gateway/src/directory/candidate.rs
@@ -43,7 +43,7 @@
                 age: Duration::ZERO,
             };
         };
-        let mut candidate = Self::of_own(record, &dated.notice);
+        let mut candidate = Self::from_notice(record, &dated.notice);
         candidate.age = dated.age(now);
         if !dated.is_current(now) {
             candidate.offer = None;
@@ -57,7 +57,7 @@
     }
 
     /// Describes a VM by a notice of just now.
-    pub fn of_own(record: &'a VmRecord, notice: &RoomNotice) -> Self {
+    pub fn from_notice(record: &'a VmRecord, notice: &RoomNotice) -> Self {
         Self {
             record,
             link: notice.room.link,
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -206,7 +206,6 @@
 pub use room::VmOffer;
 pub use room::VmOverload;
 pub use room::VmRoom;
-pub use room::apply_sample;
 pub use room::monitor_load;
 pub use send_pacer::SendPacer;
 pub use shard_memory::EndedByWorkspace;
--- a/lib/gateway/src/room.rs
+++ b/lib/gateway/src/room.rs
@@ -27,7 +27,6 @@
 pub use self::load_meter::LoadReading;
 pub use self::load_meter::LoadSample;
 pub use self::monitor::apply_notice;
-pub use self::monitor::apply_sample;
 pub use self::monitor::monitor_load;
 pub use self::notice::CallerDemand;
 pub use self::notice::HoldId;
--- a/lib/gateway/src/room/monitor.rs
+++ b/lib/gateway/src/room/monitor.rs
@@ -40,7 +40,7 @@
 }
 
 /// Applies a sample of this VM's load.
-pub fn apply_sample(gateway: &Gateway, sample: &LoadSample) {
+fn apply_sample(gateway: &Gateway, sample: &LoadSample) {
     let now = gateway.now();
     let peers = gateway.peers.borrow();
     let contact = |vm: &_| peers.contact(vm, now);
--- a/lib/gateway/tests/test_uneven_vms.rs
+++ b/lib/gateway/tests/test_uneven_vms.rs
@@ -282,3 +282,23 @@
     assert_eq!(states[1].notice(at).room.can_take(&demand), Some(false));
     assert!(states[1].is_ready());
 }
+
+/// The callers of a VM whose processor is saturated would saturate that of the next small one,
+/// although the links of both are free.
+#[test]
+fn saturated_processor_leads_callers_to_a_vm_with_more_of_it() {
+    let now = Instant::now();
+    let links = [10.0, 10.0, 25.0, 200.0].into_iter().enumerate();
+    let mut states: Vec<ReadinessState> = links
+        .map(|(number, megabits)| ReadinessState::new(owner(number, megabits), now))
+        .collect();
+    exchange(&mut states, now);
+    let mut late = sample(1e5);
+    late.lateness = Duration::from_millis(150);
+    for _ in 0..3 {
+        states[0].record_sample(&late, |_| PeerContact::Heard, now);
+    }
+    exchange(&mut states, now);
+    let ready: Vec<bool> = states.iter().map(ReadinessState::is_ready).collect();
+    assert_eq!(ready, [false, false, true, true]);
+}
