gateway: an answer names some VM whatever is known of the VMs' offers

Where the offers of all VMs that may be named are 0 or not known, their weights were 0 by 0, none was named, and callers got a 503. All have the same weight then. Test: some_vm_is_named_whatever_is_known, which fails without the rule.

--- a/lib/gateway/src/directory/choice.rs
+++ b/lib/gateway/src/directory/choice.rs
@@ -1,8 +1,8 @@
 //! The choice of addresses for a caller, in proportion to what VMs can take.
 //!
-//! The choice has no state and little depends on small changes: a caller drops connections to
-//! addresses that a newer answer does not name, and many callers that change at the same time
-//! overload the VMs that they go to.
+//! The choice keeps no state, and a small change of a weight changes few answers: a caller drops
+//! connections to addresses that a newer answer does not name, and many callers that change at
+//! the same time overload the VMs that they go to.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -218,7 +218,10 @@
 fn name_vms(mut vms: Vec<WeightedVm<'_>>, caller: &str) -> Vec<SocketAddr> {
     let largest = vms.iter().map(|vm| vm.weight).fold(0.0, f64::max);
     for vm in &mut vms {
-        vm.weight = full_weight(vm.weight / largest);
+        vm.weight = match largest > 0.0 {
+            true => full_weight(vm.weight / largest),
+            false => 1.0,
+        };
     }
     vms.retain(|vm| vm.weight > 0.0);
     let mut named: IndexSet<SocketAddr> = IndexSet::new();
--- a/lib/gateway/src/room/overload.rs
+++ b/lib/gateway/src/room/overload.rs
@@ -97,7 +97,7 @@
         self.received
             .record(sample.received, sample.span, self.link);
         self.sent.record(sample.sent, sample.span, self.link);
-        // Work without callers, such as that of a start, leaves none to be led away.
+        // A VM that is busy without callers, as after a start, has none to lead away.
         let has_callers = sample.requests.0 > 0.0;
         self.late_samples = match sample.lateness > MAX_LATENESS && has_callers {
             true => self.late_samples + 1,
--- a/lib/gateway/tests/test_directory.rs
+++ b/lib/gateway/tests/test_directory.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
 use indexmap::IndexMap;
 use snipegate_gateway::AddressCandidate;
 use snipegate_gateway::AddressChoice;
@@ -289,3 +291,38 @@
     vms[0].notice.notice.offer.free.0 = 0.0;
     assert_eq!(choose(&vms, "z1", 1, now), None);
 }
+
+fn check_any_answer(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
+    let now = Instant::now();
+    let mut vms = Vec::new();
+    for number in 0..u.int_in_range(2..=8)? {
+        let data_centre = *u.choose(&["z1", "z2"])?;
+        let megabits = *u.choose(&[10.0, 25.0, 200.0])?;
+        let mut vm = NamedVm::new(number, megabits, data_centre, now);
+        let notice = &mut vm.notice.notice;
+        notice.offer.free.0 *= f64::from(u.int_in_range(0..=2)?) / 2.0;
+        notice.is_ready = u.arbitrary()?;
+        notice.is_overloaded = u.ratio(1, 4)?;
+        vms.push((vm, u.int_in_range(0..=5)?));
+    }
+    // Notices of several ages, and VMs without one.
+    let candidates: Vec<AddressCandidate<'_>> = vms
+        .iter()
+        .map(|(vm, age)| {
+            let notice = Some(&vm.notice).filter(|_| *age < 5);
+            AddressCandidate::new(&vm.record, notice, now + Duration::from_secs(*age))
+        })
+        .collect();
+    if let Some(choice) = AddressChoice::choose(&candidates, Some("z1"), "10.0.0.1") {
+        assert!(!choice.addresses.is_empty(), "no VM is named");
+    }
+    Ok(())
+}
+
+/// A caller that is given no address is served by nobody, though any VM might answer.
+#[test]
+fn some_vm_is_named_whatever_is_known() {
+    for number in 0..2000 {
+        arbtest(check_any_answer).seed(256 | number << 32);
+    }
+}
