--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::config::ColdTolerance;
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
+use crate::directory::DirectoryLog;
 use crate::era_contacts::EraContacts;
 use crate::feature_guard::FeatureGuard;
 use crate::gossip::PeerMessage;
@@ -49,6 +50,8 @@
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryRule;
 use crate::retry_schedule::RetrySchedule;
+use crate::room::OverloadCause;
+use crate::room::RoomOwner;
 use crate::room::VmCapacity;
 use crate::room::VmRoom;
 use crate::shard_memory::ShardMemory;
@@ -185,6 +188,8 @@
     pub serving_since: Cell<Option<Instant>>,
     /// Load and readiness of this VM.
     pub room: VmRoom,
+    /// What the last answers to address queries were based on.
+    pub directory_log: DirectoryLog,
     /// Number of requests that are not fully answered.
     pub active: Cell<usize>,
     /// Number of open caller connections.
@@ -258,10 +263,17 @@
             ..timestamp
         });
         let created_at = clock.now();
-        let room = VmRoom::new(&settings.capacity);
+        let incarnation = fastrand::u64(1..);
+        let room_owner = RoomOwner {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            capacity: settings.capacity,
+        };
+        let room = VmRoom::new(room_owner, created_at);
         Self {
             settings,
-            incarnation: fastrand::u64(1..),
+            incarnation,
             started_at,
             wire_format,
             clock,
@@ -300,6 +312,7 @@
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
             room,
+            directory_log: DirectoryLog::default(),
             active: Cell::new(0),
             connections: Cell::new(0),
             peer_free_tokens: RefCell::default(),
@@ -378,6 +391,12 @@
         self.peers.borrow().count() + 1
     }
 
+    /// Returns whether the link of this VM is saturated.
+    pub fn is_link_saturated(&self) -> bool {
+        let cause = self.room.readiness.borrow().overload_cause(self.now());
+        cause == Some(OverloadCause::Link)
+    }
+
     /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
     /// the quarantined features are known.
     pub fn update_stage(&self) {
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -12,8 +12,6 @@
 use serde::Serialize;
 use slog::debug;
 use slog::info;
-use snipegate_http1::count_received;
-use snipegate_http1::count_sent;
 use snipegate_platform::StoreRevision;
 use snipegate_types::PartId;
 use snipegate_types::TokenCount;
@@ -30,6 +28,7 @@
 use crate::gateway::stable_hash;
 use crate::load::UpstreamReport;
 use crate::metadata::PromptPart;
+use crate::peers::GossipTargets;
 use crate::peers::VmRecord;
 use crate::promise_keeper::handle_promise;
 use crate::promise_keeper::handle_query;
@@ -38,6 +37,9 @@
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
 use crate::rate_table::RateAnnouncement;
+use crate::room::RoomNotice;
+use crate::room::announce_room;
+use crate::room::apply_notice;
 use crate::spending_witness::PromiseQuery;
 use crate::spending_witness::PromiseReceipt;
 use crate::spending_witness::SpendingPromise;
@@ -61,6 +63,10 @@
 /// Longest pause between two gossip messages.
 const MAX_GOSSIP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest pause between two gossip messages of a VM whose link is saturated, so that its own
+/// traffic yields to that of callers. Other VMs still hear it in time if a message is lost.
+const SATURATED_GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a change that VMs announce is included in every message.
 pub const ANNOUNCE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -147,6 +153,10 @@
     PromiseQuery(PromiseQuery),
     /// Answers a question of the receiver for promises.
     SpendingTestimony(Box<SpendingTestimony>),
+    /// Capacity, load and readiness of the sender.
+    RoomNotice(Box<RoomNotice>),
+    /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
+    RelayRoomNotice(Box<RoomNotice>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -154,6 +164,7 @@
     let socket = Rc::new(socket);
     let receiver = Rc::clone(&socket);
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
+    tokio::task::spawn_local(announce_room(Rc::clone(&gateway), Rc::clone(&socket)));
     let mut number = 0;
     loop {
         let wake = timeout(MAX_GOSSIP_INTERVAL, gateway.gossip_notify.notified());
@@ -167,7 +178,11 @@
         send_gossip(&gateway, &socket, number);
         number += 1;
         send_direct_messages(&gateway, &socket);
-        let pause = sleep(gossip_spacing(gateway.vm_count()));
+        let mut spacing = gossip_spacing(gateway.vm_count());
+        if gateway.is_link_saturated() {
+            spacing = spacing.max(SATURATED_GOSSIP_INTERVAL);
+        }
+        let pause = sleep(spacing);
         tokio::pin!(pause);
         loop {
             tokio::select! {
@@ -196,11 +211,7 @@
     let now = gateway.now();
     let message = Box::new(build_gossip(gateway, number, now));
     gateway.peers.borrow_mut().remove_gone(now);
-    let own = &gateway.settings.data_centre;
-    let targets = gateway
-        .peers
-        .borrow()
-        .gossip_targets(own, MIN_VMS_FOR_RELAY, now);
+    let targets = gossip_targets(gateway, now);
     let direct = PeerMessage::Gossip(message.clone());
     send_to(gateway, socket, &direct, &targets.direct);
     send_to(
@@ -220,6 +231,15 @@
     gateway.metrics.count("gossip.sent");
 }
 
+/// Returns the recipients of a message to all other VMs.
+pub fn gossip_targets(gateway: &Gateway, now: Instant) -> GossipTargets {
+    let own = &gateway.settings.data_centre;
+    let peers = gateway.peers.borrow();
+    let readiness = gateway.room.readiness.borrow();
+    let relay_weight = |vm: &VmId| readiness.table.relay_weight(vm, now);
+    peers.gossip_targets(own, MIN_VMS_FOR_RELAY, relay_weight, now)
+}
+
 /// Relays a message to the other VMs of this data centre.
 fn relay_message(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage) {
     let own = &gateway.settings.data_centre;
@@ -228,7 +248,13 @@
     gateway.metrics.count("gossip.passed_on");
 }
 
-fn send_to(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, targets: &[SocketAddr]) {
+/// Sends a message to each of the targets.
+pub fn send_to(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    targets: &[SocketAddr],
+) {
     if targets.is_empty() {
         return;
     }
@@ -241,7 +267,9 @@
     };
     for target in targets {
         match socket.try_send_to(&bytes, *target) {
-            Ok(count) => count_sent(count),
+            Ok(count) => gateway
+                .room
+                .count_datagram(|traffic| traffic.add_sent(count)),
             Err(error) => {
                 gateway.metrics.count("gossip.send_failed");
                 debug!(gateway.log, "failed to send peer message"; "to" => %target,
@@ -301,7 +329,9 @@
                 continue;
             }
         };
-        count_received(length);
+        gateway
+            .room
+            .count_datagram(|traffic| traffic.add_received(length));
         match rmp_serde::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Gossip(message)) => apply_gossip(&gateway, *message),
             Ok(PeerMessage::Relay(message)) => {
@@ -315,6 +345,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_feature_news(&gateway, *news);
             }
+            Ok(PeerMessage::RoomNotice(notice)) => apply_notice(&gateway, *notice),
+            Ok(PeerMessage::RelayRoomNotice(notice)) => {
+                let relayed = PeerMessage::RoomNotice(notice.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_notice(&gateway, *notice);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
@@ -359,7 +395,7 @@
     }
     let peer = stable_hash(message.sender.vm.as_str());
     let vm = message.sender.vm.clone();
-    let stage = message.sender.stage;
+    let (stage, address) = (message.sender.stage, message.sender.gossip);
     if gateway
         .peers
         .borrow_mut()
@@ -368,6 +404,8 @@
         info!(gateway.log, "vm heard"; "vm" => %vm, "stage" => %stage);
         gateway.rates.borrow_mut().announce_all(now);
         gateway.crash_features.table.borrow_mut().announce_all(now);
+        let notice = Box::new(gateway.room.readiness.borrow().notice(now));
+        gateway.send_direct(address, PeerMessage::RoomNotice(notice));
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/room/overload.rs
+++ b/lib/gateway/src/room/overload.rs
@@ -8,6 +8,8 @@
 
 use crate::room::capacity::VmCapacity;
 use crate::room::load_meter::LoadSample;
+use crate::room::notice::CallerDemand;
+use crate::room::notice::RoomUse;
 
 /// Share of a link's rate above which it is saturated. Requests come in bursts, so they wait
 /// for the link well before its mean use reaches its rate.
@@ -45,6 +47,19 @@
     pub traffic: ByteRate,
 }
 
+impl VmOverload {
+    /// Returns what the callers need that overloaded a VM with this room.
+    pub fn demand(&self, room: &RoomUse) -> CallerDemand {
+        CallerDemand {
+            traffic: self.traffic,
+            cores: match self.cause {
+                OverloadCause::Link => 0.0,
+                OverloadCause::Processor => room.cores,
+            },
+        }
+    }
+}
+
 /// Detects overload from samples of the load.
 #[derive(Clone, Debug)]
 pub struct OverloadState {
@@ -52,7 +67,7 @@
     received: LinkDirection,
     sent: LinkDirection,
     late_samples: usize,
-    last_seen: Option<Instant>,
+    last_seen: Option<(Instant, OverloadCause)>,
 }
 
 /// One direction of a link.
@@ -82,7 +97,9 @@
         self.received
             .record(sample.received, sample.span, self.link);
         self.sent.record(sample.sent, sample.span, self.link);
-        self.late_samples = match sample.lateness > MAX_LATENESS {
+        // A VM that is busy without callers, as after a start, has none to lead away.
+        let has_callers = sample.requests.0 > 0.0;
+        self.late_samples = match sample.lateness > MAX_LATENESS && has_callers {
             true => self.late_samples + 1,
             false => 0,
         };
@@ -93,17 +110,18 @@
         } else {
             return None;
         };
-        self.last_seen = Some(now);
+        self.last_seen = Some((now, cause));
         Some(VmOverload {
             cause,
             traffic: ByteRate(self.received.mean_rate().max(self.sent.mean_rate())),
         })
     }
 
-    /// Returns whether the VM is overloaded or was so until a moment ago.
-    pub fn is_overloaded(&self, now: Instant) -> bool {
-        let is_recent = |at| now.saturating_duration_since(at) < RELIEF_PERIOD;
-        self.last_seen.is_some_and(is_recent)
+    /// Returns what is saturated if the VM is overloaded, or was so until a moment ago.
+    pub fn recent_cause(&self, now: Instant) -> Option<OverloadCause> {
+        let (at, cause) = self.last_seen?;
+        let is_recent = now.saturating_duration_since(at) < RELIEF_PERIOD;
+        is_recent.then_some(cause)
     }
 }
 
