room: fewer than half of a data centre's VMs are not ready

With 12 small VMs of 18 not ready, callers stayed at the overloaded VM: the platform takes checks for wrong where most fail. VMs are withheld in their order as long as one place is left for a VM that is overloaded itself, and are released when one needs it. The simulated data centre ignores the checks in the same case; callers_find_a_vm_that_carries_them failed with that.

--- a/lib/gateway/src/room/monitor.rs
+++ b/lib/gateway/src/room/monitor.rs
@@ -85,6 +85,7 @@
         ReadinessEvent::Prolonged(hold) => ("prolonged", Some(hold)),
         ReadinessEvent::KeptReady(_) => ("kept_ready", None),
         ReadinessEvent::HoldEnded => ("hold_ended", None),
+        ReadinessEvent::Released => ("released", None),
         ReadinessEvent::NoOtherVm => ("no_other_vm", None),
     };
     let overload = match decision.event {
--- a/lib/gateway/src/room/notice.rs
+++ b/lib/gateway/src/room/notice.rs
@@ -92,6 +92,12 @@
         let has_link = traffic <= self.usable_link().0;
         Some(has_link && (demand.cores == 0.0 || self.free_cores() > demand.cores))
     }
+
+    /// Returns whether the VM could take callers with this demand if it had no others.
+    pub fn could_take(&self, demand: &CallerDemand) -> bool {
+        let has_link = self.link.is_some() && demand.traffic.0 <= self.usable_link().0;
+        has_link && demand.cores < self.cores
+    }
 }
 
 /// Capacity, load and readiness of a VM.
@@ -118,6 +124,12 @@
 }
 
 impl RoomNotice {
+    /// Returns whether the VM is not ready because of its own overload.
+    pub fn has_own_hold(&self) -> bool {
+        let hold = self.hold.as_ref();
+        hold.is_some_and(|hold| hold.id.incarnation == self.incarnation)
+    }
+
     /// Returns whether the VM comes after another one in the order in which VMs rely on others.
     ///
     /// A VM that is not ready relies only on VMs that come after it. So two VMs that decide at
--- a/lib/gateway/src/room/readiness.rs
+++ b/lib/gateway/src/room/readiness.rs
@@ -60,7 +60,10 @@
     KeptReady(VmOverload),
     /// The hold has ended, so the VM is ready.
     HoldEnded,
-    /// The VM hears no ready one to rely on, so it is ready.
+    /// VMs that are overloaded themselves need the VM's place among those that may be not ready,
+    /// so it is ready.
+    Released,
+    /// The VM hears no ready one that could take its callers, so it is ready.
     NoOtherVm,
 }
 
@@ -219,6 +222,7 @@
             ReadinessEvent::Withheld(hold) => ReadinessStatus::Withheld(hold),
             ReadinessEvent::KeptReady(_)
             | ReadinessEvent::HoldEnded
+            | ReadinessEvent::Released
             | ReadinessEvent::NoOtherVm => ReadinessStatus::Ready,
         };
         self.is_kept_ready = matches!(event, ReadinessEvent::KeptReady(_));
@@ -255,6 +259,10 @@
                     overload.map(ReadinessEvent::KeptReady)
                 }),
             (ReadinessStatus::Withheld(_), None) => match threat {
+                Some(threat) if !view.has_capacity_for(&threat.demand) => {
+                    Some(ReadinessEvent::NoOtherVm)
+                }
+                Some(_) if !view.may_be_withheld() => Some(ReadinessEvent::Released),
                 Some(threat) => {
                     // The hold may have been prolonged.
                     self.status = ReadinessStatus::Withheld(threat);
@@ -262,6 +270,9 @@
                 }
                 None => Some(ReadinessEvent::HoldEnded),
             },
+            (ReadinessStatus::Overloaded(hold), _) if !view.has_capacity_for(&hold.demand) => {
+                Some(ReadinessEvent::NoOtherVm)
+            }
             (ReadinessStatus::Overloaded(hold), _) if hold.until > now + RENEWAL_LEAD => None,
             (ReadinessStatus::Overloaded(hold), _) => self.end_hold(hold, threat, view, now),
         }
--- a/lib/gateway/src/room/takeover.rs
+++ b/lib/gateway/src/room/takeover.rs
@@ -32,7 +32,15 @@
     /// All of them, by the hash of their name. A VM that has just become silent is one: if it
     /// counted as ended and was not, callers would be drawn back to a VM that can't take them.
     ready: IndexMap<u64, RoomUse>,
-    /// Those that are heard and not overloaded.
+    /// Number of VMs of the data centre that serve, with this one.
+    serving: usize,
+    /// Number of the others that are ready.
+    others_ready: usize,
+    /// Number of those that come before this one in the order, ready or not.
+    before: usize,
+    /// Number of those after it that are not ready because of their own overload.
+    overloaded_after: usize,
+    /// Those that come after this one, are heard and are not overloaded.
     relieved: Vec<RoomUse>,
     /// Age of the oldest notice.
     pub oldest_notice: Duration,
@@ -49,15 +57,27 @@
         let mut view = Self {
             own: own.room,
             ready: IndexMap::new(),
+            serving: 1,
+            others_ready: 0,
+            before: 0,
+            overloaded_after: 0,
             relieved: Vec::new(),
             oldest_notice: Duration::ZERO,
         };
         for dated in table.current(now) {
             let notice = &dated.notice;
-            let is_near = notice.data_centre == own.data_centre;
             let contact = contact(&notice.vm);
-            let is_candidate = is_near && notice.is_ready && notice.is_after(own);
-            if !is_candidate || contact == PeerContact::NotServing {
+            if notice.data_centre != own.data_centre || contact == PeerContact::NotServing {
+                continue;
+            }
+            view.serving += 1;
+            view.others_ready += usize::from(notice.is_ready);
+            if !notice.is_after(own) {
+                view.before += 1;
+                continue;
+            }
+            if !notice.is_ready {
+                view.overloaded_after += usize::from(notice.has_own_hold());
                 continue;
             }
             let vm = stable_hash(notice.vm.as_str());
@@ -76,13 +96,15 @@
     }
 
     /// Returns whether the callers that overload this VM fare better at another one: it has
-    /// more room left than this VM has in all.
+    /// more room left than this VM has in all, and enough VMs remain ready.
     pub fn has_more_room(&self, overload: &VmOverload) -> bool {
         let demand = overload.demand(&self.own);
-        self.relieved.iter().any(|room| match overload.cause {
-            OverloadCause::Link => self.own.link.is_some_and(|link| room.free_link() > link),
-            OverloadCause::Processor => room.can_take(&demand) == Some(true),
-        })
+        let not_ready = self.serving - self.others_ready;
+        not_ready <= self.max_not_ready()
+            && self.relieved.iter().any(|room| match overload.cause {
+                OverloadCause::Link => self.own.link.is_some_and(|link| room.free_link() > link),
+                OverloadCause::Processor => room.can_take(&demand) == Some(true),
+            })
     }
 
     /// Returns whether VMs that these callers would not overload have room for them. Those
@@ -92,11 +114,31 @@
         let takers = || self.relieved.iter().filter(can_take);
         let traffic: f64 = takers().map(|room| room.free_link().0).sum();
         let cores: f64 = takers().map(RoomUse::free_cores).sum();
-        takers().next().is_some()
+        self.may_be_withheld()
+            && takers().next().is_some()
             && traffic >= demand.traffic.0 * TAKEOVER_MARGIN
             && cores >= demand.cores * TAKEOVER_MARGIN
     }
 
+    /// Returns how many VMs of the data centre may be not ready at the same time.
+    ///
+    /// Where half of the targets or more fail their checks, platforms take the checks for wrong
+    /// and send callers to all of them.
+    fn max_not_ready(&self) -> usize {
+        (self.serving - 1) / 2
+    }
+
+    /// Returns whether this VM may be not ready for the callers of another one, with all before
+    /// it in the order. One more that is overloaded itself may still become not ready then.
+    pub fn may_be_withheld(&self) -> bool {
+        self.before + self.overloaded_after + 1 < self.max_not_ready()
+    }
+
+    /// Returns whether one of the VMs could take these callers if it had no others.
+    pub fn has_capacity_for(&self, demand: &CallerDemand) -> bool {
+        self.ready.values().any(|room| room.could_take(demand))
+    }
+
     /// Returns the highest recent traffic of each VM, by the hash of its name.
     pub fn peaks(&self) -> IndexMap<u64, ByteRate> {
         let peaks = self.ready.iter();
--- a/lib/gateway/tests/room_simulation/mod.rs
+++ b/lib/gateway/tests/room_simulation/mod.rs
@@ -1,6 +1,7 @@
 //! Simulated data centre of VMs of uneven size, with callers that stick to a VM: each group
 //! of them uses the first VM of its own order that is not out of choice. A VM is out of choice
-//! after two readiness checks in a row that failed, until one succeeds.
+//! after two readiness checks in a row that failed, until one succeeds. While more than half of
+//! the VMs are out of choice, the checks are taken for wrong and count for none.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -169,6 +170,25 @@
         vm.state = is_on.then(|| ReadinessState::new(vm.owner.clone(), now));
     }
 
+    /// Returns the ready VM that comes before all others in the order in which VMs rely on each
+    /// other, so that it is the first to be withheld.
+    pub fn first_in_order(&self) -> usize {
+        let notice = |vm: usize| {
+            self.vms[vm]
+                .state
+                .as_ref()
+                .map(|state| state.notice(self.now))
+        };
+        let is_first = |vm: &usize| {
+            let own = notice(*vm);
+            let others = (0..self.vms.len()).filter(|other| other != vm).map(notice);
+            others
+                .flatten()
+                .all(|other| own.as_ref().is_some_and(|own| other.is_after(own)))
+        };
+        (0..self.vms.len()).find(is_first).expect("a VM that is on")
+    }
+
     /// Runs the simulation for `span`, and checks that some VM is ready while any is on, except
     /// for a while after one was switched off.
     pub fn run(&mut self, span: Duration) {
@@ -276,6 +296,11 @@
     }
 
     fn move_groups(&mut self) {
+        let out_of_choice = self.vms.iter().filter(|vm| !vm.is_in_choice()).count();
+        if out_of_choice * 2 > self.vms.len() {
+            self.return_groups();
+            return;
+        }
         for group in &mut self.groups {
             let in_choice = |vm: &&usize| self.vms[**vm].is_in_choice();
             let vm = *group.order.iter().find(in_choice).unwrap_or(&group.vm);
@@ -283,6 +308,14 @@
             group.vm = vm;
         }
     }
+
+    /// Sends all callers to the VMs that are the first in their orders.
+    fn return_groups(&mut self) {
+        for group in &mut self.groups {
+            group.moves += usize::from(group.vm != group.order[0]);
+            group.vm = group.order[0];
+        }
+    }
 }
 
 /// Returns a function that tells which VMs are heard: those that are on.
