evacuation: no sends to evacuated data centres, regions, and silent VMs in the directory

Cause: operators evacuate data centres by keys that nothing read; routes and workspaces that allow only some regions were not heeded; and the directory named VMs that had ended as long as most others were silent too.

Change: one watch of the operators' keys brings the configuration and the evacuations. EvacuationTable (pure) orders what listings, watches and other VMs tell by positions in the store; EvacuationNotice carries each change itself, since a VM with a 12 s watch would not hear of it in time otherwise. UpstreamTable leaves the upstreams out at each attempt. Requests go only to upstreams in the regions of their route and workspace by the configuration in force. A VM that was not heard from for the contact timeout, or never, is not named.

--- a/lib/gateway/src/config.rs
+++ b/lib/gateway/src/config.rs
@@ -213,6 +213,14 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the allowed regions of those routes of a host that allow only some.
+    pub fn restrictions_of(&self, host: &str) -> Vec<&[RegionName]> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.routes.get(host.to_ascii_lowercase().as_str());
+        let lists = routes.into_iter().flatten().map(|r| &*r.allowed_regions);
+        lists.filter(|list| !list.is_empty()).collect()
+    }
+
     /// Returns whether requests to routes that are not public need an API key.
     pub fn needs_keys(&self) -> bool {
         !self.workspaces.is_empty()
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -1,4 +1,5 @@
-//! Follows the configuration in the store. A lower version never replaces a higher one.
+//! Follows the configuration and the evacuations in the store. A lower version of the
+//! configuration never replaces a higher one.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,9 +7,15 @@
 use slog::info;
 use slog::warn;
 use snipegate_platform::ConfigStore;
+use snipegate_platform::StoreChange;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
 
+use crate::evacuation::EvacuationSource;
+use crate::evacuation::apply_evacuation_changes;
+use crate::evacuation::evacuated_data_centres;
+use crate::evacuation::evacuation_of_key;
 use crate::gateway::Gateway;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
@@ -17,7 +24,10 @@
 /// Longest time that one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
 
-/// Follows the configuration until the process ends.
+/// Shortest wait of a watch that may end an evacuation.
+const MIN_CONFIRM_WAIT: Duration = Duration::from_millis(50);
+
+/// Follows the configuration and the evacuations until the process ends.
 pub async fn follow_config<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     loop {
         if read_and_watch(&gateway, &*store).await.is_err() {
@@ -26,31 +36,28 @@
     }
 }
 
-/// Reads the configuration, then watches it until a watch fails or the configuration has to
-/// be listed again.
+/// Reads the configuration and the evacuations, then watches them until a watch fails or they
+/// have to be listed again.
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let layout = gateway.wire_format.layout();
-    let call = store.list(layout.config_prefix, None);
-    let listing = gateway.call_store(StoreTask::Config, call).await?;
-    gateway.observe_era(listing.revision.era, StoreTask::Config)?;
-    let stored = listing
-        .entries
-        .into_iter()
-        .find(|(key, _)| key == layout.config_key);
-    if let Some((_, stored)) = stored {
-        apply_config(gateway, &stored);
+    let (entries, listed) = read_all(gateway, store).await?;
+    apply_listed_evacuations(gateway, &entries, listed);
+    if let Some((_, stored)) = entries.iter().find(|(key, _)| key == layout.config_key) {
+        apply_config(gateway, stored);
     }
+    gateway.update_stage();
     let prefix = layout.config_prefix;
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::Config, prefix, listing.revision);
+    let mut watch = StoreWatch::new(gateway, store, StoreTask::Config, prefix, listed);
     loop {
         let peer_ahead = gateway
             .config_hint
             .wait_until_behind(|| gateway.config_version());
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, peer_ahead).await?
-        else {
+        let wait = watch_wait(gateway);
+        let WatchOutcome::Changes(changes) = watch.next_changes(wait, peer_ahead).await? else {
             return Ok(());
         };
         for change in changes {
+            apply_watched_evacuation(gateway, &change);
             if change.key == layout.config_key
                 && let Some(value) = change.value
             {
@@ -58,9 +65,77 @@
                 apply_config(gateway, &StoredValue { revision, value });
             }
         }
+        confirm_evacuations(gateway, watch.after());
     }
 }
 
+/// Lists all keys of operators, page by page. Returns them with the revision of the first page,
+/// after which to watch.
+async fn read_all<S: ConfigStore>(
+    gateway: &Gateway,
+    store: &S,
+) -> Result<(Vec<(String, StoredValue)>, StoreRevision), StoreError> {
+    let prefix = gateway.wire_format.layout().config_prefix;
+    let mut entries = Vec::new();
+    let mut first_revision = None;
+    let mut after: Option<String> = None;
+    loop {
+        let call = store.list(prefix, after.as_deref());
+        let listing = gateway.call_store(StoreTask::Config, call).await?;
+        gateway.observe_era(listing.revision.era, StoreTask::Config)?;
+        let revision = *first_revision.get_or_insert(listing.revision);
+        if revision.era != listing.revision.era {
+            return Err(StoreError::EraChanged);
+        }
+        entries.extend(listing.entries);
+        after = listing.more_after;
+        if after.is_none() {
+            return Ok((entries, revision));
+        }
+    }
+}
+
+/// Returns how long the next watch may wait. After the store came back from an older copy, it ends
+/// when an evacuation that the copy lacks may end.
+fn watch_wait(gateway: &Gateway) -> Duration {
+    let next_end = gateway.evacuations.borrow().next_end();
+    let wait = next_end.map(|at| at.saturating_duration_since(gateway.now()));
+    wait.map_or(WATCH_WAIT, |wait| wait.clamp(MIN_CONFIRM_WAIT, WATCH_WAIT))
+}
+
+fn apply_listed_evacuations(
+    gateway: &Gateway,
+    entries: &[(String, StoredValue)],
+    as_of: StoreRevision,
+) {
+    let listed = evacuated_data_centres(gateway, entries);
+    let now = gateway.now();
+    let mut table = gateway.evacuations.borrow_mut();
+    let changes = table.apply_listing(&listed, as_of, now);
+    drop(table);
+    apply_evacuation_changes(gateway, changes, EvacuationSource::Listing);
+    confirm_evacuations(gateway, as_of);
+}
+
+fn apply_watched_evacuation(gateway: &Gateway, change: &StoreChange) {
+    let Some(data_centre) = evacuation_of_key(gateway, &change.key) else {
+        return;
+    };
+    let is_evacuated = change.value.is_some();
+    let now = gateway.now();
+    let mut table = gateway.evacuations.borrow_mut();
+    let applied = table.apply_change(&data_centre, is_evacuated, change.revision, now);
+    drop(table);
+    apply_evacuation_changes(gateway, applied, EvacuationSource::Watch);
+}
+
+/// Records that all changes up to `as_of` were applied.
+fn confirm_evacuations(gateway: &Gateway, as_of: StoreRevision) {
+    let now = gateway.now();
+    let ended = gateway.evacuations.borrow_mut().confirm(as_of, now);
+    apply_evacuation_changes(gateway, ended, EvacuationSource::Return);
+}
+
 fn apply_config(gateway: &Gateway, stored: &StoredValue) {
     let config = match gateway.wire_format.decode_config(&stored.value) {
         Ok(config) => config,
--- a/lib/gateway/src/directory.rs
+++ b/lib/gateway/src/directory.rs
@@ -2,6 +2,7 @@
 
 mod candidate;
 mod choice;
+mod regions;
 
 use std::cell::RefCell;
 use std::net::IpAddr;
@@ -15,7 +16,10 @@
 pub use self::candidate::AddressCandidate;
 pub use self::choice::AddressChoice;
 pub use self::choice::ChoiceBasis;
+pub use self::regions::NamedRegions;
 use crate::gateway::Gateway;
+use crate::peers::VmRecord;
+use crate::peers::addresses_of;
 use crate::stage::VmStage;
 use crate::wire_format::AddressQuery;
 
@@ -38,19 +42,30 @@
     let own = gateway.own_record();
     let own = (own.stage == VmStage::Serving).then_some(&own);
     let data_centre = query.data_centre.as_deref();
+    let regions = NamedRegions::of_query(gateway, query);
+    let may_name =
+        |record: &&VmRecord| regions.includes(gateway.settings.regions.get(&record.data_centre));
     let peers = gateway.peers.borrow();
+    let mut others = peers.serving(gateway.settings.contact_timeout, now);
+    let known = others.len() + usize::from(own.is_some());
+    others.retain(may_name);
+    let own = own.filter(may_name);
+    if others.len() + usize::from(own.is_some()) < known {
+        gateway.metrics.count("directory.region_left_out");
+    }
     let readiness = gateway.room.readiness.borrow();
     let own_notice = readiness.notice(now);
-    let others = peers.serving(now).into_iter().map(|record| {
+    let candidates = others.iter().map(|record| {
         let notice = readiness.table.get(&record.vm);
         AddressCandidate::new(record, notice, now)
     });
     let own_candidate = own.map(|record| AddressCandidate::from_notice(record, &own_notice));
-    let candidates: Vec<AddressCandidate<'_>> = others.chain(own_candidate).collect();
+    let candidates: Vec<AddressCandidate<'_>> = candidates.chain(own_candidate).collect();
     let caller = caller.to_canonical().to_string();
     let Some(choice) = AddressChoice::choose(&candidates, data_centre, &caller) else {
         gateway.metrics.count_tagged("directory.chosen", "equal");
-        return peers.addresses(own, data_centre, now);
+        others.extend(own);
+        return addresses_of(&others, data_centre);
     };
     gateway
         .metrics
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::config::ServiceName;
 use crate::directory::DirectoryLog;
 use crate::era_contacts::EraContacts;
+use crate::evacuation::EvacuationTable;
 use crate::feature_guard::FeatureGuard;
 use crate::gossip::PeerMessage;
 use crate::gossip::PlacedPrompt;
@@ -125,6 +126,8 @@
     pub config: RefCell<Option<Rc<FleetConfig>>>,
     /// Upstreams that are known.
     pub upstreams: RefCell<UpstreamTable>,
+    /// Evacuated data centres, whose upstreams get no requests.
+    pub evacuations: RefCell<EvacuationTable>,
     /// Rate limits advertised by upstreams.
     pub rates: RefCell<RateTable>,
     /// Per service, when callers should retry that were refused because no upstream could
@@ -281,6 +284,7 @@
             metrics,
             config: RefCell::default(),
             upstreams: RefCell::default(),
+            evacuations: RefCell::default(),
             rates: RefCell::new(rates),
             retry_schedules: RefCell::default(),
             upstreams_known: Cell::new(false),
@@ -397,10 +401,11 @@
         cause == Some(OverloadCause::Link)
     }
 
-    /// Moves from `Starting` to `Serving` once the configuration, the upstreams and the
-    /// the quarantined features are known.
+    /// Moves from `Starting` to `Serving` once the configuration, the evacuations, the upstreams
+    /// and the quarantined features are known.
     pub fn update_stage(&self) {
         let known = self.config.borrow().is_some()
+            && self.evacuations.borrow().is_known()
             && self.upstreams_known.get()
             && self.crash_features.is_quarantine_known.get();
         if known && self.stage.get() == VmStage::Starting {
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -22,6 +22,10 @@
 
 use crate::budget_exchange::report_remaining;
 use crate::budget_exchange::scarce_budgets;
+use crate::evacuation::EvacuationNotice;
+use crate::evacuation::apply_evacuation_notice;
+use crate::evacuation::send_evacuations;
+use crate::evacuation::send_evacuations_to;
 use crate::feature_guard::apply_feature_news;
 use crate::feature_table::FeatureNews;
 use crate::gateway::Gateway;
@@ -157,6 +161,10 @@
     RoomNotice(Box<RoomNotice>),
     /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
     RelayRoomNotice(Box<RoomNotice>),
+    /// What the sender knows of evacuations.
+    EvacuationNotice(Box<EvacuationNotice>),
+    /// Like `EvacuationNotice`, to be relayed to the other VMs of the receiver's data centre.
+    RelayEvacuationNotice(Box<EvacuationNotice>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -228,6 +236,7 @@
         let relayed = PeerMessage::RelayFeatureNews(news);
         send_to(gateway, socket, &relayed, &targets.relays);
     }
+    send_evacuations(gateway, socket, &targets, number, now);
     gateway.metrics.count("gossip.sent");
 }
 
@@ -351,6 +360,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_notice(&gateway, *notice);
             }
+            Ok(PeerMessage::EvacuationNotice(notice)) => apply_evacuation_notice(&gateway, &notice),
+            Ok(PeerMessage::RelayEvacuationNotice(notice)) => {
+                let relayed = PeerMessage::EvacuationNotice(notice.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_evacuation_notice(&gateway, &notice);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
@@ -406,6 +421,7 @@
         gateway.crash_features.table.borrow_mut().announce_all(now);
         let notice = Box::new(gateway.room.readiness.borrow().notice(now));
         gateway.send_direct(address, PeerMessage::RoomNotice(notice));
+        send_evacuations_to(gateway, address, now);
     }
     apply_loads(gateway, peer, message.loads, message.placed, now);
     apply_rates(gateway, &vm, &message.rates, now);
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! perform the I/O. The wire formats of a deployment are hidden behind [`WireFormat`].
 
 mod admission;
+mod allowed_regions;
 mod answered_features;
 mod attempt;
 mod batch_delay;
@@ -27,6 +28,7 @@
 mod era_contacts;
 mod era_marker;
 mod era_report;
+mod evacuation;
 mod event_stream;
 mod feature_guard;
 mod feature_set;
@@ -85,6 +87,7 @@
 
 pub use admission::Admission;
 pub use admission::admit;
+pub use allowed_regions::AllowedRegions;
 pub use batch_delay::BatchDelay;
 pub use budget_keeper::close_budgets;
 pub use budget_keeper::maintain_budgets;
@@ -117,10 +120,15 @@
 pub use directory::AddressCandidate;
 pub use directory::AddressChoice;
 pub use directory::ChoiceBasis;
+pub use directory::NamedRegions;
 pub use era_contacts::EraContacts;
 pub use era_marker::later_eras;
 pub use era_report::EraReport;
 pub use era_report::GrantKnowledge;
+pub use evacuation::EvacuationChange;
+pub use evacuation::EvacuationNotice;
+pub use evacuation::EvacuationState;
+pub use evacuation::EvacuationTable;
 pub use event_stream::EventBatch;
 pub use event_stream::EventSplitter;
 pub use feature_set::FeatureSet;
@@ -154,6 +162,7 @@
 pub use peers::PeerContact;
 pub use peers::PeerTable;
 pub use peers::VmRecord;
+pub use peers::addresses_of;
 pub use plain_server::serve_addresses;
 pub use plain_server::serve_metrics;
 pub use plain_server::serve_readiness;
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -241,9 +241,11 @@
 
     /// Returns the other VMs that callers can use.
     ///
-    /// Silent VMs are excluded only if fewer than half of the other VMs are silent: if most
-    /// are, this VM is probably the one that is cut off.
-    pub fn serving(&self, now: Instant) -> Vec<&VmRecord> {
+    /// A VM that was not heard from for `contact_timeout`, or never, is left out: it may have
+    /// ended, also where the store lists it. If fewer than half of the other VMs are silent,
+    /// the silent ones are left out at once; if more are, this VM may be the one that is cut off
+    /// for a moment.
+    pub fn serving(&self, contact_timeout: Duration, now: Instant) -> Vec<&VmRecord> {
         let silent = self
             .peers
             .values()
@@ -254,31 +256,22 @@
             .values()
             .filter(|peer| peer.record.stage == VmStage::Serving)
             .filter(|peer| peer.listed || !peer.is_silent(now))
+            .filter(|peer| !peer.is_out_of_contact(contact_timeout, now))
             .filter(|peer| !exclude_silent || !peer.is_silent(now))
             .map(|peer| &peer.record)
             .collect()
     }
+}
 
-    /// Returns the addresses for callers in `data_centre`, those of VMs in the same data
-    /// centre first.
-    pub fn addresses(
-        &self,
-        own: Option<&VmRecord>,
-        data_centre: Option<&str>,
-        now: Instant,
-    ) -> Vec<SocketAddr> {
-        let mut records = self.serving(now);
-        records.extend(own);
-        let is_local = |record: &&VmRecord| Some(record.data_centre.as_str()) == data_centre;
-        let (mut local, remote): (Vec<&VmRecord>, Vec<&VmRecord>) =
-            records.into_iter().partition(is_local);
-        local.extend(remote);
-        local
-            .iter()
-            .map(|record| record.front)
-            .take(MAX_ADDRESSES)
-            .collect()
-    }
+/// Returns the addresses of VMs for callers in `data_centre`, those of VMs in the same data
+/// centre first.
+pub fn addresses_of(records: &[&VmRecord], data_centre: Option<&str>) -> Vec<SocketAddr> {
+    let is_local = |record: &&VmRecord| Some(record.data_centre.as_str()) == data_centre;
+    let (mut local, remote): (Vec<&VmRecord>, Vec<&VmRecord>) =
+        records.iter().copied().partition(is_local);
+    local.extend(remote);
+    let addresses = local.iter().map(|record| record.front);
+    addresses.take(MAX_ADDRESSES).collect()
 }
 
 /// Chooses one of the items at random, in proportion to their weights.
@@ -294,7 +287,11 @@
 
 impl PeerState {
     fn is_silent(&self, now: Instant) -> bool {
+        self.is_out_of_contact(SILENCE_TIMEOUT, now)
+    }
+
+    fn is_out_of_contact(&self, after: Duration, now: Instant) -> bool {
         self.last_heard
-            .is_none_or(|at| now.saturating_duration_since(at) > SILENCE_TIMEOUT)
+            .is_none_or(|at| now.saturating_duration_since(at) > after)
     }
 }
--- a/lib/gateway/src/relay/choice.rs
+++ b/lib/gateway/src/relay/choice.rs
@@ -1,8 +1,11 @@
 //! The choice of an upstream for one attempt.
 
+use std::rc::Rc;
+
 use slog::info;
 
 use super::Relay;
+use crate::allowed_regions::AllowedRegions;
 use crate::placement::PlacementChoice;
 use crate::placement::PlacementQuery;
 use crate::placement::choose;
@@ -17,11 +20,13 @@
     pub(super) fn choose(&mut self) -> Option<(UpstreamEntry, PlacementChoice)> {
         let now = self.gateway.now();
         refresh_shares(self.gateway, now);
+        let regions = self.allowed_regions();
         let upstreams = self.gateway.upstreams.borrow();
         let mut rates = self.gateway.rates.borrow_mut();
         let priority = self.admission.priority;
         let available: Vec<&UpstreamEntry> = upstreams
             .available(&self.service, now)
+            .filter(|entry| self.may_use(entry, &regions))
             .filter(|entry| rates.may_send(entry, priority, now))
             .collect();
         let rate_limited = rates.limited_of(&available);
@@ -38,6 +43,25 @@
         Some((entry, choice))
     }
 
+    /// Returns the regions in which the request may be processed, by the configuration in force:
+    /// it may have changed since the request was admitted.
+    pub(super) fn allowed_regions(&self) -> AllowedRegions {
+        let admission = self.admission;
+        let current = self.gateway.current_config();
+        let config = current.unwrap_or_else(|| Rc::clone(&admission.config));
+        let head = &self.request.head;
+        let host = head.headers.get("host").unwrap_or_default();
+        let route = config.find_route(host, head.path());
+        let route = route.unwrap_or(&admission.route);
+        AllowedRegions::new(&config, route, admission.workspace.as_ref())
+    }
+
+    /// Returns whether the region of an upstream is one of the allowed ones.
+    pub(super) fn may_use(&self, entry: &UpstreamEntry, allowed: &AllowedRegions) -> bool {
+        let regions = &self.gateway.settings.regions;
+        allowed.allows(regions.get(&entry.data_centre))
+    }
+
     /// Logs the choice of an upstream with its inputs.
     pub(super) fn log_choice(&self, entry: &UpstreamEntry, choice: &PlacementChoice) {
         let rates = self.gateway.rates.borrow();
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -254,18 +254,27 @@
         let now = self.gateway.now();
         let upstreams = self.gateway.upstreams.borrow();
         let mut rates = self.gateway.rates.borrow_mut();
-        for entry in upstreams.ready(&self.service) {
+        let regions = self.allowed_regions();
+        let may_use = |entry: &UpstreamEntry| self.may_use(entry, &regions);
+        let ready: Vec<&UpstreamEntry> = upstreams.ready(&self.service).collect();
+        let usable: Vec<&UpstreamEntry> = ready.iter().copied().filter(|e| may_use(e)).collect();
+        self.log_left_out(
+            usable.len(),
+            ready.len() - usable.len(),
+            upstreams.count_evacuated(&self.service),
+        );
+        for entry in &usable {
             rates.reserve_for(entry, self.admission.priority, now);
         }
-        let next_available = upstreams
-            .ready(&self.service)
+        let next_available = usable
+            .iter()
             .filter_map(|entry| rates.next_send_at(entry, now))
-            .chain(upstreams.next_available(&self.service, now))
+            .chain(upstreams.next_available(&self.service, may_use, now))
             .min();
         let Some(next_available) = next_available else {
             return Refusal::retryable(ResultCode::NoUpstream, jitter(NO_UPSTREAM_RETRY_AFTER));
         };
-        let wait = match rates.total_limit(upstreams.ready(&self.service)) {
+        let wait = match rates.total_limit(usable.iter().copied()) {
             Some(total) => self.scheduled_retry_after(total, next_available, now),
             None => {
                 let wait = next_available.saturating_duration_since(now);
@@ -275,6 +284,22 @@
         Refusal::retryable(ResultCode::UpstreamsFull, wait)
     }
 
+    /// Logs and counts that ready upstreams are left out because of their data centre or region.
+    fn log_left_out(&self, usable: usize, in_other_regions: usize, evacuated: usize) {
+        let reason = match (evacuated, in_other_regions) {
+            (0, 0) => return,
+            (0, _) => "region",
+            _ => "evacuated",
+        };
+        self.gateway
+            .metrics
+            .count_tagged("request.upstreams_left_out", reason);
+        info!(self.gateway.log, "upstreams left out";
+            "request" => &*self.request.metadata.attempt_id, "usable" => usable,
+            "evacuated" => evacuated, "other_regions" => in_other_regions,
+            "config" => self.gateway.config_version());
+    }
+
     /// Returns the caller's scheduled retry delay, where all upstreams of the service accept
     /// `total` together. Refusals are distributed over the VMs, so each VM schedules retries at
     /// its share of that rate.
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use snipegate_platform::StoreRevision;
 use snipegate_types::DataCentre;
 use snipegate_types::UpstreamId;
@@ -93,6 +94,8 @@
     /// When the store last came back from an older copy.
     era_began_at: Option<Instant>,
     departures: DepartureLog,
+    /// Data centres whose upstreams get no new requests.
+    evacuated: IndexSet<DataCentre>,
     /// Runs that were removed from the store, with the time.
     removals: IndexMap<(UpstreamId, Option<u64>), Instant>,
     /// Entries of removed runs that an older copy of the store listed again, with their revision.
@@ -312,8 +315,36 @@
         gone.into_iter().map(UpstreamChange::Left).collect()
     }
 
+    /// Sets the data centres whose upstreams get no new requests.
+    pub fn set_evacuated(&mut self, evacuated: IndexSet<DataCentre>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Returns the number of upstreams in a data centre that accept new requests, or would if it
+    /// were not evacuated.
+    pub fn count_in(&self, data_centre: &DataCentre) -> usize {
+        let entries = self.known.values().map(|known| &known.entry);
+        entries
+            .filter(|entry| entry.data_centre == *data_centre)
+            .filter(|entry| entry.phase == UpstreamPhase::Ready)
+            .count()
+    }
+
+    /// Returns the number of ready upstreams of a service in evacuated data centres.
+    pub fn count_evacuated(&self, service: &str) -> usize {
+        let entries = self.known.values().map(|known| &known.entry);
+        entries
+            .filter(|entry| &*entry.service == service && self.is_evacuated(entry))
+            .filter(|entry| entry.phase == UpstreamPhase::Ready)
+            .count()
+    }
+
+    fn is_evacuated(&self, entry: &UpstreamEntry) -> bool {
+        self.evacuated.contains(&entry.data_centre)
+    }
+
     /// Returns the upstreams of a service that accept new requests, including those that
-    /// asked this VM to back off.
+    /// asked this VM to back off. Those of evacuated data centres are left out.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a UpstreamEntry> {
         self.known_ready(service).map(|known| &known.entry)
     }
@@ -329,9 +360,16 @@
             .map(|known| &known.entry)
     }
 
-    /// Returns when the first upstream of a service stops backing off, if any is.
-    pub fn next_available(&self, service: &str, now: Instant) -> Option<Instant> {
+    /// Returns when the first upstream of a service that may be used stops backing off, if any
+    /// is.
+    pub fn next_available(
+        &self,
+        service: &str,
+        may_use: impl Fn(&UpstreamEntry) -> bool,
+        now: Instant,
+    ) -> Option<Instant> {
         self.known_ready(service)
+            .filter(|known| may_use(&known.entry))
             .filter(|known| known.is_backing_off(now))
             .filter_map(|known| known.back_off_until)
             .min()
@@ -339,7 +377,9 @@
 
     fn known_ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownUpstream> {
         self.known.values().filter(move |known| {
-            &*known.entry.service == service && known.entry.phase == UpstreamPhase::Ready
+            &*known.entry.service == service
+                && known.entry.phase == UpstreamPhase::Ready
+                && !self.is_evacuated(&known.entry)
         })
     }
 
--- a/lib/gateway/src/wire_format.rs
+++ b/lib/gateway/src/wire_format.rs
@@ -32,6 +32,10 @@
 /// A caller's query for the addresses to use.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AddressQuery {
+    /// The host that the caller will send requests to, if given.
+    pub host: Option<Box<str>>,
+    /// The caller's region, if given.
+    pub region: Option<Box<str>>,
     /// The caller's data centre, if given.
     pub data_centre: Option<Box<str>>,
 }
@@ -41,8 +45,11 @@
 pub struct StoreLayout {
     /// The key of the configuration.
     pub config_key: &'static str,
-    /// The prefix under which the configuration's key is listed and watched.
+    /// The prefix under which the keys of the configuration and of evacuations are listed and
+    /// watched.
     pub config_prefix: &'static str,
+    /// The prefix of the keys of evacuations; the rest of a key is the data centre.
+    pub evacuation_prefix: &'static str,
     /// The prefix of the upstreams' entries; the rest of a key is the upstream's id.
     pub upstream_prefix: &'static str,
     /// The prefix of the VMs' records.
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -190,6 +190,12 @@
     entry_text(address, state, "")
 }
 
+/// Returns the entry of a ready runner in a data centre.
+pub fn placed_runner_entry(address: SocketAddr, data_centre: &str) -> String {
+    let zone = format!(r#""zone":"{data_centre}""#);
+    runner_entry(address, "ready").replace(r#""zone":"z1""#, &zone)
+}
+
 /// Returns a runner's entry in the store with its start time, in milliseconds since the
 /// Unix epoch.
 pub fn started_runner_entry(address: SocketAddr, state: &str, started_ms: u64) -> String {
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -153,15 +153,23 @@
             .filter(|(key, item)| is_outside(key) && item.revision > copy.revision)
             .map(|(key, item)| (key.clone(), item.value.clone()))
             .collect();
-        state.era.set(state.era.get() + 1);
-        *state.items.borrow_mut() = copy.items.clone();
-        state.revision.set(copy.revision);
+        self.rewind_to(copy);
         for (key, value) in newer {
             state.put(&key, value, 0);
         }
         state.changed.notify_waiters();
     }
 
+    /// Comes back from an older copy, and the operator and the runners have not yet written again
+    /// what it lacks.
+    pub fn rewind_to(&self, copy: &StoreCopy) {
+        let state = &self.state;
+        state.era.set(state.era.get() + 1);
+        *state.items.borrow_mut() = copy.items.clone();
+        state.revision.set(copy.revision);
+        state.changed.notify_waiters();
+    }
+
     /// Stops all responses on the connections that are open. New connections work.
     pub fn silence_connections(&self) {
         self.state
