cold: limit what all VMs send to upstreams that have just started

Cause: an upstream crashes when it gets more than a few requests per second soon after its start, and every VM sends to it at once, since it has no load.

The limit is divided and paced by RateTable, own_share and SendPacer; at most as many VMs send as leave room for a second sender of each.

--- a/lib/gateway/src/attempt.rs
+++ b/lib/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use strum::Display;
 use tokio::time::timeout;
 
+use crate::cold::record_cold_answer;
 use crate::gateway::Gateway;
 use crate::metadata::RateLimitNotice;
 use crate::metadata::RequestMetadata;
@@ -274,6 +275,9 @@
         }
         if matches {
             record_advertised_rate(gateway, entry, request, &metadata, sent_at);
+            if metadata.signed {
+                record_cold_answer(gateway, entry, metadata.cold_left);
+            }
             let clean = sent_whole && strays == 0 && !head.will_close();
             return Ok(UpstreamResponse {
                 reusable: clean && framing != BodyFraming::UntilClose,
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -30,6 +30,8 @@
 use tokio::sync::oneshot;
 
 use crate::change_hint::ChangeHint;
+use crate::cold::ColdTable;
+use crate::cold::record_cold_entry;
 use crate::config::ColdTolerance;
 use crate::config::FleetConfig;
 use crate::config::ServiceName;
@@ -127,6 +129,8 @@
     pub upstreams: RefCell<UpstreamTable>,
     /// Rate limits advertised by upstreams.
     pub rates: RefCell<RateTable>,
+    /// Cold upstreams, and the limits on what is sent to them.
+    pub cold: RefCell<ColdTable>,
     /// Per service, when callers should retry that were refused because no upstream could
     /// take them.
     pub retry_schedules: RefCell<IndexMap<ServiceName, RetrySchedule>>,
@@ -257,7 +261,8 @@
     ) -> Self {
         let retry_budget = RetryBudget::new(settings.retry);
         let response_memory = ResponseMemory::new(settings.memory);
-        let rates = RateTable::new(stable_hash(settings.vm.as_str()));
+        let vm_hash = stable_hash(settings.vm.as_str());
+        let rates = RateTable::new(vm_hash);
         let started_at = clock.boot_timestamp().map(|timestamp| BootTimestamp {
             boot: timestamp.boot.with_address(settings.gossip),
             ..timestamp
@@ -282,6 +287,7 @@
             config: RefCell::default(),
             upstreams: RefCell::default(),
             rates: RefCell::new(rates),
+            cold: RefCell::new(ColdTable::new(vm_hash)),
             retry_schedules: RefCell::default(),
             upstreams_known: Cell::new(false),
             crash_features: FeatureGuard::default(),
@@ -420,6 +426,10 @@
     pub fn apply_upstream_changes(&self, changes: Vec<UpstreamChange>) {
         for change in changes {
             let revision = self.upstreams.borrow().latest();
+            if let UpstreamChange::Appeared(entry) | UpstreamChange::ColdTime(entry) = &change {
+                let written = self.upstreams.borrow().revision_of(&entry.id);
+                record_cold_entry(self, entry, written.unwrap_or(revision));
+            }
             match change {
                 UpstreamChange::Appeared(entry) => {
                     info!(self.log, "upstream ready"; "upstream" => %entry.id,
@@ -428,6 +438,7 @@
                     self.pool.borrow_mut().forget(&entry.id);
                     self.set_cache_capacity(&entry.id, &entry.service);
                 }
+                UpstreamChange::ColdTime(_) => {}
                 UpstreamChange::Left(id) => {
                     info!(self.log, "upstream left"; "upstream" => %id, "revision" => %revision);
                     self.pool.borrow_mut().forget(&id);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -22,6 +22,9 @@
 
 use crate::budget_exchange::report_remaining;
 use crate::budget_exchange::scarce_budgets;
+use crate::cold::ColdNotice;
+use crate::cold::apply_cold_notices;
+use crate::cold::build_cold_notices;
 use crate::feature_guard::apply_feature_news;
 use crate::feature_table::FeatureNews;
 use crate::gateway::Gateway;
@@ -36,6 +39,7 @@
 use crate::promise_keeper::handle_testimony;
 use crate::rate_log::RateSource;
 use crate::rate_log::log_rate_change;
+use crate::rate_share::refresh_shares;
 use crate::rate_table::RateAnnouncement;
 use crate::room::RoomNotice;
 use crate::room::announce_room;
@@ -157,6 +161,10 @@
     RoomNotice(Box<RoomNotice>),
     /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
     RelayRoomNotice(Box<RoomNotice>),
+    /// What the sender knows of cold upstreams.
+    ColdNotices(Vec<ColdNotice>),
+    /// Like `ColdNotices`, to be relayed to the other VMs of the receiver's data centre.
+    RelayColdNotices(Vec<ColdNotice>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -228,6 +236,14 @@
         let relayed = PeerMessage::RelayFeatureNews(news);
         send_to(gateway, socket, &relayed, &targets.relays);
     }
+    refresh_shares(gateway, now);
+    let notices = build_cold_notices(gateway, number, now);
+    if !notices.is_empty() {
+        let direct = PeerMessage::ColdNotices(notices.clone());
+        send_to(gateway, socket, &direct, &targets.direct);
+        let relayed = PeerMessage::RelayColdNotices(notices);
+        send_to(gateway, socket, &relayed, &targets.relays);
+    }
     gateway.metrics.count("gossip.sent");
 }
 
@@ -351,6 +367,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_notice(&gateway, *notice);
             }
+            Ok(PeerMessage::ColdNotices(notices)) => apply_cold_notices(&gateway, &notices),
+            Ok(PeerMessage::RelayColdNotices(notices)) => {
+                let relayed = PeerMessage::ColdNotices(notices.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_cold_notices(&gateway, &notices);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
--- a/lib/gateway/src/metadata.rs
+++ b/lib/gateway/src/metadata.rs
@@ -80,4 +80,6 @@
     pub back_off: Option<Duration>,
     /// The advertised rate limit.
     pub rate: RateLimitNotice,
+    /// How much longer the upstream is cold, if stated.
+    pub cold_left: Option<Duration>,
 }
--- a/lib/gateway/src/rate_table.rs
+++ b/lib/gateway/src/rate_table.rs
@@ -86,7 +86,7 @@
 }
 
 /// Rate limits by upstream. Upstreams that never advertised one have no entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RateTable {
     /// Hash of this VM's name.
     vm: u64,
@@ -186,6 +186,13 @@
         }
     }
 
+    /// Sets a limit that no upstream advertised, for this VM alone.
+    pub fn set_limit(&mut self, entry: &UpstreamEntry, limit: Option<RequestRate>, now: Instant) {
+        if self.limit_of(entry) != limit {
+            self.store_limit(entry, limit, RateStamp::default(), now);
+        }
+    }
+
     fn announce_again(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(known) = self.rates.get_mut(id) {
             known.announce_until = now + ANNOUNCE_PERIOD;
@@ -230,12 +237,21 @@
         &mut self,
         now: Instant,
         share: impl Fn(u64, RequestRate) -> Option<RequestRate>,
+    ) {
+        self.refresh_pacers(now, |id, limit, pacer| {
+            pacer.set_share(share(stable_hash(id.as_str()), limit), now);
+        });
+    }
+
+    /// Calls `set_share` with the id, the limit and the pacer of each limited upstream.
+    pub fn refresh_pacers(
+        &mut self,
+        now: Instant,
+        set_share: impl Fn(&UpstreamId, RequestRate, &mut SendPacer),
     ) {
         for (id, known) in &mut self.rates {
             if let Some(limit) = known.limit {
-                known
-                    .pacer
-                    .set_share(share(stable_hash(id.as_str()), limit), now);
+                set_share(id, limit, &mut known.pacer);
             }
         }
         self.refreshed_at = Some(now);
--- a/lib/gateway/src/relay/choice.rs
+++ b/lib/gateway/src/relay/choice.rs
@@ -3,6 +3,7 @@
 use slog::info;
 
 use super::Relay;
+use crate::cold::SendLimits;
 use crate::placement::PlacementChoice;
 use crate::placement::PlacementQuery;
 use crate::placement::choose;
@@ -18,13 +19,12 @@
         let now = self.gateway.now();
         refresh_shares(self.gateway, now);
         let upstreams = self.gateway.upstreams.borrow();
-        let mut rates = self.gateway.rates.borrow_mut();
-        let priority = self.admission.priority;
-        let available: Vec<&UpstreamEntry> = upstreams
+        let mut limits = SendLimits::of(self.gateway);
+        let untried = upstreams
             .available(&self.service, now)
-            .filter(|entry| rates.may_send(entry, priority, now))
-            .collect();
-        let rate_limited = rates.limited_of(&available);
+            .filter(|entry| !self.tried.contains(&entry.id));
+        let available = limits.allowed(untried, self.admission.priority, now);
+        let rate_limited = limits.limited_of(&available, now);
         let query = PlacementQuery {
             prompt: self.request.metadata.prompt.as_ref(),
             tried: &self.tried,
@@ -34,14 +34,15 @@
         let mut loads = self.gateway.loads.borrow_mut();
         let choice = choose(&mut loads, available.into_iter(), &query, now)?;
         let entry = upstreams.get(&choice.id)?.clone();
-        rates.record_send(&entry, now);
+        limits.record_send(&entry, now);
         Some((entry, choice))
     }
 
     /// Logs the choice of an upstream with its inputs.
     pub(super) fn log_choice(&self, entry: &UpstreamEntry, choice: &PlacementChoice) {
-        let rates = self.gateway.rates.borrow();
-        let (rate, share) = (rates.limit_of(entry), rates.share_of(entry));
+        let limits = SendLimits::of(self.gateway);
+        let now = self.gateway.now();
+        let (rate, share) = (limits.limit_of(entry, now), limits.share_of(entry, now));
         info!(self.gateway.log, "upstream chosen";
             "request" => &*self.request.metadata.attempt_id,
             "upstream" => %entry.id, "unread" => choice.uncached_tokens,
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -15,6 +15,8 @@
 use crate::caller::CallerDisconnected;
 use crate::caller::CallerWriter;
 use crate::caller::ResponseState;
+use crate::cold::SendLimits;
+use crate::cold::record_broken_connection;
 use crate::crash_probe::RunningProbe;
 use crate::crash_probe::UnansweredRequest;
 use crate::crash_probe::may_be_crash;
@@ -88,6 +90,7 @@
         let SendOutcome::Broken(failure) = outcome else {
             return None;
         };
+        record_broken_connection(self.gateway, entry, *failure);
         if !may_be_crash(*failure) {
             return None;
         }
@@ -253,25 +256,38 @@
     fn unavailable_refusal(&self) -> Refusal {
         let now = self.gateway.now();
         let upstreams = self.gateway.upstreams.borrow();
-        let mut rates = self.gateway.rates.borrow_mut();
+        let mut limits = SendLimits::of(self.gateway);
+        let cold_count = limits.cold_count(upstreams.ready(&self.service), now);
+        if cold_count > 0 {
+            self.gateway.metrics.count("request.refused_cold");
+            info!(self.gateway.log, "upstreams cold";
+                "request" => &*self.request.metadata.attempt_id,
+                "cold" => cold_count, "ready" => upstreams.ready(&self.service).count());
+        }
         for entry in upstreams.ready(&self.service) {
-            rates.reserve_for(entry, self.admission.priority, now);
+            limits.reserve_for(entry, self.admission.priority, now);
         }
         let next_available = upstreams
             .ready(&self.service)
-            .filter_map(|entry| rates.next_send_at(entry, now))
+            .filter_map(|entry| limits.next_send_at(entry, now))
             .chain(upstreams.next_available(&self.service, now))
             .min();
         let Some(next_available) = next_available else {
             return Refusal::retryable(ResultCode::NoUpstream, jitter(NO_UPSTREAM_RETRY_AFTER));
         };
-        let wait = match rates.total_limit(upstreams.ready(&self.service)) {
+        let wait = match limits.total_limit(upstreams.ready(&self.service), now) {
             Some(total) => self.scheduled_retry_after(total, next_available, now),
             None => {
                 let wait = next_available.saturating_duration_since(now);
                 jitter(wait.clamp(UNAVAILABLE_RETRY_AFTER, NO_UPSTREAM_RETRY_AFTER))
             }
         };
+        // Once an upstream is warm, more is served than the schedule allows for.
+        let warm_at = limits.next_warm_at(upstreams.ready(&self.service), now);
+        let wait = warm_at.map_or(wait, |at| {
+            let spread = jitter(UNAVAILABLE_RETRY_AFTER);
+            wait.min(at.saturating_duration_since(now) + spread)
+        });
         Refusal::retryable(ResultCode::UpstreamsFull, wait)
     }
 
--- a/lib/gateway/src/send_pacer.rs
+++ b/lib/gateway/src/send_pacer.rs
@@ -20,6 +20,19 @@
     until: Instant,
 }
 
+/// A VM's share of a limit, and how much of the first spacing it waits before its first send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PacedShare {
+    /// The share.
+    pub rate: RequestRate,
+    /// Fraction of the spacing, from 0 to 1.
+    pub phase: f64,
+}
+
+/// Change of a share, as a factor, from which a paced share begins again. Smaller changes come
+/// from single VMs that are heard or not.
+const RESTART_FACTOR: f64 = 1.5;
+
 /// Spaces sends by this VM's share of a rate limit.
 ///
 /// INVARIANT: two sends are at least the spacing apart of the share in force at the later
@@ -31,6 +44,8 @@
     share: Option<RequestRate>,
     /// Time of the last send, or when the share began.
     spacing_start: Instant,
+    /// Time of the last send.
+    sent_at: Option<Instant>,
     /// Reservation of the next send.
     reservation: Option<Reservation>,
 }
@@ -41,6 +56,7 @@
         Self {
             share: None,
             spacing_start: now,
+            sent_at: None,
             reservation: None,
         }
     }
@@ -53,6 +69,25 @@
         self.share = share;
     }
 
+    /// Sets this VM's share. The first send after a share has begun, or has changed by much, waits
+    /// for `phase` of the spacing, and at least a spacing since the last send. A VM that has
+    /// waited with a small share could otherwise send at once when it gets a large one, and VMs
+    /// whose shares fall together would send together.
+    pub fn set_paced_share(&mut self, share: Option<PacedShare>, now: Instant) {
+        let has_changed = |share: &PacedShare| {
+            self.share.is_none_or(|before| {
+                let (low, high) = (share.rate.0.min(before.0), share.rate.0.max(before.0));
+                high > low * RESTART_FACTOR
+            })
+        };
+        if let Some(share) = share.filter(has_changed) {
+            let skipped = share.rate.interval(MAX_SPACING).mul_f64(1.0 - share.phase);
+            let start = now.checked_sub(skipped).unwrap_or(now);
+            self.spacing_start = self.sent_at.map_or(start, |sent_at| sent_at.max(start));
+        }
+        self.share = share.map(|share| share.rate);
+    }
+
     /// Returns this VM's share.
     pub fn share(&self) -> Option<RequestRate> {
         self.share
@@ -90,6 +125,7 @@
     /// Records a send, which ends a reservation.
     pub fn record_send(&mut self, now: Instant) {
         self.spacing_start = now;
+        self.sent_at = Some(now);
         self.reservation = None;
     }
 }
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -77,6 +77,9 @@
 pub enum UpstreamChange {
     /// The upstream became ready, or its entry changed while it is ready.
     Appeared(UpstreamEntry),
+    /// The entry of a ready upstream was written again and differs at most in how long the
+    /// upstream is cold, which it was before or is now.
+    ColdTime(UpstreamEntry),
     /// The upstream no longer accepts new requests.
     Left(UpstreamId),
 }
@@ -193,7 +196,8 @@
         let back_off_until = known
             .filter(|known| is_same_run(&known.entry))
             .and_then(|known| known.back_off_until);
-        let change = describe_change(before.as_ref(), &entry);
+        let is_rewritten = known.is_some_and(|known| known.revision < revision);
+        let change = describe_change(before.as_ref(), &entry, is_rewritten);
         self.ids.insert(upstream_code(id), id.clone());
         self.known.insert(
             id.clone(),
@@ -350,6 +354,11 @@
             .filter(|id| self.known.contains_key(*id))
     }
 
+    /// Returns the revision of an upstream's entry.
+    pub fn revision_of(&self, id: &UpstreamId) -> Option<StoreRevision> {
+        self.known.get(id).map(|known| known.revision)
+    }
+
     /// Returns whether an upstream accepts new requests.
     pub fn is_ready(&self, id: &UpstreamId) -> bool {
         self.get(id)
@@ -373,12 +382,23 @@
 fn describe_change(
     before: Option<&UpstreamEntry>,
     entry: &UpstreamEntry,
+    is_rewritten: bool,
 ) -> Option<UpstreamChange> {
+    let is_same = |before: &&UpstreamEntry| {
+        UpstreamEntry {
+            cold_left: entry.cold_left,
+            ..(*before).clone()
+        } == *entry
+    };
+    let same = before.filter(is_same);
     let was_ready = before.is_some_and(|before| before.phase == UpstreamPhase::Ready);
     match entry.phase {
         UpstreamPhase::Draining if was_ready => Some(UpstreamChange::Left(entry.id.clone())),
         UpstreamPhase::Draining => None,
-        UpstreamPhase::Ready if before == Some(entry) => None,
+        UpstreamPhase::Ready if let Some(before) = same => {
+            let is_warm = before.cold_left.is_zero() && entry.cold_left.is_zero();
+            (is_rewritten && !is_warm).then(|| UpstreamChange::ColdTime(entry.clone()))
+        }
         UpstreamPhase::Ready => Some(UpstreamChange::Appeared(entry.clone())),
     }
 }
--- a/lib/gateway/tests/rate_simulation/mod.rs
+++ b/lib/gateway/tests/rate_simulation/mod.rs
@@ -1,11 +1,17 @@
 //! Simulated fleet in front of one upstream that advertises a rate limit. Requests,
 //! responses and messages are delayed, messages get lost, and VMs are partitioned or
-//! restarted.
+//! restarted. The upstream may also be cold, and VMs may be cut off from the store that says so.
+
+#![allow(dead_code, reason = "each test file uses only some of the items")]
 
 use std::time::Duration;
 use std::time::Instant;
 
 use fastrand::Rng;
+use snipegate_gateway::ColdNotice;
+use snipegate_gateway::ColdRule;
+use snipegate_gateway::ColdTable;
+use snipegate_gateway::ColdTolerance;
 use snipegate_gateway::RateAnnouncement;
 use snipegate_gateway::RateAnswer;
 use snipegate_gateway::RateLimitNotice;
@@ -14,6 +20,7 @@
 use snipegate_gateway::UpstreamEntry;
 use snipegate_gateway::UpstreamPhase;
 use snipegate_gateway::own_share;
+use snipegate_platform::StoreRevision;
 use snipegate_types::RequestRate;
 
 /// Time step of the simulation.
@@ -32,6 +39,26 @@
 /// How long the requests of a VM do not count after a disturbance has ended.
 const EXCUSE_PERIOD: Duration = Duration::from_secs(3);
 
+/// Time from its start in which a VM does not know the fleet.
+const FLEET_LEARNING_TIME: Duration = Duration::from_millis(1500);
+
+/// Interval at which the upstream writes its entry.
+const HEARTBEAT: Duration = Duration::from_millis(900);
+
+/// Number of VMs that tell the others what they read in the store.
+const READERS: usize = 2;
+
+/// What a cold upstream takes.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdSetup {
+    /// Rule of the service.
+    pub rule: ColdRule,
+    /// Tolerance of the deployment.
+    pub tolerance: ColdTolerance,
+    /// Longest time until a VM sees a change in the store, in ms.
+    pub store_delay_ms: u64,
+}
+
 /// Parameters of a simulated fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct SimulationConfig {
@@ -41,6 +68,10 @@
     pub demand: f64,
     /// Interval between two messages of a VM.
     pub gossip: Duration,
+    /// Longest delay of a message, in ms.
+    pub delay_ms: u64,
+    /// What the upstream takes while it is cold; `None` if it never is.
+    pub cold: Option<ColdSetup>,
     /// Probability that a message is lost.
     pub loss: f64,
     /// Disturbances of VMs per second.
@@ -57,10 +88,21 @@
     /// Whether its VM had forwarded a response with a rate limit at least `FORWARDED_BEFORE`
     /// earlier and was not excused because of a disturbance.
     pub counts: bool,
+    /// Whether its VM took the upstream for cold.
+    pub is_known_cold: bool,
+    /// Whether the upstream was cold.
+    pub is_cold: bool,
 }
 
 struct SimulatedVm {
     table: RateTable,
+    cold: ColdTable,
+    /// The upstream's entry as this VM read it.
+    entry: Option<UpstreamEntry>,
+    /// When it started, unless that was before the simulation.
+    started_at: Option<Instant>,
+    /// Cut off from the store until then.
+    store_cut_until: Instant,
     heard: Vec<Option<Instant>>,
     messages: u64,
     next_gossip: Instant,
@@ -74,6 +116,8 @@
 enum Event {
     Answer(usize, Instant, RateLimitNotice),
     Announcements(usize, usize, Vec<RateAnnouncement>),
+    ColdNotices(usize, usize, Vec<ColdNotice>),
+    Entry(usize, UpstreamEntry, u64),
 }
 
 /// Simulated fleet.
@@ -86,6 +130,10 @@
     pub limit: Option<RequestRate>,
     /// Requests that reached the upstream.
     pub arrivals: Vec<Arrival>,
+    /// Until when the upstream is cold.
+    pub cold_until: Option<Instant>,
+    next_heartbeat: Option<Instant>,
+    revision: u64,
     entry: UpstreamEntry,
     vms: Vec<SimulatedVm>,
     events: Vec<(Instant, Event)>,
@@ -104,6 +152,9 @@
             now,
             limit: None,
             arrivals: Vec::new(),
+            cold_until: None,
+            next_heartbeat: None,
+            revision: 1,
             entry: test_entry(),
             vms,
             events: Vec::new(),
@@ -117,12 +168,100 @@
             self.now += STEP;
             self.deliver();
             self.disturb();
+            self.write_heartbeat();
             for vm in 0..self.config.vms {
                 self.step_vm(vm);
             }
         }
     }
 
+    /// Hides the upstream from all VMs, as if it were not running yet.
+    pub fn remove_upstream(&mut self) {
+        for (number, vm) in self.vms.iter_mut().enumerate() {
+            vm.entry = None;
+            vm.cold = ColdTable::new(number as u64);
+        }
+    }
+
+    /// Makes the upstream cold, as a new run or in the same one.
+    pub fn turn_cold(&mut self, is_new_run: bool) {
+        let setup = self.config.cold.expect("a cold rule");
+        self.cold_until = Some(self.now + setup.rule.duration);
+        if is_new_run {
+            self.entry.started_ms = self.entry.started_ms.map(|at| at + 1);
+        }
+        self.next_heartbeat = Some(self.now);
+        self.write_heartbeat();
+    }
+
+    /// Writes the upstream's entry if it is due.
+    fn write_heartbeat(&mut self) {
+        let (Some(next), Some(until)) = (self.next_heartbeat, self.cold_until) else {
+            return;
+        };
+        if next > self.now {
+            return;
+        }
+        self.next_heartbeat = Some(self.now + HEARTBEAT);
+        self.entry.cold_left = until.saturating_duration_since(self.now);
+        self.revision += 1;
+        let delay = self.config.cold.expect("a cold rule").store_delay_ms;
+        for vm in 0..self.config.vms {
+            let seen_at = self.random_later(delay);
+            let event = Event::Entry(vm, self.entry.clone(), self.revision);
+            self.events.push((seen_at, event));
+        }
+    }
+
+    /// Cuts all VMs off from each other, and those from `first_cut` on from the store.
+    pub fn cut_off(&mut self, first_cut: usize, span: Duration) {
+        for (number, vm) in self.vms.iter_mut().enumerate() {
+            vm.partitioned_until = self.now + span;
+            if number >= first_cut {
+                vm.store_cut_until = self.now + span;
+            }
+        }
+    }
+
+    /// Cuts a VM off from the store.
+    pub fn cut_off_store(&mut self, vm: usize, span: Duration) {
+        self.vms[vm].store_cut_until = self.now + span;
+    }
+
+    /// Restarts all VMs at once.
+    pub fn restart_all(&mut self) {
+        for vm in 0..self.config.vms {
+            self.restart(vm);
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let mut vm = SimulatedVm::new(number, self.config.vms, self.now);
+        vm.started_at = Some(self.now);
+        if self.config.cold.is_some() {
+            let revision = store_revision(self.revision);
+            vm.cold
+                .record_entry(&self.entry, revision, false, None, self.now);
+            vm.entry = Some(self.entry.clone());
+        }
+        self.vms[number] = vm;
+    }
+
+    /// Returns the maximum number of requests in any one second that reached the upstream while
+    /// it was cold, of those that are counted.
+    pub fn max_while_cold(&self, counts: impl Fn(&Arrival) -> bool) -> usize {
+        let counted: Vec<Instant> = self
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.is_cold && counts(arrival))
+            .map(|arrival| arrival.at)
+            .collect();
+        let first =
+            |end: &Instant| counted.partition_point(|at| *at + Duration::from_secs(1) <= *end);
+        let within = |(index, end): (usize, &Instant)| index + 1 - first(end);
+        counted.iter().enumerate().map(within).max().unwrap_or(0)
+    }
+
     /// Stops disturbing VMs.
     pub fn stop_disturbances(&mut self) {
         self.config.disturbances = 0.0;
@@ -174,6 +313,36 @@
                         vm.forwarded_at.get_or_insert(now);
                     }
                 }
+                Event::ColdNotices(from, to, notices) => {
+                    if self.vms[from].partitioned_until > now
+                        || self.vms[to].partitioned_until > now
+                    {
+                        continue;
+                    }
+                    let vm = &mut self.vms[to];
+                    vm.heard[from] = Some(now);
+                    let reaches_store = vm.store_cut_until <= now;
+                    let Some(entry) = vm.entry.clone() else {
+                        continue;
+                    };
+                    for notice in &notices {
+                        vm.cold.apply_notice(&entry, notice, reaches_store, now);
+                    }
+                }
+                Event::Entry(number, entry, revision) => {
+                    let vm = &mut self.vms[number];
+                    if vm.store_cut_until > now {
+                        let later = vm.store_cut_until;
+                        let event = Event::Entry(number, entry, revision);
+                        self.events.push((later, event));
+                        continue;
+                    }
+                    let rule = self.config.cold.map(|setup| setup.rule);
+                    let revision = store_revision(revision);
+                    vm.cold
+                        .record_entry(&entry, revision, true, rule.as_ref(), now);
+                    vm.entry = Some(entry);
+                }
                 Event::Announcements(from, to, announcements) => {
                     if self.vms[from].partitioned_until > now
                         || self.vms[to].partitioned_until > now
@@ -199,8 +368,11 @@
         let until = self.random_later(4000);
         if self.rng.bool() {
             self.vms[vm].partitioned_until = until;
+            if self.config.cold.is_some() && self.rng.bool() {
+                self.vms[vm].store_cut_until = until;
+            }
         } else {
-            self.vms[vm] = SimulatedVm::new(vm, self.config.vms, self.now);
+            self.restart(vm);
         }
         self.vms[vm].excused_until = until + EXCUSE_PERIOD;
         self.vms[vm].forwarded_at = None;
@@ -224,11 +396,32 @@
         let announcements = self.vms[vm].table.announcements(include_all, self.now);
         for peer in (0..self.config.vms).filter(|peer| *peer != vm) {
             if self.rng.f64() >= self.config.loss {
-                let at = self.random_later(20);
+                let at = self.random_later(self.config.delay_ms);
                 self.events
                     .push((at, Event::Announcements(vm, peer, announcements.clone())));
             }
         }
+        if self.config.cold.is_some() {
+            self.send_cold_notices(vm, include_all);
+        }
+    }
+
+    fn send_cold_notices(&mut self, number: usize, include_all: bool) {
+        let now = self.now;
+        let reaches_store = |vm: &SimulatedVm| vm.store_cut_until <= now;
+        let before = self.vms[..number].iter().filter(|vm| reaches_store(vm));
+        let is_reader = reaches_store(&self.vms[number]) && before.count() < READERS;
+        let notices = self.vms[number].cold.notices(is_reader, include_all, now);
+        if notices.is_empty() {
+            return;
+        }
+        for peer in (0..self.config.vms).filter(|peer| *peer != number) {
+            if self.rng.f64() >= self.config.loss {
+                let at = self.random_later(self.config.delay_ms);
+                self.events
+                    .push((at, Event::ColdNotices(number, peer, notices.clone())));
+            }
+        }
     }
 
     fn request(&mut self, number: usize) {
@@ -238,10 +431,24 @@
         if vm.table.is_refresh_due(now) {
             vm.table.refresh(now, |_, rate| own_share(rate, view));
         }
-        if !vm.table.may_send(&self.entry, 0, now) {
+        if let Some(setup) = self.config.cold {
+            vm.cold.update(&setup.tolerance, |_| Some(setup.rule), now);
+            let knows_fleet = vm
+                .started_at
+                .is_none_or(|at| at + FLEET_LEARNING_TIME <= now);
+            if vm.cold.is_refresh_due(now) {
+                vm.cold.refresh(now, |_| knows_fleet.then_some(view));
+            }
+        }
+        let Some(entry) = vm.entry.clone() else {
+            return;
+        };
+        if !vm.table.may_send(&entry, 0, now) || !vm.cold.may_send(&entry, 0, now) {
             return;
         }
-        vm.table.record_send(&self.entry, now);
+        let is_known_cold = vm.cold.is_cold(&entry, now);
+        vm.table.record_send(&entry, now);
+        vm.cold.record_send(&entry, now);
         let arrives = now + Duration::from_millis(2);
         let forwarded = vm
             .forwarded_at
@@ -249,6 +456,8 @@
         self.arrivals.push(Arrival {
             at: arrives,
             counts: forwarded && vm.excused_until <= now,
+            is_known_cold,
+            is_cold: self.cold_until.is_some_and(|until| arrives < until),
         });
         let notice = self
             .limit
@@ -275,6 +484,10 @@
     fn new(vm: usize, vms: usize, now: Instant) -> Self {
         Self {
             table: RateTable::new(vm as u64),
+            cold: ColdTable::new(vm as u64),
+            entry: Some(test_entry()),
+            started_at: None,
+            store_cut_until: now,
             heard: vec![None; vms],
             messages: 0,
             next_gossip: now,
@@ -286,6 +499,11 @@
     }
 }
 
+/// Returns a revision of the store.
+pub fn store_revision(number: u64) -> StoreRevision {
+    StoreRevision::new(number)
+}
+
 /// Entry of the upstream.
 pub fn test_entry() -> UpstreamEntry {
     UpstreamEntry {
--- a/lib/gateway/tests/test_rate_table.rs
+++ b/lib/gateway/tests/test_rate_table.rs
@@ -244,6 +244,8 @@
         vms: rng.usize(1..=30),
         demand: f64::from(rng.u32(1..=30)),
         gossip: millis(rng.u64(40..=650)),
+        delay_ms: 20,
+        cold: None,
         loss: rng.f64() * 0.2,
         disturbances: f64::from(rng.u32(0..=10)) / 10.0,
         seed,
--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -13,6 +13,7 @@
 pub use rate_judge::find_rate_excess;
 pub use runner::RecordedRequest;
 pub use runner::StandinRunner;
+pub use runner::cold_runner_entry;
 pub use runner::runner_entry;
 pub use runner::started_runner_entry;
 pub use runner_script::CrashCause;
--- a/testing/site/src/runner.rs
+++ b/testing/site/src/runner.rs
@@ -196,6 +196,14 @@
     entry_text(address, state, &format!(r#","born":{started_ms}"#))
 }
 
+/// Returns the entry of a ready runner that is cold for `cold_left_ms` more.
+pub fn cold_runner_entry(address: SocketAddr, started_ms: u64, cold_left_ms: u64) -> String {
+    started_runner_entry(address, "ready", started_ms).replace(
+        r#""coldLeftMs":0"#,
+        &format!(r#""coldLeftMs":{cold_left_ms}"#),
+    )
+}
+
 fn entry_text(address: SocketAddr, state: &str, extra_fields: &str) -> String {
     format!(
         r#"{{"service":"svc","address":"{address}","zone":"z1","version":"v1","slots":64,"state":"{state}","coldLeftMs":0,"seq":4{extra_fields}}}"#
