--- a/lib/gateway/src/cold.rs
+++ b/lib/gateway/src/cold.rs
@@ -17,6 +17,7 @@
 pub use self::cold_table::ColdChange;
 pub use self::cold_table::ColdTable;
 pub use self::monitor::apply_cold_notices;
+pub use self::monitor::begin_cold_after_evacuation;
 pub use self::monitor::build_cold_notices;
 pub use self::monitor::log_cold_changes;
 pub use self::monitor::record_broken_connection;
--- a/lib/gateway/src/cold/monitor.rs
+++ b/lib/gateway/src/cold/monitor.rs
@@ -6,6 +6,7 @@
 
 use slog::info;
 use snipegate_platform::StoreRevision;
+use snipegate_types::DataCentre;
 
 use super::cold_state::ColdReason;
 use super::cold_table::ColdChange;
@@ -65,6 +66,19 @@
     }
 }
 
+/// Counts the upstreams of a data centre as cold, since its evacuation has ended.
+pub fn begin_cold_after_evacuation(gateway: &Gateway, data_centre: &DataCentre) {
+    let now = gateway.now();
+    let upstreams = gateway.upstreams.borrow();
+    let mut cold = gateway.cold.borrow_mut();
+    for entry in upstreams.in_data_centre(data_centre) {
+        if let Some(rule) = cold_rule(gateway, &entry.service) {
+            let entries = std::iter::once(entry);
+            cold.begin(entries, rule.duration, ColdReason::EvacuationEnded, now);
+        }
+    }
+}
+
 /// Returns what to tell the other VMs with the message of this number.
 pub fn build_cold_notices(gateway: &Gateway, number: u64, now: Instant) -> Vec<ColdNotice> {
     let peers = gateway.peers.borrow();
@@ -84,9 +98,16 @@
     let mut cold = gateway.cold.borrow_mut();
     for notice in notices {
         let id = upstreams.id_of(notice.upstream);
-        if let Some(entry) = id.and_then(|id| upstreams.get(id)) {
-            cold.apply_notice(entry, notice, reaches_store, now);
-        }
+        let Some(entry) = id.and_then(|id| upstreams.get(id)) else {
+            continue;
+        };
+        // The sender may not have read yet what this VM has.
+        let known = upstreams.revision_of(&entry.id);
+        let stated = notice
+            .stated
+            .filter(|(revision, _)| Some(*revision) >= known);
+        let notice = ColdNotice { stated, ..*notice };
+        cold.apply_notice(entry, &notice, reaches_store, now);
     }
 }
 
--- a/lib/gateway/src/lib.rs
+++ b/lib/gateway/src/lib.rs
@@ -103,6 +103,7 @@
 pub use cold::ColdNotice;
 pub use cold::ColdReason;
 pub use cold::ColdTable;
+pub use cold::begin_cold_after_evacuation;
 pub use cold::cold_share;
 pub use config::CallerLimits;
 pub use config::ColdRule;
--- a/lib/gateway/src/upstream.rs
+++ b/lib/gateway/src/upstream.rs
@@ -354,6 +354,12 @@
             .filter(|id| self.known.contains_key(*id))
     }
 
+    /// Returns the upstreams of a data centre.
+    pub fn in_data_centre(&self, data_centre: &DataCentre) -> impl Iterator<Item = &UpstreamEntry> {
+        let entries = self.known.values().map(|known| &known.entry);
+        entries.filter(move |entry| entry.data_centre == *data_centre)
+    }
+
     /// Returns the revision of an upstream's entry.
     pub fn revision_of(&self, id: &UpstreamId) -> Option<StoreRevision> {
         self.known.get(id).map(|known| known.revision)
