test: simulated VMs have listed the upstream before it turns cold

Cause: the first entry counted as a start, so that a cut-off VM was told of an assumption too, and the test passed without notices of entries.

Under mutations: without notices vm_cut_off_from_the_store and first_listing fail; without the rule for eras entry_of_an_older_copy; with an empty begin upstreams_are_cold_after_an_evacuation.

--- a/lib/gateway/tests/rate_simulation/mod.rs
+++ b/lib/gateway/tests/rate_simulation/mod.rs
@@ -143,9 +143,13 @@
     /// Creates a fleet that knows no rate limit.
     pub fn new(config: SimulationConfig) -> Self {
         let now = Instant::now();
-        let vms = (0..config.vms)
+        let mut vms: Vec<SimulatedVm> = (0..config.vms)
             .map(|vm| SimulatedVm::new(vm, config.vms, now))
             .collect();
+        for vm in &mut vms {
+            vm.cold
+                .record_entry(&test_entry(), store_revision(1), false, None, now);
+        }
         Self {
             config,
             rng: Rng::with_seed(config.seed),
