--- a/lib/gateway/src/evacuation.rs
+++ b/lib/gateway/src/evacuation.rs
@@ -19,6 +19,7 @@
 pub use self::table::EvacuationChange;
 pub use self::table::EvacuationState;
 pub use self::table::EvacuationTable;
+use crate::cold::begin_cold_after_evacuation;
 use crate::gateway::Gateway;
 
 /// How this VM learned of a change.
@@ -66,6 +67,9 @@
             "evacuated" => change.is_evacuated, "revision" => %change.revision,
             "source" => source.label(), "peer" => peer,
             "age_ms" => change.age.as_millis() as u64, "upstreams" => upstreams);
+        if !change.is_evacuated {
+            begin_cold_after_evacuation(gateway, &change.data_centre);
+        }
     }
     if !has_changed {
         return;
