budget: VMs learn at once that another one's process has ended

After the return nobody could tell what that VM held, and the settlement counted the rest of every budget of the shard as held by it for good.

Change: a stopping process tells the VMs registered in a shard the revision of its last write (`ShardEnd`), and those that may be granted whole budgets read the shard again. The VM that watches for absences also reads it again when a registered VM falls silent, in case the notice is lost. A store without eras causes no calls.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -5,6 +5,7 @@
 //! the revision that it replaces.
 
 mod era_entry;
+mod missed_end;
 mod run_end;
 mod shard_access;
 
@@ -23,6 +24,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+pub use self::missed_end::ShardEnd;
+pub use self::missed_end::handle_shard_end;
 pub use self::run_end::close_budgets;
 use self::run_end::close_earlier_runs;
 use crate::budget_exchange::SHARDS;
@@ -92,6 +95,8 @@
     unsettled_since: Option<Instant>,
     /// Other VMs in the shard whose processes have ended or that are absent.
     absences: WriterAbsences,
+    /// Registered VMs that were not heard when the shard was last read for that.
+    silent_writers: Vec<u64>,
     /// Whether this process's last write of the shard is under way.
     is_ending: bool,
 }
@@ -157,6 +162,7 @@
             registration: RegistrationAge::new(gateway.settings.max_copy_age),
             unsettled_since: None,
             absences: WriterAbsences::default(),
+            silent_writers: Vec::new(),
             is_ending: false,
         }
     }
@@ -176,6 +182,7 @@
         if self.needs_load(gateway, keeper.is_none()) {
             self.load(gateway, store).await?;
         }
+        self.read_missed_ends(gateway, store).await?;
         answer_queue(gateway);
         if !gateway.earlier_runs_known.get() {
             // A write would close the earlier runs without what their witnesses tell.
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -118,6 +118,8 @@
         worker.return_grants(gateway, store).await;
     }
     let all_arrived = async {
+        // The notices of the ends are sent meanwhile.
+        sleep(HANDOVER_POLL_INTERVAL).await;
         while !gateway.transfers.borrow().is_settled() {
             sleep(HANDOVER_POLL_INTERVAL).await;
         }
@@ -192,7 +194,10 @@
                 break;
             }
             match self.try_return_grants(gateway, store).await {
-                Ok(()) => break,
+                Ok(()) => {
+                    self.announce_end(gateway);
+                    break;
+                }
                 Err(error) => info!(gateway.log, "failed to return grants";
                     "shard" => self.number, "error" => %error),
             }
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -160,6 +160,8 @@
     pub restricted_shards: RefCell<IndexSet<u64>>,
     /// What this run remembers of the shards of the budget records, by their numbers.
     pub shard_memories: RefCell<IndexMap<u64, ShardMemory>>,
+    /// Latest revisions that show the end of another VM's process, by shard.
+    pub shard_ends: RefCell<IndexMap<u64, StoreRevision>>,
     /// Workspaces whose budget is scarce at this VM, announced by gossip.
     pub scarce_budgets: RefCell<IndexMap<WorkspaceId, Instant>>,
     /// Workspaces whose budget is scarce at other VMs, by hash of the workspace.
@@ -298,6 +300,7 @@
             witness_link: RefCell::default(),
             witness_log: RefCell::default(),
             promise_notify: Notify::new(),
+            shard_ends: RefCell::default(),
             scarce_budgets: RefCell::default(),
             peer_scarce_budgets: RefCell::default(),
             peers: RefCell::default(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -22,6 +22,8 @@
 
 use crate::budget_exchange::report_remaining;
 use crate::budget_exchange::scarce_budgets;
+use crate::budget_keeper::ShardEnd;
+use crate::budget_keeper::handle_shard_end;
 use crate::feature_guard::apply_feature_news;
 use crate::feature_table::FeatureNews;
 use crate::gateway::Gateway;
@@ -157,6 +159,8 @@
     RoomNotice(Box<RoomNotice>),
     /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
     RelayRoomNotice(Box<RoomNotice>),
+    /// Notice that the sender's process has ended in a shard of the budget records.
+    ShardEnd(ShardEnd),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -354,6 +358,7 @@
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
+            Ok(PeerMessage::ShardEnd(end)) => handle_shard_end(&gateway, sender, end),
             Ok(PeerMessage::TokenAnswer(answer)) => handle_token_answer(&gateway, sender, answer),
             Ok(PeerMessage::Transfer(transfer)) => handle_transfer(&gateway, sender, transfer),
             Ok(PeerMessage::TransferTaken(number)) => acknowledge_transfer(&gateway, number),
--- a/lib/gateway/src/peers.rs
+++ b/lib/gateway/src/peers.rs
@@ -187,6 +187,15 @@
             .collect()
     }
 
+    /// Returns the ids of the VMs that are not silent, whatever their stage.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &VmId> {
+        let heard = self
+            .peers
+            .iter()
+            .filter(move |(_, peer)| !peer.is_silent(now));
+        heard.map(|(vm, _)| vm)
+    }
+
     /// Returns the serving VMs that are not silent.
     pub fn live_serving(&self, now: Instant) -> impl Iterator<Item = &VmRecord> {
         self.live_serving_peers(now).map(|peer| &peer.record)
