budget: requests that lack tokens share a question, and VMs ask ahead

Cause: each request that found too few tokens asked up to four VMs in turn and waited up to 120 ms for each, however many others waited for the same answer; VMs asked only once a request had nothing left; most keepers were VMs with a small link, chosen by hash alone.

Change: - One question in flight per workspace (`TokenQuestions`), for what all waiting requests lack.

--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -48,8 +48,10 @@
 use crate::spending_witness::SpendingTestimony;
 use crate::token_request::FreeTokens;
 use crate::token_request::TokenAnswer;
+use crate::token_request::TokenRefill;
 use crate::token_request::TokenRequest;
 use crate::token_request::handle_token_answer;
+use crate::token_request::handle_token_refill;
 use crate::token_request::handle_token_request;
 use crate::transfer::TokenTransfer;
 use crate::transfer::acknowledge_transfer;
@@ -161,6 +163,8 @@
     RelayRoomNotice(Box<RoomNotice>),
     /// Notice that the sender's process has ended in a shard of the budget records.
     ShardEnd(ShardEnd),
+    /// Request for tokens of a budget ahead of need.
+    TokenRefill(TokenRefill),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -359,6 +363,7 @@
                 handle_token_request(&gateway, sender, request)
             }
             Ok(PeerMessage::ShardEnd(end)) => handle_shard_end(&gateway, sender, end),
+            Ok(PeerMessage::TokenRefill(refill)) => handle_token_refill(&gateway, sender, refill),
             Ok(PeerMessage::TokenAnswer(answer)) => handle_token_answer(&gateway, sender, answer),
             Ok(PeerMessage::Transfer(transfer)) => handle_transfer(&gateway, sender, transfer),
             Ok(PeerMessage::TransferTaken(number)) => acknowledge_transfer(&gateway, number),
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -340,6 +340,22 @@
         given
     }
 
+    /// Deducts up to `wish` tokens for another VM that asks ahead of its need, whose callers ask
+    /// for `rate` tokens per second: at most its part of the demand.
+    pub fn withdraw_ahead(
+        &mut self,
+        wish: TokenCount,
+        rate: TokenCount,
+        now: Instant,
+    ) -> TokenCount {
+        let demand = self.demand.rate(now).max(rate.0 as f64).max(1.0);
+        let part = (rate.0 as f64 / demand).max(PREFETCH_FRACTION);
+        let spare = TokenCount((self.free_by_record(now).0 as f64 * part) as u64);
+        let given = wish.min(spare).min(self.free(now));
+        self.given = self.given.saturating_add(given);
+        given
+    }
+
     /// Adds tokens that another VM deducted from its holding.
     pub fn receive(&mut self, tokens: TokenCount) {
         self.received = self.received.saturating_add(tokens);
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -56,6 +56,9 @@
 /// How long the tokens of a member, a VM that is not the keeper, should last.
 const MEMBER_DURATION: Duration = Duration::from_secs(1);
 
+/// A member requests tokens ahead of need when it holds less than this fraction of its target.
+const AHEAD_FRACTION: f64 = 0.6;
+
 /// A member returns tokens once it holds more than this many times its target.
 const SURPLUS_FACTOR: f64 = 2.0;
 
@@ -169,6 +172,18 @@
         target.saturating_sub(self.free(now))
     }
 
+    /// Returns whether a member should request tokens ahead of need, because it holds few for its
+    /// own demand.
+    pub fn is_low_ahead(&self, now: Instant) -> bool {
+        let target = self.member_target(now);
+        target >= MIN_RETURN.0 as f64 && (self.free(now).0 as f64) < target * AHEAD_FRACTION
+    }
+
+    /// Returns the tokens per second that callers of this VM ask for.
+    pub fn own_rate(&self, now: Instant) -> TokenCount {
+        TokenCount(self.own_demand.rate(now) as u64)
+    }
+
     /// Returns the tokens that a member should return to the keeper.
     pub fn surplus(&self, scarce: bool, now: Instant) -> TokenCount {
         let factor = if scarce { 1.0 } else { SURPLUS_FACTOR };
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -18,20 +18,27 @@
 use tokio::time::timeout;
 
 use crate::budget_exchange::SHARDS;
+use crate::budget_exchange::remote_keeper;
+use crate::budget_exchange::shard_of;
 use crate::budget_exchange::with_holding;
 use crate::budget_record::BudgetTotals;
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::gossip::PeerMessage;
 use crate::holding::HoldingRefusal;
+use crate::token_search::OpenQuestion;
 use crate::transfer::TokenTransfer;
 use crate::transfer::TransferTarget;
 use crate::transfer::handle_transfer;
+use crate::transfer::register_transfer;
 use crate::transfer::start_transfer;
 
 /// How long another VM's report of its free tokens is valid.
 const FREE_TOKENS_TTL: Duration = Duration::from_secs(3);
 
+/// How long requests wait for the answer to a request ahead of need before they ask themselves.
+const AHEAD_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Maximum number of token requests of other VMs that are queued for a grant.
 const MAX_QUEUED: usize = 4096;
 
@@ -60,6 +67,15 @@
     pub as_keeper: bool,
 }
 
+/// A request for tokens ahead of need, which no request of a caller waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenRefill {
+    /// What the sender reports and would like to hold; it needs nothing at once.
+    pub request: TokenRequest,
+    /// Tokens per second that the sender's callers ask for.
+    pub rate: TokenCount,
+}
+
 /// Outcome of a token request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -125,6 +141,13 @@
 ) -> Option<TokenRequestOutcome> {
     let began = gateway.now();
     let request = build_token_request(gateway, need.workspace, need.tokens, need.as_keeper)?;
+    let question = OpenQuestion {
+        number: request.number,
+        target,
+        until: began + wait,
+    };
+    let questions = &gateway.token_questions;
+    questions.borrow_mut().begin(request.workspace, question);
     let (answered, answer) = oneshot::channel();
     let pending = &gateway.pending_token_requests;
     pending.borrow_mut().insert(request.number, answered);
@@ -150,7 +173,74 @@
             .pending_token_requests
             .borrow_mut()
             .swap_remove(&self.1);
+        self.0.token_questions.borrow_mut().end(self.1);
+        // Requests that shared the question have to ask again.
+        self.0.grant_changed.notify_waiters();
+    }
+}
+
+/// Requests tokens ahead of need if this VM holds few for its own demand, so that no request has
+/// to wait for them.
+pub fn ask_ahead(gateway: &Gateway, workspace: &WorkspaceId) {
+    let now = gateway.now();
+    let hash = stable_hash(workspace.as_str());
+    let is_low = gateway
+        .holdings
+        .borrow()
+        .get(workspace)
+        .is_some_and(|holding| holding.is_low_ahead(now));
+    if !is_low || !gateway.token_questions.borrow().may_ask_ahead(hash, now) {
+        return;
+    }
+    let is_store_lost = gateway.store_contact.get().is_failing();
+    let holder = match is_store_lost {
+        true => peer_with_most_free(gateway, workspace, &[], now),
+        false => None,
+    };
+    let keeper = remote_keeper(gateway, shard_of(workspace), now);
+    let Some(target) = holder.or(keeper.map(|keeper| keeper.address)) else {
+        return;
+    };
+    let as_keeper = holder.is_none();
+    let Some(request) = build_token_request(gateway, workspace, TokenCount::ZERO, as_keeper) else {
+        return;
+    };
+    let rate = gateway.holdings.borrow()[workspace].own_rate(now);
+    let question = OpenQuestion {
+        number: request.number,
+        target,
+        until: now + AHEAD_TIMEOUT,
+    };
+    let questions = &gateway.token_questions;
+    questions.borrow_mut().begin_ahead(hash, question, now);
+    gateway.metrics.count("budget.ask_ahead");
+    let refill = TokenRefill { request, rate };
+    gateway.send_direct(target, PeerMessage::TokenRefill(refill));
+}
+
+/// Handles another VM's request for tokens ahead of its need.
+pub fn handle_token_refill(gateway: &Gateway, sender: SocketAddr, refill: TokenRefill) {
+    let request = refill.request;
+    let is_first = gateway
+        .token_request_dedup
+        .borrow_mut()
+        .is_first(request.asker, request.number);
+    if !is_first {
+        return;
     }
+    record_token_request(gateway, &request);
+    let now = gateway.now();
+    let tokens = with_holding(gateway, request.workspace, |_, holding| {
+        holding.withdraw_ahead(request.wish, refill.rate, now)
+    });
+    let target = TransferTarget {
+        address: sender,
+        incarnation: request.asker,
+    };
+    let tokens = tokens.filter(|tokens| !tokens.is_zero());
+    let transfer =
+        tokens.map(|tokens| register_transfer(gateway, target, request.workspace, tokens));
+    send_answer(gateway, sender, &request, transfer);
 }
 
 /// Reports this VM's use of a budget to its keeper.
@@ -211,6 +301,21 @@
         .map(|(_, address)| address)
 }
 
+/// Returns the most free tokens that another VM announced, with the age of the announcement, for
+/// the log.
+pub fn newest_announcement(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> String {
+    let hash = stable_hash(workspace.as_str());
+    let Some(vm) = peer_with_most_free(gateway, workspace, &[], now) else {
+        return "none".to_owned();
+    };
+    let announced = gateway.peer_free_tokens.borrow();
+    let free = &announced[&vm];
+    let held = free.by_workspace.iter().find(|(id, _)| *id == hash);
+    let tokens = held.map_or(0, |(_, tokens)| tokens.0);
+    let age = now.saturating_duration_since(free.at).as_millis();
+    format!("{vm}={tokens},age_ms={age}")
+}
+
 /// Handles a token request of another VM: answers it or queues it for a grant.
 pub fn handle_token_request(gateway: &Gateway, sender: SocketAddr, request: TokenRequest) {
     if !gateway
@@ -322,6 +427,15 @@
         request.need,
         request.wish,
     );
+    send_answer(gateway, sender, request, transfer);
+}
+
+fn send_answer(
+    gateway: &Gateway,
+    sender: SocketAddr,
+    request: &TokenRequest,
+    transfer: Option<TokenTransfer>,
+) {
     let outcome = match transfer {
         Some(_) => TokenRequestOutcome::Given,
         None if gateway.store_contact.get().is_failing() || is_restricted(gateway, request) => {
@@ -348,6 +462,7 @@
     if let Some(transfer) = answer.transfer {
         handle_transfer(gateway, sender, transfer);
     }
+    gateway.token_questions.borrow_mut().end(answer.number);
     let pending = gateway
         .pending_token_requests
         .borrow_mut()
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -144,9 +144,17 @@
     let tokens = with_holding(gateway, workspace, |_, holding| {
         holding.withdraw(need, wish, now)
     })?;
-    if tokens.is_zero() {
-        return None;
-    }
+    (!tokens.is_zero()).then(|| register_transfer(gateway, target, workspace, tokens))
+}
+
+/// Starts a transfer of tokens that this VM has deducted from its holding.
+pub fn register_transfer(
+    gateway: &Gateway,
+    target: TransferTarget,
+    workspace: u64,
+    tokens: TokenCount,
+) -> TokenTransfer {
+    let now = gateway.now();
     let mut log = gateway.transfers.borrow_mut();
     let transfer = TokenTransfer {
         giver: gateway.incarnation,
@@ -165,7 +173,7 @@
     gateway.transfer_notify.notify_one();
     gateway.metrics.count("budget.transfer_given");
     log_transfer(gateway, "tokens handed over", target.address, &transfer);
-    Some(transfer)
+    transfer
 }
 
 /// Transfers tokens to another VM without a request from it.
