budget: tokens are asked of the VM that announced the most in an outage

Cause: while no VM reaches the store, requests asked the keeper first, which can get no more, then VMs by announcements of up to 3 s before, each for the tokens of one request. Announcements named every budget with any free token.

Only tokens beyond a second of a VM's own demand, and enough for a request, are announced (at most 64 budgets), in every message of the first second after the store is lost and in every second one after that. What a VM gave, or that it has none, is deducted from what it announced. Requests that share a question wait 10 ms longer than the one that asked, so that its time-out is known to them.

--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -3,6 +3,7 @@
 //!
 //! Safety does not depend on it; a lost datagram only makes decisions less accurate.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,6 +78,16 @@
 /// Every n-th message includes the free tokens.
 const FREE_TOKENS_EVERY: u64 = 8;
 
+/// The same while the store can't be reached.
+const FREE_TOKENS_EVERY_IN_OUTAGE: u64 = 2;
+
+/// Time from the loss of the store in which every message includes the free tokens.
+const LOSS_ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Maximum number of budgets whose free tokens are announced, so that a message fits into a
+/// datagram.
+const MAX_FREE_BUDGETS: usize = 64;
+
 /// Every n-th message includes all rate limits.
 const ALL_RATES_EVERY: u64 = 8;
 
@@ -303,10 +314,9 @@
         store_regained: gateway.store_contact.get().is_regained(now),
         loads,
         placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
-        free: if number.is_multiple_of(FREE_TOKENS_EVERY) {
-            free_tokens(gateway, now)
-        } else {
-            Vec::new()
+        free: match is_free_tokens_due(gateway, number, now) {
+            true => free_tokens(gateway, now),
+            false => Vec::new(),
         },
         scarce: scarce_budgets(gateway, now),
         left: report_remaining(gateway, now),
@@ -317,13 +327,28 @@
     }
 }
 
+/// Returns whether a message includes the free tokens. Once the store is lost, VMs without tokens
+/// depend on them.
+fn is_free_tokens_due(gateway: &Gateway, number: u64, now: Instant) -> bool {
+    let contact = gateway.store_contact.get();
+    let every = match contact.is_failing() {
+        true if contact.failing_for(now) < LOSS_ANNOUNCE_PERIOD => 1,
+        true => FREE_TOKENS_EVERY_IN_OUTAGE,
+        false => FREE_TOKENS_EVERY,
+    };
+    number.is_multiple_of(every)
+}
+
+/// Returns the budgets of which this VM has enough tokens to give some away, the largest first.
 fn free_tokens(gateway: &Gateway, now: Instant) -> Vec<(u64, TokenCount)> {
     let holdings = gateway.holdings.borrow();
-    holdings
+    let mut free: Vec<(u64, TokenCount)> = holdings
         .values()
-        .map(|holding| (holding.workspace(), holding.free(now)))
-        .filter(|(_, free)| !free.is_zero())
-        .collect()
+        .filter_map(|holding| Some((holding.workspace(), holding.announced_tokens(now)?)))
+        .collect();
+    free.sort_unstable_by_key(|(_, tokens)| Reverse(*tokens));
+    free.truncate(MAX_FREE_BUDGETS);
+    free
 }
 
 async fn receive_messages(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -38,6 +38,10 @@
 /// need.
 const PREFETCH_FRACTION: f64 = 0.05;
 
+/// The same while the store can't be reached: the receiver can't get more from a keeper, and many
+/// small requests between VMs would be lost.
+const OUTAGE_FRACTION: f64 = 0.5;
+
 /// Minimum number of tokens that are worth returning or reporting.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
@@ -332,9 +336,30 @@
     /// Deducting first means that a failed transfer loses tokens instead of duplicating
     /// them.
     pub fn withdraw(&mut self, need: TokenCount, wish: TokenCount, now: Instant) -> TokenCount {
+        self.withdraw_part(need, wish, PREFETCH_FRACTION, now)
+    }
+
+    /// Like [`BudgetHolding::withdraw`], during an outage of the store: the receiver gets what it
+    /// wishes at once, up to half of the rest.
+    pub fn withdraw_in_outage(
+        &mut self,
+        need: TokenCount,
+        wish: TokenCount,
+        now: Instant,
+    ) -> TokenCount {
+        self.withdraw_part(need, wish, OUTAGE_FRACTION, now)
+    }
+
+    fn withdraw_part(
+        &mut self,
+        need: TokenCount,
+        wish: TokenCount,
+        part: f64,
+        now: Instant,
+    ) -> TokenCount {
         let free = self.free(now);
         let spare = self.free_by_record(now).saturating_sub(need);
-        let spare = TokenCount((spare.0 as f64 * PREFETCH_FRACTION) as u64);
+        let spare = TokenCount((spare.0 as f64 * part) as u64);
         let given = need.saturating_add(wish.min(spare)).min(free);
         self.given = self.given.saturating_add(given);
         given
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -179,6 +179,15 @@
         target >= MIN_RETURN.0 as f64 && (self.free(now).0 as f64) < target * AHEAD_FRACTION
     }
 
+    /// Returns the free tokens that other VMs may ask for: those that this VM does not need for its
+    /// own demand, if there are enough for a request.
+    pub fn announced_tokens(&self, now: Instant) -> Option<TokenCount> {
+        let own = TokenCount(self.member_target(now) as u64);
+        let spare = self.free(now).saturating_sub(own);
+        let enough = MIN_RETURN.max(TokenCount(self.recent_cost as u64));
+        (spare >= enough).then_some(spare)
+    }
+
     /// Returns the tokens per second that callers of this VM ask for.
     pub fn own_rate(&self, now: Instant) -> TokenCount {
         TokenCount(self.own_demand.rate(now) as u64)
--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -27,6 +27,7 @@
 use crate::token_request::TokenNeed;
 use crate::token_request::TokenRequestOutcome;
 use crate::token_request::ask_ahead;
+use crate::token_request::deduct_announced;
 use crate::token_request::newest_announcement;
 use crate::token_request::peer_with_most_free;
 use crate::token_request::request_tokens;
@@ -309,6 +310,9 @@
         let waited = now.saturating_duration_since(began);
         let name = outcome.map_or("not_answered", Into::into);
         self.log.add_answer(target, name, waited);
+        if outcome.is_some_and(|outcome| outcome != TokenRequestOutcome::Given) {
+            deduct_announced(gateway, target, self.hash, TokenCount(u64::MAX));
+        }
         let mut questions = gateway.token_questions.borrow_mut();
         match outcome {
             Some(TokenRequestOutcome::Given) => questions.record_success(self.hash, target),
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -39,6 +39,10 @@
 /// How long requests wait for the answer to a request ahead of need before they ask themselves.
 const AHEAD_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// Time for which requests that share a question wait longer than the one that asked, which then
+/// records that there was no answer.
+const TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
+
 /// Maximum number of token requests of other VMs that are queued for a grant.
 const MAX_QUEUED: usize = 4096;
 
@@ -144,7 +148,7 @@
     let question = OpenQuestion {
         number: request.number,
         target,
-        until: began + wait,
+        until: began + wait + TIMEOUT_MARGIN,
     };
     let questions = &gateway.token_questions;
     questions.borrow_mut().begin(request.workspace, question);
@@ -295,12 +299,24 @@
         })
         .filter_map(|(address, free)| {
             let held = free.by_workspace.iter().find(|(id, _)| *id == hash)?;
-            Some((held.1, *address))
+            (!held.1.is_zero()).then_some((held.1, *address))
         })
         .max()
         .map(|(_, address)| address)
 }
 
+/// Deducts tokens from those that a VM announced, since it has given them or has none left.
+pub fn deduct_announced(gateway: &Gateway, vm: SocketAddr, workspace: u64, tokens: TokenCount) {
+    let mut announced = gateway.peer_free_tokens.borrow_mut();
+    let Some(free) = announced.get_mut(&vm) else {
+        return;
+    };
+    let mut budgets = free.by_workspace.iter_mut();
+    if let Some((_, left)) = budgets.find(|(id, _)| *id == workspace) {
+        *left = left.saturating_sub(tokens);
+    }
+}
+
 /// Returns the most free tokens that another VM announced, with the age of the announcement, for
 /// the log.
 pub fn newest_announcement(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> String {
@@ -460,6 +476,7 @@
         });
     }
     if let Some(transfer) = answer.transfer {
+        deduct_announced(gateway, sender, transfer.workspace, transfer.tokens);
         handle_transfer(gateway, sender, transfer);
     }
     gateway.token_questions.borrow_mut().end(answer.number);
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -142,7 +142,10 @@
 ) -> Option<TokenTransfer> {
     let now = gateway.now();
     let tokens = with_holding(gateway, workspace, |_, holding| {
-        holding.withdraw(need, wish, now)
+        match gateway.store_contact.get().is_failing() {
+            true => holding.withdraw_in_outage(need, wish, now),
+            false => holding.withdraw(need, wish, now),
+        }
     })?;
     (!tokens.is_zero()).then(|| register_transfer(gateway, target, workspace, tokens))
 }
