budget: calls to the store are counted by kind, and a VM asked by mistake writes less

Cause: a VM that is asked as the keeper while it takes another one for it granted itself exactly what each request needed, so that each took a write, and returned the rest at once.

Change: such a VM holds a second of the demand that it is asked for. Calls for budgets are counted as `store.call{budgets.KIND}`; other tasks count as `other` until they name their kinds.

How much it saves in a fleet is not measured.

--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -97,6 +97,8 @@
     absences: WriterAbsences,
     /// Registered VMs that were not heard when the shard was last read for that.
     silent_writers: Vec<u64>,
+    /// Kind of the next write, for the count of store calls.
+    write_kind: &'static str,
     /// Whether this process's last write of the shard is under way.
     is_ending: bool,
 }
@@ -163,6 +165,7 @@
             unsettled_since: None,
             absences: WriterAbsences::default(),
             silent_writers: Vec::new(),
+            write_kind: "write_idle",
             is_ending: false,
         }
     }
@@ -209,6 +212,10 @@
         }
         let time = plan_time(gateway);
         self.last_write = Some(time.now);
+        self.write_kind = match urgent {
+            true => "write_urgent",
+            false => "write_idle",
+        };
         let requests = self.plan_grant_requests(gateway, time);
         self.write_grant_requests(gateway, store, &requests).await?;
         answer_queue(gateway);
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -57,7 +57,9 @@
 ) -> Result<(), StoreError> {
     let prefix = gateway.wire_format.layout().budget_prefix;
     let call = store.list(prefix, None);
-    let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+    let listing = gateway
+        .call_store_for(StoreTask::Budgets, "read_start", call)
+        .await?;
     let era = listing.revision.era;
     gateway.observe_era(era, StoreTask::Budgets)?;
     let mut workers = Vec::new();
@@ -160,6 +162,7 @@
         if !has_closed && (!changed || self.revision.era == StoreEra::default()) {
             return Ok(());
         }
+        self.write_kind = "write_start";
         self.swap(gateway, store, shard).await?;
         for (workspace, record) in &self.shard.records {
             let earlier = &before.records[workspace];
@@ -224,6 +227,7 @@
         }
         let requests = self.plan_returns(gateway);
         self.is_ending = true;
+        self.write_kind = "write_end";
         let result = self.write_grant_requests(gateway, store, &requests).await;
         self.is_ending = false;
         result
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -27,7 +27,9 @@
     ) -> Result<(), StoreError> {
         let key = self.key(gateway);
         let call = store.list(&key, None);
-        let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+        let listing = gateway
+            .call_store_for(StoreTask::Budgets, "read", call)
+            .await?;
         self.set_max_copy_age(gateway, store);
         let era = listing.revision.era;
         gateway.observe_era(era, StoreTask::Budgets)?;
@@ -56,7 +58,9 @@
         let key = self.key(gateway);
         let conditions = mark_era(gateway, store, self.revision.era).await?;
         let call = store.swap_if(&key, expected, bytes, &conditions);
-        let result = gateway.call_store(StoreTask::Budgets, call).await;
+        let result = gateway
+            .call_store_for(StoreTask::Budgets, self.write_kind, call)
+            .await;
         self.last_write = Some(gateway.now());
         let outcome = match &result {
             Ok(SwapOutcome::Swapped(at)) if at.era != self.revision.era => "other_era",
--- a/lib/gateway/src/era_marker.rs
+++ b/lib/gateway/src/era_marker.rs
@@ -64,7 +64,10 @@
     let key = marker_key(gateway, era);
     let value = era.to_string().into_bytes();
     let call = store.swap(&key, ExpectedVersion::Absent, value, None);
-    let revision = match gateway.call_store(StoreTask::Budgets, call).await? {
+    let revision = match gateway
+        .call_store_for(StoreTask::Budgets, "write_marker", call)
+        .await?
+    {
         SwapOutcome::Swapped(revision) => revision,
         SwapOutcome::Conflict(Some(stored)) => stored.revision,
         SwapOutcome::Conflict(None) => return Err(StoreError::InvalidReply),
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -93,7 +93,12 @@
             HoldingRole::Member => queued,
             _ => self.largest_waiting.saturating_add(queued),
         };
-        let target = TokenCount(self.target(role, now) as u64);
+        let target = match role {
+            // Without it, each request that another VM asks for would take a write.
+            HoldingRole::Member if !queued.is_zero() => self.asked_target(now),
+            _ => self.target(role, now),
+        };
+        let target = TokenCount(target as u64);
         let urgent = !wanted.is_zero() && self.free_by_record(now) < wanted;
         let low =
             (held.0 as f64) < target.0 as f64 * RENEW_FRACTION && !self.unassigned().is_zero();
@@ -197,6 +202,8 @@
     pub fn surplus(&self, scarce: bool, now: Instant) -> TokenCount {
         let factor = if scarce { 1.0 } else { SURPLUS_FACTOR };
         let keep = TokenCount((self.member_target(now) * factor) as u64).max(self.largest_waiting);
+        let asked = if scarce { 0.0 } else { self.asked_target(now) };
+        let keep = keep.max(TokenCount(asked as u64));
         let surplus = self.free(now).saturating_sub(keep);
         match surplus >= MIN_RETURN {
             true => surplus,
@@ -221,6 +228,14 @@
         }
     }
 
+    /// Returns the tokens to hold of a VM that others ask as the keeper though it takes another one
+    /// for it.
+    fn asked_target(&self, now: Instant) -> f64 {
+        let share = self.held().0 as f64 + KEEPER_MAX_FRACTION * self.unassigned().0 as f64;
+        let demand = self.demand.rate(now) * self.duration_secs(MEMBER_DURATION);
+        demand.min(share)
+    }
+
     /// Returns the tokens that a member should hold at current demand.
     fn member_target(&self, now: Instant) -> f64 {
         self.own_demand.rate(now) * self.duration_secs(MEMBER_DURATION)
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -21,6 +21,22 @@
         task: StoreTask,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
+        self.call_store_for(task, "other", call).await
+    }
+
+    /// Like [`Gateway::call_store`], counted by the kind of the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the call.
+    pub async fn call_store_for<T>(
+        &self,
+        task: StoreTask,
+        kind: &'static str,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        self.metrics
+            .count_tagged("store.call", &format!("{task}.{kind}"));
         let began = self.now();
         let result = call.await;
         self.record_store_result(task, began, result.as_ref().err());
--- a/lib/gateway/tests/test_token_search.rs
+++ b/lib/gateway/tests/test_token_search.rs
@@ -5,14 +5,20 @@
 use std::time::Instant;
 
 use snipegate_gateway::BudgetHolding;
+use snipegate_gateway::BudgetRecord;
 use snipegate_gateway::CapacityFloor;
+use snipegate_gateway::GrantLimit;
+use snipegate_gateway::HoldingRole;
 use snipegate_gateway::KeeperCapacity;
 use snipegate_gateway::KnownAnswer;
 use snipegate_gateway::OpenQuestion;
+use snipegate_gateway::PlanTime;
 use snipegate_gateway::SearchView;
 use snipegate_gateway::TokenQuestions;
 use snipegate_gateway::TokenSource;
 use snipegate_gateway::next_source;
+use snipegate_platform::StoreEra;
+use snipegate_platform::StoreRevision;
 use snipegate_types::ByteRate;
 use snipegate_types::TokenCount;
 
@@ -214,3 +220,33 @@
     idle.receive(TokenCount(1999));
     assert_eq!(idle.announced_tokens(now), None);
 }
+
+/// Guards against a write to the store for each request that is asked of a VM as the keeper while
+/// that VM takes another one for it.
+#[test]
+fn vm_asked_as_the_keeper_by_mistake_writes_for_many_requests_at_once() {
+    let start = Instant::now();
+    let prepaid = TokenCount(10_000_000);
+    let mut record = BudgetRecord::default();
+    let mut holding = BudgetHolding::new(WORKSPACE, 1, 1, prepaid, start);
+    let need = TokenCount(1000);
+    let mut writes = 0;
+    for step in 0..100 {
+        let now = start + Duration::from_millis(20 * step);
+        holding.record_demand(need, now);
+        let time = PlanTime { now, boot: None };
+        if holding.free(now) < need
+            && let Some(request) = holding.plan_request(HoldingRole::Member, need, false, time)
+        {
+            writes += 1;
+            record.apply(&request, GrantLimit::whole(prepaid));
+            let revision = StoreRevision::in_era(StoreEra::default(), writes);
+            holding.set_view(record.view(WORKSPACE, revision, 1, 1), now);
+        }
+        let given = holding.withdraw(need, TokenCount::ZERO, now);
+        assert_eq!(given, need, "step {step}");
+        let spare = holding.surplus(false, now);
+        assert_eq!(spare, TokenCount::ZERO, "step {step}");
+    }
+    assert!(writes <= 10, "{writes} writes for 100 requests");
+}
