--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -26,6 +26,7 @@
 use crate::gateway::stable_hash;
 use crate::gossip::PeerMessage;
 use crate::holding::HoldingRefusal;
+use crate::stage::VmStage;
 use crate::token_search::OpenQuestion;
 use crate::transfer::TokenTransfer;
 use crate::transfer::TransferTarget;
@@ -193,7 +194,8 @@
         .borrow()
         .get(workspace)
         .is_some_and(|holding| holding.is_low_ahead(now));
-    if !is_low || !gateway.token_questions.borrow().may_ask_ahead(hash, now) {
+    let is_leaving = gateway.stage.get() == VmStage::Leaving;
+    if !is_low || is_leaving || !gateway.token_questions.borrow().may_ask_ahead(hash, now) {
         return;
     }
     let is_store_lost = gateway.store_contact.get().is_failing();
