budget: a shared question needs what one request lacks, and wishes for the rest

Cause: what another VM needs at once counts as the cost of a request at the VM that is asked, and widens its promises. Needing the sum of all waiting requests made a kill of the keeper cost more than before. Found by reading.

Change: the question needs what its own request lacks.

--- a/lib/gateway/src/reserve.rs
+++ b/lib/gateway/src/reserve.rs
@@ -229,11 +229,10 @@
         }
     }
 
-    /// Returns the tokens that all waiting requests of the workspace lack.
-    fn shared_shortfall(&self, now: Instant) -> TokenCount {
-        let waiting = self.gateway.token_questions.borrow().waiting(self.hash);
+    /// Returns the tokens that this request lacks.
+    fn shortfall(&self, now: Instant) -> TokenCount {
         let shortfall = with_workspace_holding(self.gateway, self.workspace, |holding| {
-            holding.shortfall(waiting.max(self.cost), now)
+            holding.shortfall(self.cost, now)
         });
         shortfall.unwrap_or(self.cost)
     }
@@ -290,7 +289,8 @@
         }
     }
 
-    /// Asks a VM for the tokens that all waiting requests of the workspace lack.
+    /// Asks a VM for the tokens that this request lacks, and for those that the other waiting
+    /// requests of the workspace need if it has more.
     async fn ask(
         &mut self,
         target: SocketAddr,
@@ -299,10 +299,12 @@
     ) -> Option<TokenRequestOutcome> {
         let gateway = self.gateway;
         let began = gateway.now();
+        let waiting = gateway.token_questions.borrow().waiting(self.hash);
         let need = TokenNeed {
             request: self.request,
             workspace: self.workspace,
-            tokens: self.shared_shortfall(began),
+            tokens: self.shortfall(began),
+            others: waiting.saturating_sub(self.cost),
             as_keeper,
         };
         let outcome = request_tokens(gateway, target, &need, wait).await;
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -132,6 +132,9 @@
     pub workspace: &'a WorkspaceId,
     /// Number of missing tokens.
     pub tokens: TokenCount,
+    /// Tokens that other requests of the workspace are waiting for. They are only wished for: what
+    /// is needed at once widens the bound on what a kill of the other VM costs.
+    pub others: TokenCount,
     /// Whether to address the other VM as the keeper.
     pub as_keeper: bool,
 }
@@ -145,7 +148,8 @@
     wait: Duration,
 ) -> Option<TokenRequestOutcome> {
     let began = gateway.now();
-    let request = build_token_request(gateway, need.workspace, need.tokens, need.as_keeper)?;
+    let mut request = build_token_request(gateway, need.workspace, need.tokens, need.as_keeper)?;
+    request.wish = request.wish.max(need.others);
     let question = OpenQuestion {
         number: request.number,
         target,
