--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -5,6 +5,7 @@
 //! the revision that it replaces.
 
 mod era_entry;
+mod missed_end;
 mod run_end;
 mod shard_access;
 
@@ -23,6 +24,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+pub use self::missed_end::ShardEnd;
+pub use self::missed_end::handle_shard_end;
 pub use self::run_end::close_budgets;
 use self::run_end::close_earlier_runs;
 use crate::budget_exchange::SHARDS;
@@ -92,6 +95,10 @@
     unsettled_since: Option<Instant>,
     /// Other VMs in the shard whose processes have ended or that are absent.
     absences: WriterAbsences,
+    /// Registered VMs that were not heard when the shard was last read for that.
+    silent_writers: Vec<u64>,
+    /// Kind of the next write, for the count of store calls.
+    write_kind: &'static str,
     /// Whether this process's last write of the shard is under way.
     is_ending: bool,
 }
@@ -157,6 +164,8 @@
             registration: RegistrationAge::new(gateway.settings.max_copy_age),
             unsettled_since: None,
             absences: WriterAbsences::default(),
+            silent_writers: Vec::new(),
+            write_kind: "write_idle",
             is_ending: false,
         }
     }
@@ -176,6 +185,7 @@
         if self.needs_load(gateway, keeper.is_none()) {
             self.load(gateway, store).await?;
         }
+        self.read_missed_ends(gateway, store).await?;
         answer_queue(gateway);
         if !gateway.earlier_runs_known.get() {
             // A write would close the earlier runs without what their witnesses tell.
@@ -202,6 +212,10 @@
         }
         let time = plan_time(gateway);
         self.last_write = Some(time.now);
+        self.write_kind = match urgent {
+            true => "write_urgent",
+            false => "write_idle",
+        };
         let requests = self.plan_grant_requests(gateway, time);
         self.write_grant_requests(gateway, store, &requests).await?;
         answer_queue(gateway);
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -57,7 +57,9 @@
 ) -> Result<(), StoreError> {
     let prefix = gateway.wire_format.layout().budget_prefix;
     let call = store.list(prefix, None);
-    let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+    let listing = gateway
+        .call_store_for(StoreTask::Budgets, "read_start", call)
+        .await?;
     let era = listing.revision.era;
     gateway.observe_era(era, StoreTask::Budgets)?;
     let mut workers = Vec::new();
@@ -118,6 +120,8 @@
         worker.return_grants(gateway, store).await;
     }
     let all_arrived = async {
+        // The notices of the ends are sent meanwhile.
+        sleep(HANDOVER_POLL_INTERVAL).await;
         while !gateway.transfers.borrow().is_settled() {
             sleep(HANDOVER_POLL_INTERVAL).await;
         }
@@ -158,6 +162,7 @@
         if !has_closed && (!changed || self.revision.era == StoreEra::default()) {
             return Ok(());
         }
+        self.write_kind = "write_start";
         self.swap(gateway, store, shard).await?;
         for (workspace, record) in &self.shard.records {
             let earlier = &before.records[workspace];
@@ -192,7 +197,10 @@
                 break;
             }
             match self.try_return_grants(gateway, store).await {
-                Ok(()) => break,
+                Ok(()) => {
+                    self.announce_end(gateway);
+                    break;
+                }
                 Err(error) => info!(gateway.log, "failed to return grants";
                     "shard" => self.number, "error" => %error),
             }
@@ -219,6 +227,7 @@
         }
         let requests = self.plan_returns(gateway);
         self.is_ending = true;
+        self.write_kind = "write_end";
         let result = self.write_grant_requests(gateway, store, &requests).await;
         self.is_ending = false;
         result
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -67,6 +67,7 @@
 use crate::token_request::FreeTokens;
 use crate::token_request::QueuedTokenRequest;
 use crate::token_request::TokenRequestOutcome;
+use crate::token_search::TokenQuestions;
 use crate::token_tally::TokenTally;
 use crate::transfer::DuplicateFilter;
 use crate::transfer::TransferLog;
@@ -167,6 +168,8 @@
     pub restricted_shards: RefCell<IndexSet<u64>>,
     /// What this run remembers of the shards of the budget records, by their numbers.
     pub shard_memories: RefCell<IndexMap<u64, ShardMemory>>,
+    /// Latest revisions that show the end of another VM's process, by shard.
+    pub shard_ends: RefCell<IndexMap<u64, StoreRevision>>,
     /// Workspaces whose budget is scarce at this VM, announced by gossip.
     pub scarce_budgets: RefCell<IndexMap<WorkspaceId, Instant>>,
     /// Workspaces whose budget is scarce at other VMs, by hash of the workspace.
@@ -214,6 +217,8 @@
     pub token_requests_sent: Cell<u64>,
     /// Unanswered token requests of this VM, by number.
     pub pending_token_requests: RefCell<IndexMap<u64, oneshot::Sender<TokenRequestOutcome>>>,
+    /// Token requests of this VM in flight, by workspace, and recent answers.
+    pub token_questions: RefCell<TokenQuestions>,
     /// Numbers of token requests received from other VMs.
     pub token_request_dedup: RefCell<DuplicateFilter>,
     /// Token requests of other VMs that wait for a grant.
@@ -308,6 +313,7 @@
             witness_link: RefCell::default(),
             witness_log: RefCell::default(),
             promise_notify: Notify::new(),
+            shard_ends: RefCell::default(),
             scarce_budgets: RefCell::default(),
             peer_scarce_budgets: RefCell::default(),
             peers: RefCell::default(),
@@ -331,6 +337,7 @@
             failed_keepers: RefCell::default(),
             token_requests_sent: Cell::new(0),
             pending_token_requests: RefCell::default(),
+            token_questions: RefCell::default(),
             token_request_dedup: RefCell::default(),
             queued_token_requests: RefCell::default(),
             transfer_notify: Notify::new(),
