placement: homes for shared beginnings of prompts on large services

Cause: with more than 16 upstreams, those that hold only a prompt's first part were not looked at (a held beginning of one part was missed), and a new beginning was placed on another upstream by each VM until they heard of each other.

Change: a request scores up to three upstreams that hold its beginning or are among its homes, and six at random. Homes are the first upstreams by rendezvous hashing of the beginning and the upstream's id; their number follows the fleet's demand for the beginning, known from the placements in gossip. A home that does not hold the beginning yet is not charged for the delay of later requests by that prefill. Up to 16 upstreams the choice is as before.

--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -462,7 +462,7 @@
                 .iter()
                 .map(|&(id, tokens)| PromptPart { id, tokens })
                 .collect();
-            loads.entry(id, now).cache.record(&parts, now);
+            loads.record_placed(id, &parts, now);
         }
     }
 }
--- a/lib/gateway/src/load.rs
+++ b/lib/gateway/src/load.rs
@@ -9,7 +9,10 @@
 use serde::Serialize;
 use snipegate_types::UpstreamId;
 
+use crate::gateway::stable_hash;
 use crate::metadata::PromptPart;
+use crate::placement::BeginningDemand;
+use crate::placement::SharedBeginning;
 use crate::prompt_cache::PromptCache;
 
 /// How long a load report from another VM remains valid.
@@ -100,6 +103,8 @@
 /// Outstanding work and recent outcomes at one upstream.
 #[derive(Debug)]
 pub struct UpstreamLoad {
+    /// Hash of the upstream's id, the same on all VMs.
+    pub name_hash: u64,
     own: WorkLoad,
     outcomes: OutcomeTally,
     outcomes_at: Instant,
@@ -111,8 +116,9 @@
 }
 
 impl UpstreamLoad {
-    fn new(cache_capacity: u64, now: Instant) -> Self {
+    fn new(id: &UpstreamId, cache_capacity: u64, now: Instant) -> Self {
         Self {
+            name_hash: stable_hash(id.as_str()),
             own: WorkLoad::default(),
             outcomes: OutcomeTally::default(),
             outcomes_at: now,
@@ -166,13 +172,50 @@
 }
 
 /// Load of all upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadTable {
     upstreams: IndexMap<UpstreamId, UpstreamLoad>,
     cache_capacity: IndexMap<UpstreamId, u64>,
+    demand: BeginningDemand,
+    /// Time to first byte per token over all upstreams, in ms.
+    mean_ms_per_token: f64,
+}
+
+impl Default for LoadTable {
+    fn default() -> Self {
+        Self {
+            upstreams: IndexMap::new(),
+            cache_capacity: IndexMap::new(),
+            demand: BeginningDemand::default(),
+            mean_ms_per_token: INITIAL_MS_PER_TOKEN,
+        }
+    }
 }
 
 impl LoadTable {
+    /// Returns how often all VMs place each shared beginning.
+    pub fn demand(&self) -> &BeginningDemand {
+        &self.demand
+    }
+
+    /// Returns the estimated time to first byte per token over all upstreams, in ms.
+    pub fn mean_ms_per_token(&self) -> f64 {
+        self.mean_ms_per_token
+    }
+
+    /// Returns the load of an upstream, if it was used or reported.
+    pub fn get(&self, id: &UpstreamId) -> Option<&UpstreamLoad> {
+        self.upstreams.get(id)
+    }
+
+    /// Records a prompt that this or another VM placed.
+    pub fn record_placed(&mut self, id: &UpstreamId, parts: &[PromptPart], now: Instant) {
+        self.entry(id, now).cache.record(parts, now);
+        if let Some(beginning) = SharedBeginning::of(parts) {
+            self.demand.record(beginning, now);
+        }
+    }
+
     /// Sets the capacity of an upstream's prompt cache.
     pub fn set_cache_capacity(&mut self, id: &UpstreamId, tokens: u64) {
         self.cache_capacity.insert(id.clone(), tokens);
@@ -180,10 +223,12 @@
 
     /// Returns the load of an upstream, which is added if it is missing.
     pub fn entry(&mut self, id: &UpstreamId, now: Instant) -> &mut UpstreamLoad {
-        let capacity = self.cache_capacity.get(id).copied().unwrap_or_default();
-        self.upstreams
-            .entry(id.clone())
-            .or_insert_with(|| UpstreamLoad::new(capacity, now))
+        if !self.upstreams.contains_key(id) {
+            let capacity = self.cache_capacity.get(id).copied().unwrap_or_default();
+            let load = UpstreamLoad::new(id, capacity, now);
+            self.upstreams.insert(id.clone(), load);
+        }
+        &mut self.upstreams[id]
     }
 
     /// Removes an upstream, unless this VM still has work there.
@@ -207,7 +252,7 @@
         let load = self.entry(id, now);
         load.own.unread += uncached_tokens;
         load.own.running += 1;
-        load.cache.record(parts, now);
+        self.record_placed(id, parts, now);
     }
 
     /// Subtracts the tokens of a prompt that the upstream has processed.
@@ -248,6 +293,7 @@
         let sample = span.as_secs_f64() * 1e3 / tokens.max(1) as f64;
         let sample = sample.clamp(MS_PER_TOKEN_RANGE.0, MS_PER_TOKEN_RANGE.1);
         load.ms_per_token += SAMPLE_WEIGHT * (sample - load.ms_per_token);
+        self.mean_ms_per_token += SAMPLE_WEIGHT * (sample - self.mean_ms_per_token);
     }
 
     /// Records the duration of a plain request.
--- a/lib/gateway/src/placement.rs
+++ b/lib/gateway/src/placement.rs
@@ -6,12 +6,20 @@
 //! are sent to the upstream with the lowest expected response time, given its outstanding
 //! requests and measured service time.
 
+mod sample;
+mod shared_beginning;
+
 use std::time::Duration;
 use std::time::Instant;
 
 use snipegate_types::DataCentre;
 use snipegate_types::UpstreamId;
 
+pub use self::shared_beginning::BeginningDemand;
+pub use self::shared_beginning::SharedBeginning;
+
+use self::sample::SampledUpstream;
+use self::sample::sample_candidates;
 use crate::load::LoadTable;
 use crate::load::UpstreamLoad;
 use crate::metadata::PromptShape;
@@ -38,10 +46,6 @@
 /// delayed, so all VMs would pick the same upstream.
 const MAX_SCORED_WITHOUT_SAMPLING: usize = 16;
 
-/// Upstreams sampled at random, in addition to those that cache much of the prompt and
-/// those with an advertised rate limit, which only few VMs may send to.
-const RANDOM_SAMPLE_SIZE: usize = 6;
-
 /// Cost of sending a request without a prompt to another data centre, in ms.
 const CROSS_DATA_CENTRE_COST_MS: f64 = 2.0;
 
@@ -90,9 +94,13 @@
     let candidates: Vec<&UpstreamEntry> = ready
         .filter(|entry| !query.tried.contains(&entry.id))
         .collect();
-    for entry in sample_candidates(table, candidates, query, now) {
-        let load = table.entry(&entry.id, now);
-        let (cost, choice) = score(load, entry, query, now);
+    let scored = match candidates.len() {
+        ..=MAX_SCORED_WITHOUT_SAMPLING => candidates.into_iter().map(Into::into).collect(),
+        _ => sample_candidates(table, &candidates, query, now),
+    };
+    for sampled in scored {
+        let load = table.entry(&sampled.entry.id, now);
+        let (cost, choice) = score(load, sampled, query, now);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -100,39 +108,6 @@
     best.map(|(_, choice)| choice)
 }
 
-/// Returns the upstreams to score.
-fn sample_candidates<'a>(
-    table: &mut LoadTable,
-    mut candidates: Vec<&'a UpstreamEntry>,
-    query: &PlacementQuery<'_>,
-    now: Instant,
-) -> Vec<&'a UpstreamEntry> {
-    if candidates.len() <= MAX_SCORED_WITHOUT_SAMPLING {
-        return candidates;
-    }
-    fastrand::shuffle(&mut candidates);
-    let parts = query.prompt.map_or(&[][..], |prompt| &prompt.parts);
-    // The first part is the most widely shared one, so caching only that is no distinction.
-    let exceeds_first_part = |cached: u64| cached > parts.first().map_or(0, |part| part.tokens);
-    let mut left = RANDOM_SAMPLE_SIZE;
-    candidates.retain(|entry| {
-        if query.rate_limited.contains(&entry.id)
-            || exceeds_first_part(
-                table
-                    .entry(&entry.id, now)
-                    .cache
-                    .cached_prefix_tokens(parts),
-            )
-        {
-            return true;
-        }
-        let keep = left > 0;
-        left = left.saturating_sub(1);
-        keep
-    });
-    candidates
-}
-
 /// Returns the cost, in ms, of an upstream that fails this share of its requests.
 fn failure_cost_ms(share: f64) -> f64 {
     let excess = (share - BASELINE_FAILURE_RATE).max(0.0) / (1.0 - BASELINE_FAILURE_RATE);
@@ -142,10 +117,11 @@
 /// Returns the cost in ms of placing the request on an upstream, and the resulting choice.
 fn score(
     load: &UpstreamLoad,
-    entry: &UpstreamEntry,
+    sampled: SampledUpstream<'_>,
     query: &PlacementQuery<'_>,
     now: Instant,
 ) -> (f64, PlacementChoice) {
+    let entry = sampled.entry;
     let total = load.total(now);
     let failing = failure_cost_ms(load.outcomes(now).failed_share());
     let near = entry.data_centre == *query.data_centre;
@@ -175,7 +151,9 @@
     let queued = total.unread + uncached;
     let fixed = REQUEST_OVERHEAD_TOKENS + TOKENS_PER_RUNNING_REQUEST * f64::from(total.running);
     let expected = load.ms_per_token() * (queued as f64 + fixed);
-    let prefill_penalty = load.ms_per_token() * (PREFILL_WEIGHT - 1.0) * uncached as f64;
+    // A copy at a home of the prompt's beginning spares later requests as much delay.
+    let charged = uncached.saturating_sub(sampled.home_tokens.saturating_sub(cached));
+    let prefill_penalty = load.ms_per_token() * (PREFILL_WEIGHT - 1.0) * charged as f64;
     let cost = expected + prefill_penalty + adjusted;
     (cost, choice(uncached, queued + fixed as u64, expected))
 }
--- a/lib/gateway/src/prompt_cache.rs
+++ b/lib/gateway/src/prompt_cache.rs
@@ -40,6 +40,14 @@
             .sum()
     }
 
+    /// Like [`Self::cached_prefix_tokens`], of a prompt whose prefix ids are known.
+    pub fn cached_tokens(&self, prefixes: &[u64], parts: &[PromptPart]) -> u64 {
+        let cached = prefixes
+            .iter()
+            .take_while(|prefix_id| self.parts.contains_key(*prefix_id));
+        cached.zip(parts).map(|(_, part)| part.tokens).sum()
+    }
+
     /// Adds the parts of a prompt and evicts the least recently used parts beyond the
     /// capacity.
     pub fn record(&mut self, parts: &[PromptPart], now: Instant) {
@@ -74,7 +82,7 @@
 }
 
 /// Returns for each part an id that also covers the parts before it.
-fn prefix_ids(parts: &[PromptPart]) -> impl Iterator<Item = u64> {
+pub fn prefix_ids(parts: &[PromptPart]) -> impl Iterator<Item = u64> {
     parts.iter().scan(0_u64, |prefix_id, part| {
         *prefix_id = (prefix_id.rotate_left(23) ^ part.id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15);
         Some(*prefix_id)
