store: calls are counted by task and kind

Cause: nothing told which task makes how many of the calls that are paid for. Change: each call adds to store.call{TASK.KIND}, at its start, so that an abandoned watch counts too. Budgets are counted by the same function.

--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -25,6 +25,7 @@
 use crate::local_response::jitter;
 use crate::promise_keeper::EarlierRun;
 use crate::promise_keeper::collect_testimonies;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::token_request::report_use;
 use crate::transfer::TransferTarget;
@@ -57,7 +58,9 @@
 ) -> Result<(), StoreError> {
     let prefix = gateway.wire_format.layout().budget_prefix;
     let call = store.list(prefix, None);
-    let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+    let listing = gateway
+        .call_store(StoreTask::Budgets, StoreCallKind::List, call)
+        .await?;
     let era = listing.revision.era;
     gateway.observe_era(era, StoreTask::Budgets)?;
     let mut workers = Vec::new();
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::shard_writer::WriterLevel;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 impl ShardWorker {
@@ -27,7 +28,9 @@
     ) -> Result<(), StoreError> {
         let key = self.key(gateway);
         let call = store.list(&key, None);
-        let listing = gateway.call_store(StoreTask::Budgets, call).await?;
+        let listing = gateway
+            .call_store(StoreTask::Budgets, StoreCallKind::List, call)
+            .await?;
         self.set_max_copy_age(gateway, store);
         let era = listing.revision.era;
         gateway.observe_era(era, StoreTask::Budgets)?;
@@ -56,7 +59,9 @@
         let key = self.key(gateway);
         let conditions = mark_era(gateway, store, self.revision.era).await?;
         let call = store.swap_if(&key, expected, bytes, &conditions);
-        let result = gateway.call_store(StoreTask::Budgets, call).await;
+        let result = gateway
+            .call_store(StoreTask::Budgets, StoreCallKind::Swap, call)
+            .await;
         self.last_write = Some(gateway.now());
         let outcome = match &result {
             Ok(SwapOutcome::Swapped(at)) if at.era != self.revision.era => "other_era",
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -10,6 +10,7 @@
 use snipegate_platform::StoredValue;
 
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
@@ -31,7 +32,9 @@
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let layout = gateway.wire_format.layout();
     let call = store.list(layout.config_prefix, None);
-    let listing = gateway.call_store(StoreTask::Config, call).await?;
+    let listing = gateway
+        .call_store(StoreTask::Config, StoreCallKind::List, call)
+        .await?;
     gateway.observe_era(listing.revision.era, StoreTask::Config)?;
     let stored = listing
         .entries
--- a/lib/gateway/src/era_marker.rs
+++ b/lib/gateway/src/era_marker.rs
@@ -14,6 +14,7 @@
 use snipegate_platform::SwapOutcome;
 
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 /// Number of returns of the store that a write may be late.
@@ -64,7 +65,10 @@
     let key = marker_key(gateway, era);
     let value = era.to_string().into_bytes();
     let call = store.swap(&key, ExpectedVersion::Absent, value, None);
-    let revision = match gateway.call_store(StoreTask::Budgets, call).await? {
+    let revision = match gateway
+        .call_store(StoreTask::Budgets, StoreCallKind::Swap, call)
+        .await?
+    {
         SwapOutcome::Swapped(revision) => revision,
         SwapOutcome::Conflict(Some(stored)) => stored.revision,
         SwapOutcome::Conflict(None) => return Err(StoreError::InvalidReply),
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
@@ -61,7 +62,9 @@
     store: &S,
 ) -> Result<(), StoreError> {
     let call = store.create_lease(RECORD_TTL);
-    let lease = gateway.call_store(StoreTask::VmLease, call).await?;
+    let lease = gateway
+        .call_store(StoreTask::VmLease, StoreCallKind::CreateLease, call)
+        .await?;
     observe_lease_era(gateway, store)?;
     let era = gateway.known_era();
     write_record(gateway, store, Some(lease)).await?;
@@ -77,7 +80,10 @@
             return Ok(());
         }
         let call = store.renew_lease(lease);
-        match gateway.call_store(StoreTask::VmLease, call).await {
+        match gateway
+            .call_store(StoreTask::VmLease, StoreCallKind::RenewLease, call)
+            .await
+        {
             Ok(()) => observe_lease_era(gateway, store)?,
             Err(StoreError::LeaseExpired) => return Err(StoreError::LeaseExpired),
             Err(_) => gateway.wait_for_store().await,
@@ -107,7 +113,10 @@
     let mut expected = ExpectedVersion::Absent;
     loop {
         let call = store.swap(&key, expected, bytes.clone(), lease);
-        match gateway.call_store(StoreTask::VmLease, call).await? {
+        match gateway
+            .call_store(StoreTask::VmLease, StoreCallKind::Swap, call)
+            .await?
+        {
             SwapOutcome::Swapped(_) => return Ok(()),
             SwapOutcome::Conflict(None) => expected = ExpectedVersion::Absent,
             SwapOutcome::Conflict(Some(stored)) => expected = ExpectedVersion::At(stored.revision),
@@ -134,7 +143,9 @@
     let prefix = gateway.wire_format.layout().vm_prefix;
     let mut records = Vec::new();
     let call = store.list(prefix, None);
-    let mut page = gateway.call_store(StoreTask::VmRecords, call).await?;
+    let mut page = gateway
+        .call_store(StoreTask::VmRecords, StoreCallKind::List, call)
+        .await?;
     let listed = page.revision;
     loop {
         gateway.observe_era(page.revision.era, StoreTask::VmRecords)?;
@@ -145,7 +156,9 @@
             break;
         };
         let call = store.list(prefix, Some(&last));
-        page = gateway.call_store(StoreTask::VmRecords, call).await?;
+        page = gateway
+            .call_store(StoreTask::VmRecords, StoreCallKind::List, call)
+            .await?;
     }
     let now = gateway.now();
     gateway.peers.borrow_mut().replace_listed(records, now);
--- a/lib/gateway/src/quarantine_task.rs
+++ b/lib/gateway/src/quarantine_task.rs
@@ -26,6 +26,7 @@
 use crate::local_response::jitter;
 use crate::quarantine::QuarantineRecord;
 use crate::quarantine::QuarantineTable;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
@@ -90,7 +91,9 @@
 ) -> Result<(), StoreError> {
     let key = gateway.wire_format.layout().quarantine_key;
     let call = store.list(key, None);
-    let listing = gateway.call_store(StoreTask::Quarantine, call).await?;
+    let listing = gateway
+        .call_store(StoreTask::Quarantine, StoreCallKind::List, call)
+        .await?;
     gateway.observe_era(listing.revision.era, StoreTask::Quarantine)?;
     let entry = listing.entries.into_iter().find(|(name, _)| name == key);
     apply_stored(gateway, stored, entry.map(|(_, value)| value));
@@ -177,7 +180,10 @@
     };
     let key = gateway.wire_format.layout().quarantine_key;
     let call = store.swap(key, expected, bytes, None);
-    match gateway.call_store(StoreTask::Quarantine, call).await? {
+    match gateway
+        .call_store(StoreTask::Quarantine, StoreCallKind::Swap, call)
+        .await?
+    {
         SwapOutcome::Swapped(revision) => {
             info!(gateway.log, "quarantine written"; "records" => records.len(),
                 "revision" => %revision);
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -8,10 +8,12 @@
 use snipegate_platform::StoreError;
 
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 impl Gateway {
-    /// Awaits a store call of `task` and records whether the store answered.
+    /// Awaits a store call of `task`, counts it and records whether the store answered. A call
+    /// that is abandoned counts, since it is paid for.
     ///
     /// # Errors
     ///
@@ -19,8 +21,11 @@
     pub async fn call_store<T>(
         &self,
         task: StoreTask,
+        kind: StoreCallKind,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
+        self.metrics
+            .count_tagged("store.call", &format!("{task}.{kind}"));
         let began = self.now();
         let result = call.await;
         self.record_store_result(task, began, result.as_ref().err());
--- a/lib/gateway/src/store_task.rs
+++ b/lib/gateway/src/store_task.rs
@@ -21,6 +21,24 @@
     Quarantine,
 }
 
+/// Kind of a call to the configuration store. Its name identifies the call in counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreCallKind {
+    /// Current listing, also of a single key.
+    List,
+    /// Listing that may be some seconds old.
+    StaleList,
+    /// Watch.
+    Watch,
+    /// Write.
+    Swap,
+    /// Creation of a lease.
+    CreateLease,
+    /// Renewal of a lease.
+    RenewLease,
+}
+
 /// Which VMs use short watches for a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShortWatchers {
--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::short_watch::uses_short_watch;
 use crate::store_task::ShortWatchers;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 /// Longest wait of a short watch.
@@ -107,7 +108,7 @@
         };
         let watch = self.store.watch(self.prefix, self.after, wait);
         let end = tokio::select! {
-            batch = self.gateway.call_store(self.task, watch) => {
+            batch = self.gateway.call_store(self.task, StoreCallKind::Watch, watch) => {
                 match batch.inspect_err(|error| self.log_failure(error, began))? {
                     WatchBatch::Changes { revision, changes } => {
                         self.gateway.observe_era(revision.era, self.task)?;
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -14,6 +14,7 @@
 use crate::batch_delay::BatchDelay;
 use crate::config_follower::WATCH_WAIT;
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
@@ -94,7 +95,9 @@
     let mut after: Option<String> = None;
     loop {
         let call = store.list(prefix, after.as_deref());
-        let listing = gateway.call_store(StoreTask::Upstreams, call).await?;
+        let listing = gateway
+            .call_store(StoreTask::Upstreams, StoreCallKind::List, call)
+            .await?;
         gateway.observe_era(listing.revision.era, StoreTask::Upstreams)?;
         let revision = *first_revision.get_or_insert(listing.revision);
         if revision.era != listing.revision.era {
