store: changes are told to other VMs with their content

Cause: each VM watched four prefixes and listed them again whenever another VM was ahead of its watch; a change of the configuration or of an upstream made all VMs list.

--- a/lib/gateway/src/change_hint.rs
+++ b/lib/gateway/src/change_hint.rs
@@ -6,9 +6,6 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-/// How long a watch may take to deliver a change that another VM already knows.
-const WATCH_DELAY_ALLOWANCE: Duration = Duration::from_millis(400);
-
 /// Highest version or revision announced by another VM.
 #[derive(Debug, Default)]
 pub struct ChangeHint<T: Copy> {
@@ -26,11 +23,11 @@
         }
     }
 
-    /// Waits until another VM has been ahead of this one for `WATCH_DELAY_ALLOWANCE`.
-    pub async fn wait_until_behind(&self, known: impl Fn() -> T) {
+    /// Waits until another VM has been ahead of this one for `allowance`.
+    pub async fn wait_until_behind(&self, allowance: Duration, known: impl Fn() -> T) {
         loop {
             self.changed.notified().await;
-            sleep(WATCH_DELAY_ALLOWANCE).await;
+            sleep(allowance).await;
             if self.highest.get() > known() {
                 return;
             }
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -7,6 +7,7 @@
 use slog::warn;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreListing;
 use snipegate_platform::StoredValue;
 
 use crate::gateway::Gateway;
@@ -14,6 +15,7 @@
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
+use crate::store_watch::latest_change;
 
 /// Longest time that one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
@@ -36,22 +38,30 @@
         .call_store(StoreTask::Config, StoreCallKind::List, call)
         .await?;
     gateway.observe_era(listing.revision.era, StoreTask::Config)?;
-    let stored = listing
-        .entries
-        .into_iter()
-        .find(|(key, _)| key == layout.config_key);
-    if let Some((_, stored)) = stored {
-        apply_config(gateway, &stored);
-    }
-    let prefix = layout.config_prefix;
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::Config, prefix, listing.revision);
-    loop {
-        let peer_ahead = gateway
+    apply_listing(gateway, &listing);
+    let mut watch = StoreWatch::new(
+        gateway,
+        store,
+        StoreTask::Config,
+        layout.config_prefix,
+        listing.revision,
+        latest_change(&listing),
+    );
+    let peer_ahead = async |allowance| {
+        let known = || gateway.config_version();
+        gateway
             .config_hint
-            .wait_until_behind(|| gateway.config_version());
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, peer_ahead).await?
-        else {
-            return Ok(());
+            .wait_until_behind(allowance, known)
+            .await;
+    };
+    loop {
+        let changes = match watch.next_changes(WATCH_WAIT, peer_ahead).await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                apply_listing(gateway, &listing);
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         for change in changes {
             if change.key == layout.config_key
@@ -64,6 +74,14 @@
     }
 }
 
+fn apply_listing(gateway: &Gateway, listing: &StoreListing) {
+    let config_key = gateway.wire_format.layout().config_key;
+    let stored = listing.entries.iter().find(|(key, _)| key == config_key);
+    if let Some((_, stored)) = stored {
+        apply_config(gateway, stored);
+    }
+}
+
 fn apply_config(gateway: &Gateway, stored: &StoredValue) {
     let config = match gateway.wire_format.decode_config(&stored.value) {
         Ok(config) => config,
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -60,6 +60,7 @@
 use crate::stop_plan::StopPlan;
 use crate::store_contact::StoreContact;
 use crate::store_gate::StoreGate;
+use crate::store_news::NewsBoard;
 use crate::stream_durations::StreamDurations;
 use crate::token_request::FreeTokens;
 use crate::token_request::QueuedTokenRequest;
@@ -182,6 +183,8 @@
     pub store_gate: StoreGate,
     /// Notified when the store answers again after an outage.
     pub store_regained: Notify,
+    /// Changes in the store that VMs tell each other.
+    pub store_news: NewsBoard,
     /// Lifecycle stage of this VM.
     pub stage: Cell<VmStage>,
     /// When this VM began to serve.
@@ -309,6 +312,7 @@
             era_changed: Notify::new(),
             store_gate: StoreGate::default(),
             store_regained: Notify::new(),
+            store_news: NewsBoard::default(),
             stage: Cell::new(VmStage::Starting),
             serving_since: Cell::new(None),
             room,
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -44,6 +44,9 @@
 use crate::spending_witness::PromiseReceipt;
 use crate::spending_witness::SpendingPromise;
 use crate::spending_witness::SpendingTestimony;
+use crate::store_news::StoreNews;
+use crate::store_news::announce_news;
+use crate::store_news::apply_news;
 use crate::token_request::FreeTokens;
 use crate::token_request::TokenAnswer;
 use crate::token_request::TokenRequest;
@@ -157,6 +160,10 @@
     RoomNotice(Box<RoomNotice>),
     /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
     RelayRoomNotice(Box<RoomNotice>),
+    /// Changes in the store.
+    StoreNews(Box<StoreNews>),
+    /// Like `StoreNews`, to be relayed to the other VMs of the receiver's data centre.
+    RelayStoreNews(Box<StoreNews>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -165,6 +172,7 @@
     let receiver = Rc::clone(&socket);
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
     tokio::task::spawn_local(announce_room(Rc::clone(&gateway), Rc::clone(&socket)));
+    tokio::task::spawn_local(announce_news(Rc::clone(&gateway), Rc::clone(&socket)));
     let mut number = 0;
     loop {
         let wake = timeout(MAX_GOSSIP_INTERVAL, gateway.gossip_notify.notified());
@@ -351,6 +359,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_notice(&gateway, *notice);
             }
+            Ok(PeerMessage::StoreNews(news)) => apply_news(&gateway, *news),
+            Ok(PeerMessage::RelayStoreNews(news)) => {
+                let relayed = PeerMessage::StoreNews(news.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_news(&gateway, *news);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -9,6 +9,10 @@
 use snipegate_platform::ExpectedVersion;
 use snipegate_platform::LeaseId;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreKey;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
 use snipegate_platform::SwapOutcome;
 use snipegate_types::VmId;
 use tokio::time::sleep;
@@ -21,6 +25,7 @@
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
+use crate::store_watch::latest_change;
 
 /// Time to live of the lease on a VM's record.
 const RECORD_TTL: Duration = Duration::from_secs(15);
@@ -147,11 +152,11 @@
         .call_store(StoreTask::VmRecords, StoreCallKind::List, call)
         .await?;
     let listed = page.revision;
+    let mut latest = StoreRevision::default();
     loop {
+        latest = latest.max(latest_change(&page));
         gateway.observe_era(page.revision.era, StoreTask::VmRecords)?;
-        records.extend(page.entries.iter().filter_map(|(key, stored)| {
-            other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
-        }));
+        records.extend(decode_listing(gateway, &page));
         let Some(last) = page.more_after else {
             break;
         };
@@ -162,11 +167,19 @@
     }
     let now = gateway.now();
     gateway.peers.borrow_mut().replace_listed(records, now);
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::VmRecords, prefix, listed);
+    let task = StoreTask::VmRecords;
+    let mut watch = StoreWatch::new(gateway, store, task, prefix, listed, latest);
     loop {
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, pending()).await?
-        else {
-            return Ok(());
+        let outcome = watch.next_changes(WATCH_WAIT, async |_| pending().await);
+        let changes = match outcome.await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                let records = decode_listing(gateway, &listing);
+                let now = gateway.now();
+                gateway.peers.borrow_mut().replace_listed(records, now);
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         let changed = !changes.is_empty();
         for change in changes {
@@ -184,12 +197,20 @@
                 None => peers.remove_listed(&vm),
             }
         }
-        if changed {
+        if changed && watch.should_gather() {
             sleep(RECORD_BATCH_DELAY.for_fleet(gateway.vm_count())).await;
         }
     }
 }
 
+fn decode_listing(gateway: &Gateway, listing: &StoreListing) -> Vec<VmRecord> {
+    let prefix = gateway.wire_format.layout().vm_prefix;
+    let decode = |(key, stored): &(StoreKey, StoredValue)| {
+        other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
+    };
+    listing.entries.iter().filter_map(decode).collect()
+}
+
 fn record_key(gateway: &Gateway) -> String {
     let prefix = gateway.wire_format.layout().vm_prefix;
     format!("{prefix}{}", gateway.settings.vm)
--- a/lib/gateway/src/quarantine_task.rs
+++ b/lib/gateway/src/quarantine_task.rs
@@ -11,6 +11,7 @@
 use snipegate_platform::ConfigStore;
 use snipegate_platform::ExpectedVersion;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreListing;
 use snipegate_platform::StoreRevision;
 use snipegate_platform::StoredValue;
 use snipegate_platform::SwapOutcome;
@@ -30,6 +31,7 @@
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
+use crate::store_watch::latest_change;
 
 /// Longest time that one watch waits. VMs that hear others learn of changes by gossip.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -95,24 +97,46 @@
         .call_store(StoreTask::Quarantine, StoreCallKind::List, call)
         .await?;
     gateway.observe_era(listing.revision.era, StoreTask::Quarantine)?;
-    let entry = listing.entries.into_iter().find(|(name, _)| name == key);
-    apply_stored(gateway, stored, entry.map(|(_, value)| value));
+    let (revision, latest) = (listing.revision, latest_change(&listing));
+    apply_stored(gateway, stored, find_stored(listing, key));
     gateway.crash_features.is_quarantine_known.set(true);
     gateway.update_stage();
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::Quarantine, key, listing.revision);
+    let task = StoreTask::Quarantine;
+    let mut watch = StoreWatch::new(gateway, store, task, key, revision, latest);
+    // News and listings may be older than what this VM wrote itself.
+    let is_older = |revision: StoreRevision| {
+        let own = stored.borrow().revision;
+        own.is_some_and(|own| own > revision)
+    };
     loop {
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, pending()).await?
-        else {
-            return Ok(());
+        let outcome = watch.next_changes(WATCH_WAIT, async |_| pending().await);
+        let changes = match outcome.await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                if !is_older(listing.revision) {
+                    apply_stored(gateway, stored, find_stored(listing, key));
+                }
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         for change in changes.into_iter().filter(|change| change.key == key) {
             let revision = change.revision;
+            if is_older(revision) {
+                continue;
+            }
             let value = change.value.map(|value| StoredValue { revision, value });
             apply_stored(gateway, stored, value);
         }
     }
 }
 
+fn find_stored(listing: StoreListing, key: &str) -> Option<StoredValue> {
+    let mut entries = listing.entries.into_iter();
+    let entry = entries.find(|(name, _)| name == key);
+    entry.map(|(_, stored)| stored)
+}
+
 /// Applies the stored value; one that can't be decoded holds no records and is replaced by
 /// the next write.
 fn apply_stored(gateway: &Gateway, stored: &SharedQuarantine, value: Option<StoredValue>) {
--- a/lib/gateway/src/upstream_follower.rs
+++ b/lib/gateway/src/upstream_follower.rs
@@ -6,7 +6,9 @@
 use slog::info;
 use snipegate_platform::ConfigStore;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreKey;
 use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
 use snipegate_types::UpstreamId;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -32,6 +34,9 @@
 /// Interval between checks for expired entries.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// An upstream in a listing; `None` stands for an entry that can't be decoded.
+type ListedUpstream = (UpstreamId, Option<UpstreamEntry>, StoreRevision);
+
 /// Follows the upstreams until the process ends.
 pub async fn follow_upstreams<S: ConfigStore + 'static>(gateway: Rc<Gateway>, store: Rc<S>) {
     spawn_local(drop_expired_periodically(Rc::clone(&gateway)));
@@ -45,13 +50,25 @@
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let listed = read_all(gateway, store).await?;
     let prefix = gateway.wire_format.layout().upstream_prefix;
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::Upstreams, prefix, listed);
-    loop {
+    let latest = gateway.upstreams.borrow().latest();
+    let task = StoreTask::Upstreams;
+    let mut watch = StoreWatch::new(gateway, store, task, prefix, listed, latest);
+    let peer_ahead = async |allowance| {
         let known = || gateway.upstreams.borrow().known_through();
-        let peer_ahead = gateway.upstream_hint.wait_until_behind(known);
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, peer_ahead).await?
-        else {
-            return Ok(());
+        gateway
+            .upstream_hint
+            .wait_until_behind(allowance, known)
+            .await;
+    };
+    loop {
+        let changes = match watch.next_changes(WATCH_WAIT, peer_ahead).await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                let entries = decode_listing(gateway, listing.entries);
+                apply_listing(gateway, entries, listing.revision);
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         let now = gateway.now();
         let has_changes = !changes.is_empty();
@@ -77,7 +94,7 @@
             .borrow_mut()
             .record_known_through(watch.after());
         gateway.apply_upstream_changes(applied);
-        if has_changes {
+        if has_changes && watch.should_gather() {
             sleep(BATCH_DELAY.for_fleet(gateway.vm_count())).await;
         }
     }
@@ -103,20 +120,10 @@
         if revision.era != listing.revision.era {
             return Err(StoreError::EraChanged);
         }
-        for (key, stored) in listing.entries {
-            if let Some(id) = upstream_id(gateway, prefix, &key) {
-                let entry = decode_entry(gateway, &id, &stored.value);
-                listed.push((id, entry, stored.revision));
-            }
-        }
+        listed.extend(decode_listing(gateway, listing.entries));
         after = listing.more_after;
         if after.is_none() {
-            let now = gateway.now();
-            let changes = gateway
-                .upstreams
-                .borrow_mut()
-                .replace(listed, revision, now);
-            gateway.apply_upstream_changes(changes);
+            apply_listing(gateway, listed, revision);
             gateway.upstreams_known.set(true);
             gateway.update_stage();
             return Ok(revision);
@@ -124,6 +131,25 @@
     }
 }
 
+fn decode_listing(gateway: &Gateway, entries: Vec<(StoreKey, StoredValue)>) -> Vec<ListedUpstream> {
+    let prefix = gateway.wire_format.layout().upstream_prefix;
+    let decode = |(key, stored): (StoreKey, StoredValue)| {
+        let id = upstream_id(gateway, prefix, &key)?;
+        let entry = decode_entry(gateway, &id, &stored.value);
+        Some((id, entry, stored.revision))
+    };
+    entries.into_iter().filter_map(decode).collect()
+}
+
+fn apply_listing(gateway: &Gateway, listed: Vec<ListedUpstream>, revision: StoreRevision) {
+    let now = gateway.now();
+    let changes = gateway
+        .upstreams
+        .borrow_mut()
+        .replace(listed, revision, now);
+    gateway.apply_upstream_changes(changes);
+}
+
 fn upstream_id(gateway: &Gateway, prefix: &str, key: &str) -> Option<UpstreamId> {
     let name = key.strip_prefix(prefix)?;
     match name.parse() {
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -264,6 +264,16 @@
         after: Option<&str>,
     ) -> impl Future<Output = Result<StoreListing, StoreError>>;
 
+    /// Like `list`; the answer may show the store as it was some seconds earlier, and its
+    /// revision says how it was. Such a call costs less where the store offers it.
+    fn list_stale(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<StoreListing, StoreError>> {
+        self.list(prefix, after)
+    }
+
     /// Writes `value` if the key is in the `expected` state.
     ///
     /// If `lease` is given, the key is removed when that lease expires.
--- a/testing/site/src/lib.rs
+++ b/testing/site/src/lib.rs
@@ -21,6 +21,7 @@
 pub use runner_script::EndlessPart;
 pub use runner_script::HeadFraming;
 pub use runner_script::RunnerScript;
+pub use store::CountedCall;
 pub use store::StandinStore;
 pub use store::StoreCopy;
 pub use store::StoreFault;
--- a/testing/site/src/store.rs
+++ b/testing/site/src/store.rs
@@ -36,6 +36,15 @@
 /// Path of a call that waits for changes of keys under a prefix.
 const WATCH_PATH: &str = "/-/kv-watch";
 
+/// Path of a listing of the keys under a prefix.
+const RANGE_PATH: &str = "/-/kv-range";
+
+/// Path of a renewal of a lease, which the lease follows.
+const RENEWAL_PATH: &str = "/-/kv-keep/";
+
+/// Option of a listing that may be stale.
+const STALE_OPTION: &str = "allowStale";
+
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreFault {
@@ -67,6 +76,19 @@
     lease: u64,
 }
 
+/// A kind of calls that are counted, by prefix or lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CountedCall {
+    /// Current listings.
+    List,
+    /// Listings that may be stale.
+    StaleList,
+    /// Watches.
+    Watch,
+    /// Renewals of leases, by lease.
+    Renewal,
+}
+
 /// A copy of the store's content, from which it may come back.
 #[derive(Clone)]
 pub struct StoreCopy {
@@ -90,6 +112,10 @@
     silence_count: Cell<u64>,
     /// Number of endless responses that the client aborted.
     aborted_endless: Cell<u64>,
+    /// Number of calls received, by path and prefix or key.
+    calls: RefCell<BTreeMap<String, usize>>,
+    /// What listings that may be stale show, if it is not the present content.
+    stale_copy: RefCell<Option<StoreCopy>>,
 }
 
 /// A stand-in for the platform's store. Clones share one state.
@@ -117,6 +143,8 @@
             lost_watches: RefCell::default(),
             silence_count: Cell::new(0),
             aborted_endless: Cell::new(0),
+            calls: RefCell::default(),
+            stale_copy: RefCell::default(),
         });
         let address = listen(Rc::clone(&state), serve).await?;
         Ok(Self { state, address })
@@ -190,6 +218,18 @@
         self.state.aborted_endless.get()
     }
 
+    /// Sets what listings that may be stale show; `None` stands for the present content.
+    pub fn set_stale_copy(&self, copy: Option<StoreCopy>) {
+        *self.state.stale_copy.borrow_mut() = copy;
+    }
+
+    /// Returns how many calls of a kind for a prefix or lease were received, answered or not.
+    pub fn calls(&self, kind: CountedCall, prefix: &str) -> usize {
+        let calls = self.state.calls.borrow();
+        let count = calls.get(&format!("{kind:?} {prefix}"));
+        count.copied().unwrap_or_default()
+    }
+
     /// Returns how many watches of a prefix are waiting for a change.
     pub fn open_watches(&self, prefix: &str) -> usize {
         count_prefix(&self.state.open_watches, prefix)
@@ -255,14 +295,37 @@
         }
     }
 
+    fn count_call(&self, head: &RequestHead) {
+        let kind = match head.path() {
+            RANGE_PATH if head.query(STALE_OPTION).is_some() => CountedCall::StaleList,
+            RANGE_PATH => CountedCall::List,
+            WATCH_PATH => CountedCall::Watch,
+            path if path.starts_with(RENEWAL_PATH) => CountedCall::Renewal,
+            _ => return,
+        };
+        let lease = head.path().strip_prefix(RENEWAL_PATH);
+        let prefix = head.query("pathPrefix").or(lease).unwrap_or_default();
+        let mut calls = self.calls.borrow_mut();
+        *calls.entry(format!("{kind:?} {prefix}")).or_default() += 1;
+    }
+
+    fn stale_range(&self, prefix: &str) -> (u16, Value) {
+        match &*self.stale_copy.borrow() {
+            Some(copy) => Self::render_range(&copy.items, copy.revision, prefix),
+            None => self.range(prefix),
+        }
+    }
+
     fn range(&self, prefix: &str) -> (u16, Value) {
-        let items = self.items.borrow();
+        Self::render_range(&self.items.borrow(), self.revision.get(), prefix)
+    }
+
+    fn render_range(items: &BTreeMap<String, Item>, as_of: u64, prefix: &str) -> (u16, Value) {
         let entries: Vec<Value> = items
             .iter()
             .filter(|(key, item)| key.starts_with(prefix) && item.value.is_some())
             .map(|(key, item)| Self::render(key, item))
             .collect();
-        let as_of = self.revision.get();
         (
             200,
             json!({"entries": entries, "truncated": false, "asOf": as_of}),
@@ -348,7 +411,10 @@
         let call: Value = serde_json::from_slice(body).unwrap_or_default();
         match head.path() {
             "/-/kv-key" => self.read(query("key")),
-            "/-/kv-range" => self.range(query("pathPrefix")),
+            RANGE_PATH if head.query(STALE_OPTION).is_some() => {
+                self.stale_range(query("pathPrefix"))
+            }
+            RANGE_PATH => self.range(query("pathPrefix")),
             WATCH_PATH => {
                 let wait = Duration::from_millis(number("waitMs"));
                 let prefix = query("pathPrefix");
@@ -365,7 +431,7 @@
                     json!({"lease": self.leases.get(), "ttlMs": call["ttlMs"]}),
                 )
             }
-            path if path.starts_with("/-/kv-keep/") => (200, json!({"ttlMs": 1000})),
+            path if path.starts_with(RENEWAL_PATH) => (200, json!({"ttlMs": 1000})),
             _ => (400, Value::Null),
         }
     }
@@ -385,6 +451,7 @@
     let mut buffer = BytesMut::new();
     let silence_count = state.silence_count.get();
     while let Some((head, body)) = read_request(&stream, &mut buffer).await {
+        state.count_call(&head);
         let fault = state.fault.get();
         if fault == StoreFault::WatchSilent && head.path() == WATCH_PATH {
             state.record_lost_watch(&head);
