store: few VMs ask in an outage whether the store is back

Cause: in an outage each VM asked every 0.3 s + 8 ms x VMs, and at its end all followers listed. Change: above 16 known VMs, only those that watch the configuration or the upstreams retry every 0.3 s. The others retry every 2 s, by renewals, and at once when another VM has regained the store. A failed call leads to a renewal within 0.25 s, so that a single failure does not count as a loss until the next one is due.

--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
+use crate::store_news::uses_news;
 use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
@@ -33,6 +34,9 @@
 /// Interval between lease renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Interval between checks whether some call has failed.
+const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time over which the VMs register again after the store came back from an older copy.
 const RETURN_SPREAD: Duration = Duration::from_millis(800);
 
@@ -76,7 +80,7 @@
     loop {
         if !gateway.store_contact.get().is_failing() {
             tokio::select! {
-                () = sleep(RENEWAL_INTERVAL) => {}
+                () = wait_for_renewal(gateway) => {}
                 () = gateway.era_changed.notified() => {}
             }
         }
@@ -96,6 +100,20 @@
     }
 }
 
+/// Waits until the lease should be renewed. Where VMs follow the store by news, a renewal also
+/// shows whether the store is lost if some call failed, since it costs less than other calls.
+async fn wait_for_renewal(gateway: &Gateway) {
+    let due = gateway.now() + RENEWAL_INTERVAL;
+    loop {
+        let left = due.saturating_duration_since(gateway.now());
+        let is_doubtful = uses_news(gateway.vm_count()) && gateway.store_contact.get().is_failing();
+        if left.is_zero() || is_doubtful {
+            return;
+        }
+        sleep(left.min(DOUBT_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Records the era of an answer to a call for the lease.
 fn observe_lease_era<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let era = store.latest_era().unwrap_or_default();
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -8,8 +8,14 @@
 use snipegate_platform::StoreError;
 
 use crate::gateway::Gateway;
+use crate::stage::VmStage;
+use crate::store_gate::RetryRole;
+use crate::store_gate::longest_pause;
+use crate::store_news::uses_news;
 use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
+use crate::store_watch::WatchRole;
+use crate::store_watch::watch_role;
 
 impl Gateway {
     /// Awaits a store call of `task`, counts it and records whether the store answered. A call
@@ -110,7 +116,21 @@
     /// Waits until a failed call should be retried.
     pub async fn wait_for_store(&self) {
         let failing = self.store_contact.get().failing_for(self.now());
-        self.store_gate.wait(failing, self.vm_count()).await;
+        let longest = longest_pause(self.vm_count(), self.retry_role());
+        self.store_gate.wait_as(failing, longest).await;
+    }
+
+    /// Returns whether this VM finds out by itself that the store is back.
+    fn retry_role(&self) -> RetryRole {
+        let is_serving = self.stage.get() == VmStage::Serving;
+        if !is_serving || !uses_news(self.vm_count()) {
+            return RetryRole::Each;
+        }
+        let follows_news = |task| watch_role(self, task) == WatchRole::News;
+        match follows_news(StoreTask::Config) && follows_news(StoreTask::Upstreams) {
+            true => RetryRole::Told,
+            false => RetryRole::Prober,
+        }
     }
 }
 
