store: a VM reads stale listings from 10 s after its start on

Cause: the first such listing was due 6 to 12 s after the start, but is not believed before 10 s, so that it often came only after 18 to 24 s. Change: the first one comes at 10 to 12 s.

--- a/lib/gateway/src/store_watch.rs
+++ b/lib/gateway/src/store_watch.rs
@@ -44,6 +44,10 @@
 /// Interval at which a VM that does not watch reads the store by a listing that may be stale.
 const RECONCILE_INTERVAL: Duration = Duration::from_secs(12);
 
+/// Period over which VMs that listed at the same time read such a listing for the first time,
+/// once it is old enough to be believed.
+const FIRST_RECONCILE_SPREAD: Duration = Duration::from_secs(2);
+
 /// Time after the start of a VM in which it waits to hear other VMs before it watches.
 const START_PERIOD: Duration = Duration::from_millis(800);
 
@@ -137,7 +141,7 @@
             after,
             published: after,
             latest_change,
-            reconcile_at: now + RECONCILE_INTERVAL.mul_f64(0.5 + 0.5 * fastrand::f64()),
+            reconcile_at: now + MAX_STALE_AGE + FIRST_RECONCILE_SPREAD.mul_f64(fastrand::f64()),
             is_delivered_by_watch: false,
         }
     }
