--- a/lib/gateway/src/budget_keeper.rs
+++ b/lib/gateway/src/budget_keeper.rs
@@ -45,6 +45,7 @@
 use crate::local_response::jitter;
 use crate::promise_keeper::make_promises;
 use crate::shard_writer::RegistrationAge;
+use crate::store_task::StoreCallKind;
 use crate::token_request::answer_queue;
 use crate::token_request::queued_tokens;
 use crate::token_request::report_use;
@@ -98,7 +99,7 @@
     /// Registered VMs that were not heard when the shard was last read for that.
     silent_writers: Vec<u64>,
     /// Kind of the next write, for the count of store calls.
-    write_kind: &'static str,
+    write_kind: StoreCallKind,
     /// Whether this process's last write of the shard is under way.
     is_ending: bool,
 }
@@ -165,7 +166,7 @@
             unsettled_since: None,
             absences: WriterAbsences::default(),
             silent_writers: Vec::new(),
-            write_kind: "write_idle",
+            write_kind: StoreCallKind::IdleSwap,
             is_ending: false,
         }
     }
@@ -213,8 +214,8 @@
         let time = plan_time(gateway);
         self.last_write = Some(time.now);
         self.write_kind = match urgent {
-            true => "write_urgent",
-            false => "write_idle",
+            true => StoreCallKind::UrgentSwap,
+            false => StoreCallKind::IdleSwap,
         };
         let requests = self.plan_grant_requests(gateway, time);
         self.write_grant_requests(gateway, store, &requests).await?;
--- a/lib/gateway/src/budget_keeper/run_end.rs
+++ b/lib/gateway/src/budget_keeper/run_end.rs
@@ -25,6 +25,7 @@
 use crate::local_response::jitter;
 use crate::promise_keeper::EarlierRun;
 use crate::promise_keeper::collect_testimonies;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::token_request::report_use;
 use crate::transfer::TransferTarget;
@@ -58,7 +59,7 @@
     let prefix = gateway.wire_format.layout().budget_prefix;
     let call = store.list(prefix, None);
     let listing = gateway
-        .call_store_for(StoreTask::Budgets, "read_start", call)
+        .call_store(StoreTask::Budgets, StoreCallKind::StartList, call)
         .await?;
     let era = listing.revision.era;
     gateway.observe_era(era, StoreTask::Budgets)?;
@@ -162,7 +163,7 @@
         if !has_closed && (!changed || self.revision.era == StoreEra::default()) {
             return Ok(());
         }
-        self.write_kind = "write_start";
+        self.write_kind = StoreCallKind::StartSwap;
         self.swap(gateway, store, shard).await?;
         for (workspace, record) in &self.shard.records {
             let earlier = &before.records[workspace];
@@ -227,7 +228,7 @@
         }
         let requests = self.plan_returns(gateway);
         self.is_ending = true;
-        self.write_kind = "write_end";
+        self.write_kind = StoreCallKind::EndSwap;
         let result = self.write_grant_requests(gateway, store, &requests).await;
         self.is_ending = false;
         result
--- a/lib/gateway/src/budget_keeper/shard_access.rs
+++ b/lib/gateway/src/budget_keeper/shard_access.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::shard_writer::WriterLevel;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 impl ShardWorker {
@@ -28,7 +29,7 @@
         let key = self.key(gateway);
         let call = store.list(&key, None);
         let listing = gateway
-            .call_store_for(StoreTask::Budgets, "read", call)
+            .call_store(StoreTask::Budgets, StoreCallKind::List, call)
             .await?;
         self.set_max_copy_age(gateway, store);
         let era = listing.revision.era;
@@ -59,7 +60,7 @@
         let conditions = mark_era(gateway, store, self.revision.era).await?;
         let call = store.swap_if(&key, expected, bytes, &conditions);
         let result = gateway
-            .call_store_for(StoreTask::Budgets, self.write_kind, call)
+            .call_store(StoreTask::Budgets, self.write_kind, call)
             .await;
         self.last_write = Some(gateway.now());
         let outcome = match &result {
--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -17,9 +17,11 @@
 use crate::evacuation::evacuated_data_centres;
 use crate::evacuation::evacuation_of_key;
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
+use crate::store_watch::latest_change;
 
 /// Longest time that one watch waits for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(12);
@@ -41,20 +43,32 @@
 async fn read_and_watch<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let layout = gateway.wire_format.layout();
     let (entries, listed) = read_all(gateway, store).await?;
-    apply_listed_evacuations(gateway, &entries, listed);
-    if let Some((_, stored)) = entries.iter().find(|(key, _)| key == layout.config_key) {
-        apply_config(gateway, stored);
-    }
+    apply_entries(gateway, &entries, listed);
     gateway.update_stage();
-    let prefix = layout.config_prefix;
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::Config, prefix, listed);
-    loop {
-        let peer_ahead = gateway
+    let mut watch = StoreWatch::new(
+        gateway,
+        store,
+        StoreTask::Config,
+        layout.config_prefix,
+        listed,
+        latest_change(&entries),
+    );
+    let peer_ahead = async |allowance| {
+        let known = || gateway.config_version();
+        gateway
             .config_hint
-            .wait_until_behind(|| gateway.config_version());
+            .wait_until_behind(allowance, known)
+            .await;
+    };
+    loop {
         let wait = watch_wait(gateway);
-        let WatchOutcome::Changes(changes) = watch.next_changes(wait, peer_ahead).await? else {
-            return Ok(());
+        let changes = match watch.next_changes(wait, peer_ahead).await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                apply_entries(gateway, &listing.entries, listing.revision);
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         for change in changes {
             apply_watched_evacuation(gateway, &change);
@@ -81,7 +95,9 @@
     let mut after: Option<String> = None;
     loop {
         let call = store.list(prefix, after.as_deref());
-        let listing = gateway.call_store(StoreTask::Config, call).await?;
+        let listing = gateway
+            .call_store(StoreTask::Config, StoreCallKind::List, call)
+            .await?;
         gateway.observe_era(listing.revision.era, StoreTask::Config)?;
         let revision = *first_revision.get_or_insert(listing.revision);
         if revision.era != listing.revision.era {
@@ -103,6 +119,15 @@
     wait.map_or(WATCH_WAIT, |wait| wait.clamp(MIN_CONFIRM_WAIT, WATCH_WAIT))
 }
 
+/// Applies a listing of all keys of operators that was read at revision `as_of`.
+fn apply_entries(gateway: &Gateway, entries: &[(String, StoredValue)], as_of: StoreRevision) {
+    apply_listed_evacuations(gateway, entries, as_of);
+    let config_key = gateway.wire_format.layout().config_key;
+    if let Some((_, stored)) = entries.iter().find(|(key, _)| key == config_key) {
+        apply_config(gateway, stored);
+    }
+}
+
 fn apply_listed_evacuations(
     gateway: &Gateway,
     entries: &[(String, StoredValue)],
--- a/lib/gateway/src/era_marker.rs
+++ b/lib/gateway/src/era_marker.rs
@@ -14,6 +14,7 @@
 use snipegate_platform::SwapOutcome;
 
 use crate::gateway::Gateway;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 
 /// Number of returns of the store that a write may be late.
@@ -65,7 +66,7 @@
     let value = era.to_string().into_bytes();
     let call = store.swap(&key, ExpectedVersion::Absent, value, None);
     let revision = match gateway
-        .call_store_for(StoreTask::Budgets, "write_marker", call)
+        .call_store(StoreTask::Budgets, StoreCallKind::MarkerSwap, call)
         .await?
     {
         SwapOutcome::Swapped(revision) => revision,
--- a/lib/gateway/src/membership.rs
+++ b/lib/gateway/src/membership.rs
@@ -9,6 +9,10 @@
 use snipegate_platform::ExpectedVersion;
 use snipegate_platform::LeaseId;
 use snipegate_platform::StoreError;
+use snipegate_platform::StoreKey;
+use snipegate_platform::StoreListing;
+use snipegate_platform::StoreRevision;
+use snipegate_platform::StoredValue;
 use snipegate_platform::SwapOutcome;
 use snipegate_types::VmId;
 use tokio::time::sleep;
@@ -17,9 +21,12 @@
 use crate::gateway::Gateway;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
+use crate::store_news::uses_news;
+use crate::store_task::StoreCallKind;
 use crate::store_task::StoreTask;
 use crate::store_watch::StoreWatch;
 use crate::store_watch::WatchOutcome;
+use crate::store_watch::latest_change;
 
 /// Time to live of the lease on a VM's record.
 const RECORD_TTL: Duration = Duration::from_secs(15);
@@ -27,6 +34,9 @@
 /// Interval between lease renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Interval between checks whether some call has failed.
+const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time over which the VMs register again after the store came back from an older copy.
 const RETURN_SPREAD: Duration = Duration::from_millis(800);
 
@@ -61,14 +71,16 @@
     store: &S,
 ) -> Result<(), StoreError> {
     let call = store.create_lease(RECORD_TTL);
-    let lease = gateway.call_store(StoreTask::VmLease, call).await?;
+    let lease = gateway
+        .call_store(StoreTask::VmLease, StoreCallKind::CreateLease, call)
+        .await?;
     observe_lease_era(gateway, store)?;
     let era = gateway.known_era();
     write_record(gateway, store, Some(lease)).await?;
     loop {
         if !gateway.store_contact.get().is_failing() {
             tokio::select! {
-                () = sleep(RENEWAL_INTERVAL) => {}
+                () = wait_for_renewal(gateway) => {}
                 () = gateway.era_changed.notified() => {}
             }
         }
@@ -77,7 +89,10 @@
             return Ok(());
         }
         let call = store.renew_lease(lease);
-        match gateway.call_store(StoreTask::VmLease, call).await {
+        match gateway
+            .call_store(StoreTask::VmLease, StoreCallKind::RenewLease, call)
+            .await
+        {
             Ok(()) => observe_lease_era(gateway, store)?,
             Err(StoreError::LeaseExpired) => return Err(StoreError::LeaseExpired),
             Err(_) => gateway.wait_for_store().await,
@@ -85,6 +100,20 @@
     }
 }
 
+/// Waits until the lease should be renewed. Where VMs follow the store by news, a renewal also
+/// shows whether the store is lost if some call failed, since it costs less than other calls.
+async fn wait_for_renewal(gateway: &Gateway) {
+    let due = gateway.now() + RENEWAL_INTERVAL;
+    loop {
+        let left = due.saturating_duration_since(gateway.now());
+        let is_doubtful = uses_news(gateway.vm_count()) && gateway.store_contact.get().is_failing();
+        if left.is_zero() || is_doubtful {
+            return;
+        }
+        sleep(left.min(DOUBT_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Records the era of an answer to a call for the lease.
 fn observe_lease_era<S: ConfigStore>(gateway: &Gateway, store: &S) -> Result<(), StoreError> {
     let era = store.latest_era().unwrap_or_default();
@@ -107,7 +136,10 @@
     let mut expected = ExpectedVersion::Absent;
     loop {
         let call = store.swap(&key, expected, bytes.clone(), lease);
-        match gateway.call_store(StoreTask::VmLease, call).await? {
+        match gateway
+            .call_store(StoreTask::VmLease, StoreCallKind::Swap, call)
+            .await?
+        {
             SwapOutcome::Swapped(_) => return Ok(()),
             SwapOutcome::Conflict(None) => expected = ExpectedVersion::Absent,
             SwapOutcome::Conflict(Some(stored)) => expected = ExpectedVersion::At(stored.revision),
@@ -134,26 +166,38 @@
     let prefix = gateway.wire_format.layout().vm_prefix;
     let mut records = Vec::new();
     let call = store.list(prefix, None);
-    let mut page = gateway.call_store(StoreTask::VmRecords, call).await?;
+    let mut page = gateway
+        .call_store(StoreTask::VmRecords, StoreCallKind::List, call)
+        .await?;
     let listed = page.revision;
+    let mut latest = StoreRevision::default();
     loop {
+        latest = latest.max(latest_change(&page.entries));
         gateway.observe_era(page.revision.era, StoreTask::VmRecords)?;
-        records.extend(page.entries.iter().filter_map(|(key, stored)| {
-            other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
-        }));
+        records.extend(decode_listing(gateway, &page));
         let Some(last) = page.more_after else {
             break;
         };
         let call = store.list(prefix, Some(&last));
-        page = gateway.call_store(StoreTask::VmRecords, call).await?;
+        page = gateway
+            .call_store(StoreTask::VmRecords, StoreCallKind::List, call)
+            .await?;
     }
     let now = gateway.now();
     gateway.peers.borrow_mut().replace_listed(records, now);
-    let mut watch = StoreWatch::new(gateway, store, StoreTask::VmRecords, prefix, listed);
+    let task = StoreTask::VmRecords;
+    let mut watch = StoreWatch::new(gateway, store, task, prefix, listed, latest);
     loop {
-        let WatchOutcome::Changes(changes) = watch.next_changes(WATCH_WAIT, pending()).await?
-        else {
-            return Ok(());
+        let outcome = watch.next_changes(WATCH_WAIT, async |_| pending().await);
+        let changes = match outcome.await? {
+            WatchOutcome::Changes(changes) => changes,
+            WatchOutcome::Listed(listing) => {
+                let records = decode_listing(gateway, &listing);
+                let now = gateway.now();
+                gateway.peers.borrow_mut().replace_listed(records, now);
+                continue;
+            }
+            WatchOutcome::Relist => return Ok(()),
         };
         let changed = !changes.is_empty();
         for change in changes {
@@ -171,12 +215,20 @@
                 None => peers.remove_listed(&vm),
             }
         }
-        if changed {
+        if changed && watch.should_gather() {
             sleep(RECORD_BATCH_DELAY.for_fleet(gateway.vm_count())).await;
         }
     }
 }
 
+fn decode_listing(gateway: &Gateway, listing: &StoreListing) -> Vec<VmRecord> {
+    let prefix = gateway.wire_format.layout().vm_prefix;
+    let decode = |(key, stored): &(StoreKey, StoredValue)| {
+        other_vm(gateway, prefix, key).and_then(|_| decode_record(gateway, &stored.value))
+    };
+    listing.entries.iter().filter_map(decode).collect()
+}
+
 fn record_key(gateway: &Gateway) -> String {
     let prefix = gateway.wire_format.layout().vm_prefix;
     format!("{prefix}{}", gateway.settings.vm)
--- a/lib/gateway/src/store_task.rs
+++ b/lib/gateway/src/store_task.rs
@@ -21,6 +21,36 @@
     Quarantine,
 }
 
+/// Kind of a call to the configuration store. Its name identifies the call in counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreCallKind {
+    /// Current listing, also of a single key.
+    List,
+    /// Listing that may be some seconds old.
+    StaleList,
+    /// Watch.
+    Watch,
+    /// Write.
+    Swap,
+    /// Listing of the budgets at the start of the process.
+    StartList,
+    /// Write of a marker of an era of the store.
+    MarkerSwap,
+    /// Write of budgets that a request waits for.
+    UrgentSwap,
+    /// Write of budgets that no request waits for.
+    IdleSwap,
+    /// Write of budgets that closes earlier runs of the VM.
+    StartSwap,
+    /// Write of budgets at the end of the process.
+    EndSwap,
+    /// Creation of a lease.
+    CreateLease,
+    /// Renewal of a lease.
+    RenewLease,
+}
+
 /// Which VMs use short watches for a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShortWatchers {
