--- a/lib/gateway/src/config_follower.rs
+++ b/lib/gateway/src/config_follower.rs
@@ -129,9 +129,13 @@
     apply_evacuation_changes(gateway, applied, EvacuationSource::Watch);
 }
 
-/// Records that all changes up to `as_of` were applied.
+/// Records that all changes up to `as_of` were applied, unless the store has not answered lately:
+/// a watch may also end because it is overdue.
 fn confirm_evacuations(gateway: &Gateway, as_of: StoreRevision) {
     let now = gateway.now();
+    if !gateway.store_contact.get().is_current(now) {
+        return;
+    }
     let ended = gateway.evacuations.borrow_mut().confirm(as_of, now);
     apply_evacuation_changes(gateway, ended, EvacuationSource::Return);
 }
--- a/lib/gateway/src/evacuation/table.rs
+++ b/lib/gateway/src/evacuation/table.rs
@@ -109,7 +109,7 @@
         let missing: Vec<DataCentre> = self
             .states
             .iter()
-            .filter(|(_, known)| known.is_evacuated && known.revision < as_of)
+            .filter(|(_, known)| known.is_evacuated)
             .filter(|(name, _)| !is_listed(name))
             .map(|(name, _)| name.clone())
             .collect();
