budget: the search for tokens by demand is withdrawn

In its logs a workspace of 696,000 tokens had all of them granted and 205,000 used at 6.5 s, and requests were refused since their keeper had none and no VM announced any: asking ahead spreads small budgets over many VMs, and only what exceeds a VM's own demand was announced.

Withdrawn: shared questions, requests ahead of need, keepers by capacity, the order of questions in an outage. Kept: VMs learn at once that another one's process has ended, and the counts of store calls.

--- a/lib/gateway/src/budget_exchange.rs
+++ b/lib/gateway/src/budget_exchange.rs
@@ -15,9 +15,6 @@
 use crate::gateway::stable_hash;
 use crate::gossip::SCARCE_TTL;
 use crate::holding::BudgetHolding;
-use crate::keeper_choice::CapacityFloor;
-use crate::keeper_choice::KeeperCapacity;
-use crate::keeper_choice::KeeperRank;
 use crate::peers::VmRecord;
 use crate::stage::VmStage;
 use crate::transfer::TransferTarget;
@@ -69,8 +66,7 @@
 
 /// Returns the VM that is the keeper for a shard; `None` if it is this VM.
 ///
-/// VMs that receive gossip from each other agree on the keeper by weighted hashing, among the VMs
-/// with capacity where VMs are uneven.
+/// VMs that receive gossip from each other agree on the keeper by weighted hashing.
 /// They choose a VM that reaches the store, as long as there is one. VMs that failed to
 /// answer recently are skipped, and a VM that is leaving or that may not be granted whole
 /// budgets is chosen only if there is no other.
@@ -93,8 +89,7 @@
     is_restricted: bool,
     now: Instant,
 ) -> Option<TransferTarget> {
-    let ranks = KeeperRanks::new(gateway, now);
-    let weight = |vm: &VmId| Some(ranks.rank(vm, shard));
+    let weight = |vm: &VmId| duty_rendezvous_weight(vm, shard);
     let is_cut_off = gateway.store_contact.get().is_failing();
     let failed = gateway.failed_keepers.borrow();
     // Without contact to the store, this VM cannot tell which others have lost it too.
@@ -107,8 +102,7 @@
             .get(&record.gossip)
             .is_some_and(|at| now.saturating_duration_since(*at) < pause)
     };
-    type Ranked<'a> = (Option<KeeperRank>, &'a VmRecord);
-    let by_weight = |(one, _): &Ranked, (other, _): &Ranked| one.cmp(other);
+    let by_weight = |(one, _): &(u64, _), (other, _): &(u64, _)| one.cmp(other);
     let peers = gateway.peers.borrow();
     let reaching = peers
         .reaching_store(now)
@@ -128,7 +122,7 @@
         || is_restricted
         || (is_cut_off && reaching.is_some());
     let own = if is_last_resort {
-        None
+        0
     } else {
         weight(&gateway.settings.vm)
     };
@@ -138,47 +132,6 @@
     })
 }
 
-/// Ranks of VMs for the duties of shards, by what this VM knows of their capacities.
-pub struct KeeperRanks<'a> {
-    gateway: &'a Gateway,
-    floor: CapacityFloor,
-}
-
-impl<'a> KeeperRanks<'a> {
-    /// Collects the capacities of the VMs that serve.
-    pub fn new(gateway: &'a Gateway, now: Instant) -> Self {
-        let peers = gateway.peers.borrow();
-        let others = peers.live_serving(now).map(|peer| &peer.vm);
-        let vms = others.chain([&gateway.settings.vm]);
-        let floor = CapacityFloor::of(vms.filter_map(|vm| capacity_of(gateway, vm)));
-        Self { gateway, floor }
-    }
-
-    /// Returns the rank of a VM for a shard.
-    pub fn rank(&self, vm: &VmId, shard: u64) -> KeeperRank {
-        let capacity = capacity_of(self.gateway, vm);
-        let weight = duty_rendezvous_weight(vm, shard);
-        self.floor.rank(capacity, weight)
-    }
-}
-
-/// Returns the capacity of a VM, if it has told it.
-fn capacity_of(gateway: &Gateway, vm: &VmId) -> Option<KeeperCapacity> {
-    if *vm == gateway.settings.vm {
-        let own = &gateway.settings.capacity;
-        return Some(KeeperCapacity {
-            link: own.link,
-            cores: own.cores,
-        });
-    }
-    let readiness = gateway.room.readiness.borrow();
-    let room = readiness.table.get(vm)?.notice.room;
-    Some(KeeperCapacity {
-        link: room.link,
-        cores: room.cores,
-    })
-}
-
 /// Calls `act` on the holding with the given workspace hash, if this VM knows the
 /// workspace.
 pub fn with_holding<T>(
--- a/lib/gateway/src/budget_keeper/era_entry.rs
+++ b/lib/gateway/src/budget_keeper/era_entry.rs
@@ -15,7 +15,6 @@
 
 use super::ShardWorker;
 use super::plan_time;
-use crate::budget_exchange::KeeperRanks;
 use crate::budget_exchange::remote_duty_holder;
 use crate::budget_exchange::shard_of;
 use crate::budget_exchange::workspace_name;
@@ -25,6 +24,7 @@
 use crate::era_report::GrantKnowledge;
 use crate::era_report::UnsettledVm;
 use crate::gateway::Gateway;
+use crate::gateway::duty_rendezvous_weight;
 use crate::gateway::stable_hash;
 use crate::shard_memory::ShardMemory;
 use crate::shard_writer::WriterLevel;
@@ -388,8 +388,7 @@
         if is_leaving || gateway.serving_since.get().is_none_or(is_new) {
             return WriterLevel::None;
         }
-        let ranks = KeeperRanks::new(gateway, now);
-        let weight = |vm: &VmId| ranks.rank(vm, self.number);
+        let weight = |vm: &VmId| duty_rendezvous_weight(vm, self.number);
         let own = weight(&gateway.settings.vm);
         let peers = gateway.peers.borrow();
         let others = peers.reaching_store(now);
--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -68,7 +68,6 @@
 use crate::token_request::FreeTokens;
 use crate::token_request::QueuedTokenRequest;
 use crate::token_request::TokenRequestOutcome;
-use crate::token_search::TokenQuestions;
 use crate::token_tally::TokenTally;
 use crate::transfer::DuplicateFilter;
 use crate::transfer::TransferLog;
@@ -220,8 +219,6 @@
     pub token_requests_sent: Cell<u64>,
     /// Unanswered token requests of this VM, by number.
     pub pending_token_requests: RefCell<IndexMap<u64, oneshot::Sender<TokenRequestOutcome>>>,
-    /// Token requests of this VM in flight, by workspace, and recent answers.
-    pub token_questions: RefCell<TokenQuestions>,
     /// Numbers of token requests received from other VMs.
     pub token_request_dedup: RefCell<DuplicateFilter>,
     /// Token requests of other VMs that wait for a grant.
@@ -341,7 +338,6 @@
             failed_keepers: RefCell::default(),
             token_requests_sent: Cell::new(0),
             pending_token_requests: RefCell::default(),
-            token_questions: RefCell::default(),
             token_request_dedup: RefCell::default(),
             queued_token_requests: RefCell::default(),
             transfer_notify: Notify::new(),
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -3,7 +3,6 @@
 //!
 //! Safety does not depend on it; a lost datagram only makes decisions less accurate.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,10 +59,8 @@
 use crate::store_news::apply_news;
 use crate::token_request::FreeTokens;
 use crate::token_request::TokenAnswer;
-use crate::token_request::TokenRefill;
 use crate::token_request::TokenRequest;
 use crate::token_request::handle_token_answer;
-use crate::token_request::handle_token_refill;
 use crate::token_request::handle_token_request;
 use crate::transfer::TokenTransfer;
 use crate::transfer::acknowledge_transfer;
@@ -89,16 +86,6 @@
 /// Every n-th message includes the free tokens.
 const FREE_TOKENS_EVERY: u64 = 8;
 
-/// The same while the store can't be reached.
-const FREE_TOKENS_EVERY_IN_OUTAGE: u64 = 2;
-
-/// Time from the loss of the store in which every message includes the free tokens.
-const LOSS_ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
-
-/// Maximum number of budgets whose free tokens are announced, so that a message fits into a
-/// datagram.
-const MAX_FREE_BUDGETS: usize = 64;
-
 /// Every n-th message includes all rate limits.
 const ALL_RATES_EVERY: u64 = 8;
 
@@ -193,8 +180,6 @@
     RelayColdNotices(Vec<ColdNotice>),
     /// Notice that the sender's process has ended in a shard of the budget records.
     ShardEnd(ShardEnd),
-    /// Request for tokens of a budget ahead of need.
-    TokenRefill(TokenRefill),
     /// Changes in the store.
     StoreNews(Box<StoreNews>),
     /// Like `StoreNews`, to be relayed to the other VMs of the receiver's data centre.
@@ -347,9 +332,10 @@
         store_regained: gateway.store_contact.get().is_regained(now),
         loads,
         placed: std::mem::take(&mut *gateway.placed.borrow_mut()),
-        free: match is_free_tokens_due(gateway, number, now) {
-            true => free_tokens(gateway, now),
-            false => Vec::new(),
+        free: if number.is_multiple_of(FREE_TOKENS_EVERY) {
+            free_tokens(gateway, now)
+        } else {
+            Vec::new()
         },
         scarce: scarce_budgets(gateway, now),
         left: report_remaining(gateway, now),
@@ -360,28 +346,13 @@
     }
 }
 
-/// Returns whether a message includes the free tokens. Once the store is lost, VMs without tokens
-/// depend on them.
-fn is_free_tokens_due(gateway: &Gateway, number: u64, now: Instant) -> bool {
-    let contact = gateway.store_contact.get();
-    let every = match contact.is_failing() {
-        true if contact.failing_for(now) < LOSS_ANNOUNCE_PERIOD => 1,
-        true => FREE_TOKENS_EVERY_IN_OUTAGE,
-        false => FREE_TOKENS_EVERY,
-    };
-    number.is_multiple_of(every)
-}
-
-/// Returns the budgets of which this VM has enough tokens to give some away, the largest first.
 fn free_tokens(gateway: &Gateway, now: Instant) -> Vec<(u64, TokenCount)> {
     let holdings = gateway.holdings.borrow();
-    let mut free: Vec<(u64, TokenCount)> = holdings
+    holdings
         .values()
-        .filter_map(|holding| Some((holding.workspace(), holding.announced_tokens(now)?)))
-        .collect();
-    free.sort_unstable_by_key(|(_, tokens)| Reverse(*tokens));
-    free.truncate(MAX_FREE_BUDGETS);
-    free
+        .map(|holding| (holding.workspace(), holding.free(now)))
+        .filter(|(_, free)| !free.is_zero())
+        .collect()
 }
 
 async fn receive_messages(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -439,7 +410,6 @@
                 handle_token_request(&gateway, sender, request)
             }
             Ok(PeerMessage::ShardEnd(end)) => handle_shard_end(&gateway, sender, end),
-            Ok(PeerMessage::TokenRefill(refill)) => handle_token_refill(&gateway, sender, refill),
             Ok(PeerMessage::TokenAnswer(answer)) => handle_token_answer(&gateway, sender, answer),
             Ok(PeerMessage::Transfer(transfer)) => handle_transfer(&gateway, sender, transfer),
             Ok(PeerMessage::TransferTaken(number)) => acknowledge_transfer(&gateway, number),
--- a/lib/gateway/src/holding.rs
+++ b/lib/gateway/src/holding.rs
@@ -38,10 +38,6 @@
 /// need.
 const PREFETCH_FRACTION: f64 = 0.05;
 
-/// The same while the store can't be reached: the receiver can't get more from a keeper, and many
-/// small requests between VMs would be lost.
-const OUTAGE_FRACTION: f64 = 0.5;
-
 /// Minimum number of tokens that are worth returning or reporting.
 const MIN_RETURN: TokenCount = TokenCount(2000);
 
@@ -336,51 +332,14 @@
     /// Deducting first means that a failed transfer loses tokens instead of duplicating
     /// them.
     pub fn withdraw(&mut self, need: TokenCount, wish: TokenCount, now: Instant) -> TokenCount {
-        self.withdraw_part(need, wish, PREFETCH_FRACTION, now)
-    }
-
-    /// Like [`BudgetHolding::withdraw`], during an outage of the store: the receiver gets what it
-    /// wishes at once, up to half of the rest.
-    pub fn withdraw_in_outage(
-        &mut self,
-        need: TokenCount,
-        wish: TokenCount,
-        now: Instant,
-    ) -> TokenCount {
-        self.withdraw_part(need, wish, OUTAGE_FRACTION, now)
-    }
-
-    fn withdraw_part(
-        &mut self,
-        need: TokenCount,
-        wish: TokenCount,
-        part: f64,
-        now: Instant,
-    ) -> TokenCount {
         let free = self.free(now);
         let spare = self.free_by_record(now).saturating_sub(need);
-        let spare = TokenCount((spare.0 as f64 * part) as u64);
+        let spare = TokenCount((spare.0 as f64 * PREFETCH_FRACTION) as u64);
         let given = need.saturating_add(wish.min(spare)).min(free);
         self.given = self.given.saturating_add(given);
         given
     }
 
-    /// Deducts up to `wish` tokens for another VM that asks ahead of its need, whose callers ask
-    /// for `rate` tokens per second: at most its part of the demand.
-    pub fn withdraw_ahead(
-        &mut self,
-        wish: TokenCount,
-        rate: TokenCount,
-        now: Instant,
-    ) -> TokenCount {
-        let demand = self.demand.rate(now).max(rate.0 as f64).max(1.0);
-        let part = (rate.0 as f64 / demand).max(PREFETCH_FRACTION);
-        let spare = TokenCount((self.free_by_record(now).0 as f64 * part) as u64);
-        let given = wish.min(spare).min(self.free(now));
-        self.given = self.given.saturating_add(given);
-        given
-    }
-
     /// Adds tokens that another VM deducted from its holding.
     pub fn receive(&mut self, tokens: TokenCount) {
         self.received = self.received.saturating_add(tokens);
--- a/lib/gateway/src/holding/grant_size.rs
+++ b/lib/gateway/src/holding/grant_size.rs
@@ -56,9 +56,6 @@
 /// How long the tokens of a member, a VM that is not the keeper, should last.
 const MEMBER_DURATION: Duration = Duration::from_secs(1);
 
-/// A member requests tokens ahead of need when it holds less than this fraction of its target.
-const AHEAD_FRACTION: f64 = 0.6;
-
 /// A member returns tokens once it holds more than this many times its target.
 const SURPLUS_FACTOR: f64 = 2.0;
 
@@ -93,12 +90,7 @@
             HoldingRole::Member => queued,
             _ => self.largest_waiting.saturating_add(queued),
         };
-        let target = match role {
-            // Without it, each request that another VM asks for would take a write.
-            HoldingRole::Member if !queued.is_zero() => self.asked_target(now),
-            _ => self.target(role, now),
-        };
-        let target = TokenCount(target as u64);
+        let target = TokenCount(self.target(role, now) as u64);
         let urgent = !wanted.is_zero() && self.free_by_record(now) < wanted;
         let low =
             (held.0 as f64) < target.0 as f64 * RENEW_FRACTION && !self.unassigned().is_zero();
@@ -177,33 +169,10 @@
         target.saturating_sub(self.free(now))
     }
 
-    /// Returns whether a member should request tokens ahead of need, because it holds few for its
-    /// own demand.
-    pub fn is_low_ahead(&self, now: Instant) -> bool {
-        let target = self.member_target(now);
-        target >= MIN_RETURN.0 as f64 && (self.free(now).0 as f64) < target * AHEAD_FRACTION
-    }
-
-    /// Returns the free tokens that other VMs may ask for: those that this VM does not need for its
-    /// own demand, if there are enough for a request.
-    pub fn announced_tokens(&self, now: Instant) -> Option<TokenCount> {
-        let own = TokenCount(self.member_target(now) as u64);
-        let spare = self.free(now).saturating_sub(own);
-        let enough = MIN_RETURN.max(TokenCount(self.recent_cost as u64));
-        (spare >= enough).then_some(spare)
-    }
-
-    /// Returns the tokens per second that callers of this VM ask for.
-    pub fn own_rate(&self, now: Instant) -> TokenCount {
-        TokenCount(self.own_demand.rate(now) as u64)
-    }
-
     /// Returns the tokens that a member should return to the keeper.
     pub fn surplus(&self, scarce: bool, now: Instant) -> TokenCount {
         let factor = if scarce { 1.0 } else { SURPLUS_FACTOR };
         let keep = TokenCount((self.member_target(now) * factor) as u64).max(self.largest_waiting);
-        let asked = if scarce { 0.0 } else { self.asked_target(now) };
-        let keep = keep.max(TokenCount(asked as u64));
         let surplus = self.free(now).saturating_sub(keep);
         match surplus >= MIN_RETURN {
             true => surplus,
@@ -228,14 +197,6 @@
         }
     }
 
-    /// Returns the tokens to hold of a VM that others ask as the keeper though it takes another one
-    /// for it.
-    fn asked_target(&self, now: Instant) -> f64 {
-        let share = self.held().0 as f64 + KEEPER_MAX_FRACTION * self.unassigned().0 as f64;
-        let demand = self.demand.rate(now) * self.duration_secs(MEMBER_DURATION);
-        demand.min(share)
-    }
-
     /// Returns the tokens that a member should hold at current demand.
     fn member_target(&self, now: Instant) -> f64 {
         self.own_demand.rate(now) * self.duration_secs(MEMBER_DURATION)
--- a/lib/gateway/src/store_access.rs
+++ b/lib/gateway/src/store_access.rs
@@ -58,8 +58,6 @@
                 self.metrics
                     .count_tagged("store.failed", error_label(error));
                 if contact.record_failure(began, now) {
-                    // Other VMs need to know who has tokens as long as the store is lost.
-                    self.gossip_notify.notify_one();
                     let waited = now.saturating_duration_since(began);
                     info!(self.log, "store call failed"; "task" => %task, "error" => %error,
                         "waited_ms" => waited.as_millis() as u64);
--- a/lib/gateway/src/token_request.rs
+++ b/lib/gateway/src/token_request.rs
@@ -18,32 +18,20 @@
 use tokio::time::timeout;
 
 use crate::budget_exchange::SHARDS;
-use crate::budget_exchange::remote_keeper;
-use crate::budget_exchange::shard_of;
 use crate::budget_exchange::with_holding;
 use crate::budget_record::BudgetTotals;
 use crate::gateway::Gateway;
 use crate::gateway::stable_hash;
 use crate::gossip::PeerMessage;
 use crate::holding::HoldingRefusal;
-use crate::stage::VmStage;
-use crate::token_search::OpenQuestion;
 use crate::transfer::TokenTransfer;
 use crate::transfer::TransferTarget;
 use crate::transfer::handle_transfer;
-use crate::transfer::register_transfer;
 use crate::transfer::start_transfer;
 
 /// How long another VM's report of its free tokens is valid.
 const FREE_TOKENS_TTL: Duration = Duration::from_secs(3);
 
-/// How long requests wait for the answer to a request ahead of need before they ask themselves.
-const AHEAD_TIMEOUT: Duration = Duration::from_millis(30);
-
-/// Time for which requests that share a question wait longer than the one that asked, which then
-/// records that there was no answer.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
-
 /// Maximum number of token requests of other VMs that are queued for a grant.
 const MAX_QUEUED: usize = 4096;
 
@@ -72,15 +60,6 @@
     pub as_keeper: bool,
 }
 
-/// A request for tokens ahead of need, which no request of a caller waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TokenRefill {
-    /// What the sender reports and would like to hold; it needs nothing at once.
-    pub request: TokenRequest,
-    /// Tokens per second that the sender's callers ask for.
-    pub rate: TokenCount,
-}
-
 /// Outcome of a token request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -132,9 +111,6 @@
     pub workspace: &'a WorkspaceId,
     /// Number of missing tokens.
     pub tokens: TokenCount,
-    /// Tokens that other requests of the workspace are waiting for. They are only wished for: what
-    /// is needed at once widens the bound on what a kill of the other VM costs.
-    pub others: TokenCount,
     /// Whether to address the other VM as the keeper.
     pub as_keeper: bool,
 }
@@ -148,15 +124,7 @@
     wait: Duration,
 ) -> Option<TokenRequestOutcome> {
     let began = gateway.now();
-    let mut request = build_token_request(gateway, need.workspace, need.tokens, need.as_keeper)?;
-    request.wish = request.wish.max(need.others);
-    let question = OpenQuestion {
-        number: request.number,
-        target,
-        until: began + wait + TIMEOUT_MARGIN,
-    };
-    let questions = &gateway.token_questions;
-    questions.borrow_mut().begin(request.workspace, question);
+    let request = build_token_request(gateway, need.workspace, need.tokens, need.as_keeper)?;
     let (answered, answer) = oneshot::channel();
     let pending = &gateway.pending_token_requests;
     pending.borrow_mut().insert(request.number, answered);
@@ -182,75 +150,7 @@
             .pending_token_requests
             .borrow_mut()
             .swap_remove(&self.1);
-        self.0.token_questions.borrow_mut().end(self.1);
-        // Requests that shared the question have to ask again.
-        self.0.grant_changed.notify_waiters();
-    }
-}
-
-/// Requests tokens ahead of need if this VM holds few for its own demand, so that no request has
-/// to wait for them.
-pub fn ask_ahead(gateway: &Gateway, workspace: &WorkspaceId) {
-    let now = gateway.now();
-    let hash = stable_hash(workspace.as_str());
-    let is_low = gateway
-        .holdings
-        .borrow()
-        .get(workspace)
-        .is_some_and(|holding| holding.is_low_ahead(now));
-    let is_leaving = gateway.stage.get() == VmStage::Leaving;
-    if !is_low || is_leaving || !gateway.token_questions.borrow().may_ask_ahead(hash, now) {
-        return;
-    }
-    let is_store_lost = gateway.store_contact.get().is_failing();
-    let holder = match is_store_lost {
-        true => peer_with_most_free(gateway, workspace, &[], now),
-        false => None,
-    };
-    let keeper = remote_keeper(gateway, shard_of(workspace), now);
-    let Some(target) = holder.or(keeper.map(|keeper| keeper.address)) else {
-        return;
-    };
-    let as_keeper = holder.is_none();
-    let Some(request) = build_token_request(gateway, workspace, TokenCount::ZERO, as_keeper) else {
-        return;
-    };
-    let rate = gateway.holdings.borrow()[workspace].own_rate(now);
-    let question = OpenQuestion {
-        number: request.number,
-        target,
-        until: now + AHEAD_TIMEOUT,
-    };
-    let questions = &gateway.token_questions;
-    questions.borrow_mut().begin_ahead(hash, question, now);
-    gateway.metrics.count("budget.ask_ahead");
-    let refill = TokenRefill { request, rate };
-    gateway.send_direct(target, PeerMessage::TokenRefill(refill));
-}
-
-/// Handles another VM's request for tokens ahead of its need.
-pub fn handle_token_refill(gateway: &Gateway, sender: SocketAddr, refill: TokenRefill) {
-    let request = refill.request;
-    let is_first = gateway
-        .token_request_dedup
-        .borrow_mut()
-        .is_first(request.asker, request.number);
-    if !is_first {
-        return;
     }
-    record_token_request(gateway, &request);
-    let now = gateway.now();
-    let tokens = with_holding(gateway, request.workspace, |_, holding| {
-        holding.withdraw_ahead(request.wish, refill.rate, now)
-    });
-    let target = TransferTarget {
-        address: sender,
-        incarnation: request.asker,
-    };
-    let tokens = tokens.filter(|tokens| !tokens.is_zero());
-    let transfer =
-        tokens.map(|tokens| register_transfer(gateway, target, request.workspace, tokens));
-    send_answer(gateway, sender, &request, transfer);
 }
 
 /// Reports this VM's use of a budget to its keeper.
@@ -305,39 +205,12 @@
         })
         .filter_map(|(address, free)| {
             let held = free.by_workspace.iter().find(|(id, _)| *id == hash)?;
-            (!held.1.is_zero()).then_some((held.1, *address))
+            Some((held.1, *address))
         })
         .max()
         .map(|(_, address)| address)
 }
 
-/// Deducts tokens from those that a VM announced, since it has given them or has none left.
-pub fn deduct_announced(gateway: &Gateway, vm: SocketAddr, workspace: u64, tokens: TokenCount) {
-    let mut announced = gateway.peer_free_tokens.borrow_mut();
-    let Some(free) = announced.get_mut(&vm) else {
-        return;
-    };
-    let mut budgets = free.by_workspace.iter_mut();
-    if let Some((_, left)) = budgets.find(|(id, _)| *id == workspace) {
-        *left = left.saturating_sub(tokens);
-    }
-}
-
-/// Returns the most free tokens that another VM announced, with the age of the announcement, for
-/// the log.
-pub fn newest_announcement(gateway: &Gateway, workspace: &WorkspaceId, now: Instant) -> String {
-    let hash = stable_hash(workspace.as_str());
-    let Some(vm) = peer_with_most_free(gateway, workspace, &[], now) else {
-        return "none".to_owned();
-    };
-    let announced = gateway.peer_free_tokens.borrow();
-    let free = &announced[&vm];
-    let held = free.by_workspace.iter().find(|(id, _)| *id == hash);
-    let tokens = held.map_or(0, |(_, tokens)| tokens.0);
-    let age = now.saturating_duration_since(free.at).as_millis();
-    format!("{vm}={tokens},age_ms={age}")
-}
-
 /// Handles a token request of another VM: answers it or queues it for a grant.
 pub fn handle_token_request(gateway: &Gateway, sender: SocketAddr, request: TokenRequest) {
     if !gateway
@@ -449,15 +322,6 @@
         request.need,
         request.wish,
     );
-    send_answer(gateway, sender, request, transfer);
-}
-
-fn send_answer(
-    gateway: &Gateway,
-    sender: SocketAddr,
-    request: &TokenRequest,
-    transfer: Option<TokenTransfer>,
-) {
     let outcome = match transfer {
         Some(_) => TokenRequestOutcome::Given,
         None if gateway.store_contact.get().is_failing() || is_restricted(gateway, request) => {
@@ -482,10 +346,8 @@
         });
     }
     if let Some(transfer) = answer.transfer {
-        deduct_announced(gateway, sender, transfer.workspace, transfer.tokens);
         handle_transfer(gateway, sender, transfer);
     }
-    gateway.token_questions.borrow_mut().end(answer.number);
     let pending = gateway
         .pending_token_requests
         .borrow_mut()
--- a/lib/gateway/src/transfer.rs
+++ b/lib/gateway/src/transfer.rs
@@ -142,22 +142,11 @@
 ) -> Option<TokenTransfer> {
     let now = gateway.now();
     let tokens = with_holding(gateway, workspace, |_, holding| {
-        match gateway.store_contact.get().is_failing() {
-            true => holding.withdraw_in_outage(need, wish, now),
-            false => holding.withdraw(need, wish, now),
-        }
+        holding.withdraw(need, wish, now)
     })?;
-    (!tokens.is_zero()).then(|| register_transfer(gateway, target, workspace, tokens))
-}
-
-/// Starts a transfer of tokens that this VM has deducted from its holding.
-pub fn register_transfer(
-    gateway: &Gateway,
-    target: TransferTarget,
-    workspace: u64,
-    tokens: TokenCount,
-) -> TokenTransfer {
-    let now = gateway.now();
+    if tokens.is_zero() {
+        return None;
+    }
     let mut log = gateway.transfers.borrow_mut();
     let transfer = TokenTransfer {
         giver: gateway.incarnation,
@@ -176,7 +165,7 @@
     gateway.transfer_notify.notify_one();
     gateway.metrics.count("budget.transfer_given");
     log_transfer(gateway, "tokens handed over", target.address, &transfer);
-    transfer
+    Some(transfer)
 }
 
 /// Transfers tokens to another VM without a request from it.
