evacuation: an end after a return of the store is not undone by a VM that still waits

After the store came back from an older copy, a VM whose own two seconds were not over took its own state for what the store had shown, and announced the evacuation again with a later position; the VM that had ended it believed that, and both kept it for good. Found by a reading of the change. Test: end_after_a_return_is_not_undone_by_a_vm_that_still_waits fails before and passes now; the other nine of test_evacuation_table pass.

--- a/lib/gateway/src/evacuation/table.rs
+++ b/lib/gateway/src/evacuation/table.rs
@@ -17,8 +17,8 @@
 
 use crate::gossip::ANNOUNCE_PERIOD;
 
-/// How long a listing after the store came back from an older copy has to lack an evacuation
-/// before this ends. Operators write what the copy lacks again within that time.
+/// After the store came back from an older copy, an evacuation ends once the store has lacked its
+/// key for this time. Operators write missing keys again within it.
 const RETURN_PERIOD: Duration = Duration::from_secs(2);
 
 /// Number of data centres from which on those that are not evacuated are forgotten.
@@ -167,7 +167,7 @@
 
     /// Applies what another VM tells.
     ///
-    /// What is outdated is answered by announcing what this VM knows.
+    /// If the state is outdated, this VM announces its newer one.
     pub fn apply_announced(
         &mut self,
         state: &EvacuationState,
@@ -184,6 +184,11 @@
         let Some(through) = self.known_through else {
             return self.store(state, None, now);
         };
+        let is_absent = known.is_some_and(|known| known.absent_since.is_some());
+        if state.revision.era == through.era && is_absent && !state.is_evacuated {
+            // The store has shown this VM only that the key is missing, so the other VM's end holds.
+            return self.store(state, None, now);
+        }
         if state.revision.era == through.era && state.revision <= through {
             let is_evacuated = known.is_some_and(|known| known.is_evacuated);
             if is_evacuated != state.is_evacuated {
--- a/lib/gateway/tests/test_evacuation_table.rs
+++ b/lib/gateway/tests/test_evacuation_table.rs
@@ -174,6 +174,24 @@
     assert!(!is_evacuated(&returned_twice));
 }
 
+/// One VM ends an evacuation that the store lacks while another one, which has read further, still
+/// waits. If that one took its own state for what the store shows, both would keep it for good.
+#[test]
+fn end_after_a_return_is_not_undone_by_a_vm_that_still_waits() {
+    let now = Instant::now();
+    let mut first = listed(Some(at(50)), at(60), now);
+    first.apply_listing(&[], after_return(51), now);
+    let mut second = listed(Some(at(50)), at(60), now);
+    second.apply_listing(&[], after_return(52), now + Duration::from_millis(500));
+    let later = now + AFTER_RETURN;
+    first.confirm(after_return(51), later);
+    assert!(!is_evacuated(&first));
+    exchange(&first, &mut second, true, later);
+    exchange(&second, &mut first, true, later);
+    assert!(!is_evacuated(&second));
+    assert!(!is_evacuated(&first));
+}
+
 /// A removal that was written after the return is the operator's, and holds at once.
 #[test]
 fn evacuation_taken_back_after_the_return_ends_at_once() {
