--- a/lib/gateway/src/budget_keeper/missed_end.rs
+++ b/lib/gateway/src/budget_keeper/missed_end.rs
@@ -14,6 +14,7 @@
 use snipegate_platform::StoreRevision;
 
 use super::ShardWorker;
+use crate::budget_exchange::SHARDS;
 use crate::budget_exchange::remote_duty_holder;
 use crate::budget_shard::BudgetShard;
 use crate::gateway::Gateway;
@@ -33,6 +34,10 @@
 
 /// Records the end of another VM's process.
 pub fn handle_shard_end(gateway: &Gateway, sender: SocketAddr, end: ShardEnd) {
+    if end.shard >= SHARDS {
+        gateway.metrics.count("gossip.malformed");
+        return;
+    }
     let mut ends = gateway.shard_ends.borrow_mut();
     let known = ends.entry(end.shard).or_default();
     *known = (*known).max(end.revision);
--- a/lib/gateway/src/cold/cold_limit.rs
+++ b/lib/gateway/src/cold/cold_limit.rs
@@ -8,8 +8,8 @@
 use crate::rate_share::own_share_among;
 use crate::send_pacer::PacedShare;
 
-/// Fraction of their part of the rate that VMs send which are too few to provide one of the
-/// senders. Each such part has a sender of its own, and those don't know each other's times.
+/// Fraction of its share of the rate that a partition uses if it is too small to have one of the
+/// senders. Each small partition has a sender of its own, and these are not coordinated.
 const ISOLATED_RATE_FRACTION: f64 = 0.5;
 
 /// Limit on the requests that all VMs together send to a cold upstream.
--- a/lib/gateway/src/cold/cold_table.rs
+++ b/lib/gateway/src/cold/cold_table.rs
@@ -35,8 +35,8 @@
 /// Longest time that an upstream counts as cold without new information.
 const MAX_COLD_TIME: Duration = Duration::from_secs(3600);
 
-/// Priority from which requests use a free send to a cold upstream at once, though a warm
-/// one is free; more urgent requests leave it to these for up to one spacing.
+/// Requests of this priority or a less urgent one use a permitted send to a cold upstream at once,
+/// even if a warm one is free. More urgent ones leave it unused for up to one spacing.
 const PATIENT_PRIORITY: u8 = 2;
 
 /// An upstream that began or ceased to count as cold.
--- a/lib/gateway/src/directory/choice.rs
+++ b/lib/gateway/src/directory/choice.rs
@@ -26,8 +26,8 @@
 /// While this share of the capacity of the caller's data centre is free, no other one is named.
 const SUFFICIENT_SHARE: f64 = 1.0 / 3.0;
 
-/// At this free share VMs of other data centres have their full weight. In between, the
-/// weight grows evenly: a sudden one would send all callers there and back.
+/// At or below this free share, VMs of other data centres have their full weight. Between the two
+/// shares the weight is linear, since a step would make callers oscillate between data centres.
 const SCARCE_SHARE: f64 = 1.0 / 6.0;
 
 /// Weight of VMs of other data centres, in relation to those of the caller's.
--- a/lib/gateway/src/placement.rs
+++ b/lib/gateway/src/placement.rs
@@ -151,7 +151,8 @@
     let queued = total.unread + uncached;
     let fixed = REQUEST_OVERHEAD_TOKENS + TOKENS_PER_RUNNING_REQUEST * f64::from(total.running);
     let expected = load.ms_per_token() * (queued as f64 + fixed);
-    // A copy at a home of the prompt's beginning spares later requests as much delay.
+    // Prefilling the prompt's beginning at a home saves later requests that work, so their delay
+    // is not charged to this one.
     let charged = uncached.saturating_sub(sampled.home_tokens.saturating_sub(cached));
     let prefill_penalty = load.ms_per_token() * (PREFILL_WEIGHT - 1.0) * charged as f64;
     let cost = expected + prefill_penalty + adjusted;
--- a/lib/gateway/src/placement/sample.rs
+++ b/lib/gateway/src/placement/sample.rs
@@ -28,8 +28,8 @@
 /// is for other prompts and for changes of the load.
 const MAX_SHARE_OF_ONE_BEGINNING: f64 = 0.35;
 
-/// A candidate and what it is to the request's beginning.
-struct Copy {
+/// A candidate with its cached tokens and its rendezvous weight for the prompt's beginning.
+struct HolderCandidate {
     at: usize,
     cached: u64,
     weight: u64,
@@ -116,11 +116,11 @@
     wanted: usize,
 ) -> Vec<(usize, bool)> {
     let prefixes: Vec<u64> = prefix_ids(&prompt.parts).collect();
-    let mut copies: Vec<Copy> = Vec::with_capacity(candidates.len());
+    let mut copies: Vec<HolderCandidate> = Vec::with_capacity(candidates.len());
     for (at, entry) in candidates.iter().enumerate() {
         let load = table.get(&entry.id);
         let name_hash = load.map_or_else(|| stable_hash(entry.id.as_str()), |load| load.name_hash);
-        copies.push(Copy {
+        copies.push(HolderCandidate {
             at,
             cached: load.map_or(0, |load| load.cache.cached_tokens(&prefixes, &prompt.parts)),
             weight: rendezvous_weight(beginning.id, name_hash),
@@ -131,7 +131,7 @@
     if wanted < copies.len() {
         copies.select_nth_unstable_by_key(wanted, |copy| std::cmp::Reverse(copy.weight));
     }
-    let is_copy = |(rank, copy): &(usize, Copy)| {
+    let is_copy = |(rank, copy): &(usize, HolderCandidate)| {
         *rank < wanted || (copy.cached >= beginning.tokens.max(1) && copy.cached == most_cached)
     };
     let copies = copies.into_iter().enumerate();
--- a/lib/gateway/src/relay/choice.rs
+++ b/lib/gateway/src/relay/choice.rs
@@ -7,6 +7,7 @@
 use super::Relay;
 use crate::allowed_regions::AllowedRegions;
 use crate::cold::SendLimits;
+use crate::config::FleetConfig;
 use crate::placement::PlacementChoice;
 use crate::placement::PlacementQuery;
 use crate::placement::choose;
@@ -47,7 +48,12 @@
     /// it may have changed since the request was admitted.
     pub(super) fn allowed_regions(&self) -> AllowedRegions {
         let admission = self.admission;
-        let current = self.gateway.current_config();
+        // A workspace that was removed since keeps the regions that it had.
+        let knows_workspace = |config: &Rc<FleetConfig>| {
+            let mut workspace = admission.workspace.iter();
+            workspace.all(|id| config.workspaces.contains_key(id))
+        };
+        let current = self.gateway.current_config().filter(knows_workspace);
         let config = current.unwrap_or_else(|| Rc::clone(&admission.config));
         let head = &self.request.head;
         let host = head.headers.get("host").unwrap_or_default();
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -292,7 +292,7 @@
             }
         };
         // Once an upstream is warm, more is served than the schedule allows for.
-        let warm_at = limits.next_warm_at(upstreams.ready(&self.service), now);
+        let warm_at = limits.next_warm_at(usable.iter().copied(), now);
         let wait = warm_at.map_or(wait, |at| {
             let spread = jitter(UNAVAILABLE_RETRY_AFTER);
             wait.min(at.saturating_duration_since(now) + spread)
--- a/lib/gateway/src/room/announce.rs
+++ b/lib/gateway/src/room/announce.rs
@@ -20,7 +20,7 @@
 /// on a saturated link.
 const CHANGE_REPEATS: u32 = 2;
 
-/// Interval between these.
+/// Interval between the repeated notices of a change.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Sends notices until the process ends.
--- a/lib/gateway/src/room/offer.rs
+++ b/lib/gateway/src/room/offer.rs
@@ -89,17 +89,17 @@
         let usable = room.usable_link().0;
         let capacity = by_processor.min(by_link(usable));
         let free = by_processor.min(by_link((usable - room.load.traffic().0).max(0.0)));
-        steady(&mut self.offer.capacity, capacity);
+        update_announced(&mut self.offer.capacity, capacity);
         let free_share = f64::from(room.load.free.least());
         self.free += (free * free_share - self.free) * weight;
-        steady(&mut self.offer.free, self.free);
+        update_announced(&mut self.offer.free, self.free);
     }
 }
 
-/// Replaces a rate that is told by one that differs from it enough.
-fn steady(told: &mut RequestRate, rate: f64) {
-    let is_steady = rate <= told.0 * STEADY_FACTOR && rate >= told.0 / STEADY_FACTOR;
+/// Sets the announced rate if the new one differs from it by more than [`STEADY_FACTOR`].
+fn update_announced(announced: &mut RequestRate, rate: f64) {
+    let is_steady = rate <= announced.0 * STEADY_FACTOR && rate >= announced.0 / STEADY_FACTOR;
     if !is_steady {
-        *told = RequestRate(rate);
+        *announced = RequestRate(rate);
     }
 }
--- a/lib/gateway/src/room/readiness.rs
+++ b/lib/gateway/src/room/readiness.rs
@@ -60,8 +60,8 @@
     KeptReady(VmOverload),
     /// The hold has ended, so the VM is ready.
     HoldEnded,
-    /// VMs that are overloaded themselves need the VM's place among those that may be not ready,
-    /// so it is ready.
+    /// The number of VMs that may be not ready is limited and overloaded VMs take precedence, so
+    /// this one is ready.
     Released,
     /// The VM hears no ready one that could take its callers, so it is ready.
     NoOtherVm,
--- a/lib/gateway/src/room/recent_load.rs
+++ b/lib/gateway/src/room/recent_load.rs
@@ -14,8 +14,8 @@
 /// Time in which the weight of a sample decays to 1/e.
 const DECAY_TIME: Duration = Duration::from_secs(2);
 
-/// Time that one tally of the highest traffic covers; the tally before it counts as well. It
-/// is longer than the waves in which callers' load comes.
+/// Window of the highest traffic; the window before it counts as well. It is longer than the
+/// period of the usual fluctuations of the load.
 const PEAK_PERIOD: Duration = Duration::from_secs(20);
 
 /// Free shares of what a VM can run out of, from 0 to 1.
--- a/lib/gateway/src/send_pacer.rs
+++ b/lib/gateway/src/send_pacer.rs
@@ -20,7 +20,7 @@
     until: Instant,
 }
 
-/// A VM's share of a limit, and how much of the first spacing it waits before its first send.
+/// A VM's share of a limit, and the delay of its first send as a fraction of the spacing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PacedShare {
     /// The share.
--- a/lib/gateway/src/store_news/news_inbox.rs
+++ b/lib/gateway/src/store_news/news_inbox.rs
@@ -20,8 +20,8 @@
 /// of it arrived. A listing that may be stale costs a tenth and is tried first.
 const OMITTED_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Shortest time between two current listings because of missing news. It bounds what a VM
-/// with an implausible position costs the others.
+/// Shortest time between two current listings because of missing news. It limits the listings that a
+/// wrong position announced by another VM causes.
 const MIN_READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of messages that are kept. If there are more, the store is read.
