placement: shared observations of upstreams' speed, and slots and memory as limits

Cause: a VM judged an upstream by its own few requests, so one that turned slow while its health looked good was found late; slots and memory were not regarded.

Change, for services of more than 16 upstreams: VMs share decayed sums of expected and observed times to the first event (SpeedNotice and RelaySpeedNotice, at the end of PeerMessage). Beyond a slowness of 1.5 an upstream is scored as slower; above 3, or when more than half of its recent requests failed, it is left out and returns slowly. Requests beyond an upstream's places (slots, and 0.9 of its memory) count with an expected wait.

--- a/lib/gateway/src/gateway.rs
+++ b/lib/gateway/src/gateway.rs
@@ -427,6 +427,7 @@
                         "revision" => %revision);
                     self.pool.borrow_mut().forget(&entry.id);
                     self.set_cache_capacity(&entry.id, &entry.service);
+                    self.loads.borrow_mut().begin_run(&entry);
                 }
                 UpstreamChange::Left(id) => {
                     info!(self.log, "upstream left"; "upstream" => %id, "revision" => %revision);
--- a/lib/gateway/src/gossip.rs
+++ b/lib/gateway/src/gossip.rs
@@ -22,6 +22,9 @@
 
 use crate::budget_exchange::report_remaining;
 use crate::budget_exchange::scarce_budgets;
+use crate::expectation::SpeedNotice;
+use crate::expectation::announce_speeds;
+use crate::expectation::apply_speeds;
 use crate::feature_guard::apply_feature_news;
 use crate::feature_table::FeatureNews;
 use crate::gateway::Gateway;
@@ -157,6 +160,10 @@
     RoomNotice(Box<RoomNotice>),
     /// Like `RoomNotice`, to be relayed to the other VMs of the receiver's data centre.
     RelayRoomNotice(Box<RoomNotice>),
+    /// How fast upstreams answered the sender.
+    SpeedNotice(Box<SpeedNotice>),
+    /// Like `SpeedNotice`, to be relayed to the other VMs of the receiver's data centre.
+    RelaySpeedNotice(Box<SpeedNotice>),
 }
 
 /// Sends and receives messages over the VM's gossip socket until the process ends.
@@ -165,6 +172,7 @@
     let receiver = Rc::clone(&socket);
     tokio::task::spawn_local(receive_messages(Rc::clone(&gateway), receiver));
     tokio::task::spawn_local(announce_room(Rc::clone(&gateway), Rc::clone(&socket)));
+    tokio::task::spawn_local(announce_speeds(Rc::clone(&gateway), Rc::clone(&socket)));
     let mut number = 0;
     loop {
         let wake = timeout(MAX_GOSSIP_INTERVAL, gateway.gossip_notify.notified());
@@ -351,6 +359,12 @@
                 relay_message(&gateway, &socket, &relayed);
                 apply_notice(&gateway, *notice);
             }
+            Ok(PeerMessage::SpeedNotice(notice)) => apply_speeds(&gateway, &notice),
+            Ok(PeerMessage::RelaySpeedNotice(notice)) => {
+                let relayed = PeerMessage::SpeedNotice(notice.clone());
+                relay_message(&gateway, &socket, &relayed);
+                apply_speeds(&gateway, &notice);
+            }
             Ok(PeerMessage::TokenRequest(request)) => {
                 handle_token_request(&gateway, sender, request)
             }
--- a/lib/gateway/src/load.rs
+++ b/lib/gateway/src/load.rs
@@ -9,11 +9,19 @@
 use serde::Serialize;
 use snipegate_types::UpstreamId;
 
+use crate::config::ServiceName;
+use crate::expectation::ReturnShare;
+use crate::expectation::ServiceFit;
+use crate::expectation::SpeedSums;
+use crate::expectation::SpeedTable;
+use crate::expectation::UpstreamSlowness;
 use crate::gateway::stable_hash;
 use crate::metadata::PromptPart;
 use crate::placement::BeginningDemand;
+use crate::placement::PlacementChoice;
 use crate::placement::SharedBeginning;
 use crate::prompt_cache::PromptCache;
+use crate::upstream::UpstreamEntry;
 
 /// How long a load report from another VM remains valid.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1500);
@@ -177,6 +185,8 @@
     upstreams: IndexMap<UpstreamId, UpstreamLoad>,
     cache_capacity: IndexMap<UpstreamId, u64>,
     demand: BeginningDemand,
+    speeds: SpeedTable,
+    fits: IndexMap<ServiceName, ServiceFit>,
     /// Time to first byte per token over all upstreams, in ms.
     mean_ms_per_token: f64,
 }
@@ -187,6 +197,8 @@
             upstreams: IndexMap::new(),
             cache_capacity: IndexMap::new(),
             demand: BeginningDemand::default(),
+            speeds: SpeedTable::default(),
+            fits: IndexMap::new(),
             mean_ms_per_token: INITIAL_MS_PER_TOKEN,
         }
     }
@@ -208,6 +220,137 @@
         self.upstreams.get(id)
     }
 
+    /// Returns the capacity of an upstream's prompt cache; 0 if unknown.
+    pub fn cache_capacity(&self, id: &UpstreamId) -> u64 {
+        self.cache_capacity.get(id).copied().unwrap_or_default()
+    }
+
+    /// Returns the averages of a service.
+    pub fn fit(&self, service: &str) -> ServiceFit {
+        self.fits.get(service).copied().unwrap_or_default()
+    }
+
+    fn fit_mut(&mut self, service: &ServiceName) -> &mut ServiceFit {
+        if !self.fits.contains_key(service) {
+            self.fits.insert(service.clone(), ServiceFit::default());
+        }
+        &mut self.fits[service]
+    }
+
+    /// Returns how slow an upstream is; `None` if nothing is known.
+    pub fn slowness(&self, name_hash: u64, now: Instant) -> Option<UpstreamSlowness> {
+        self.speeds.slowness(name_hash, now)
+    }
+
+    /// Returns whether some upstream is left out or returns.
+    pub fn limits_any(&self) -> bool {
+        self.speeds.limits_any()
+    }
+
+    /// Returns whether a request may go to an upstream, by how it recently answered. `point` is
+    /// random in `0.0..1.0`.
+    pub fn admits(&self, id: &UpstreamId, point: f64, now: Instant) -> bool {
+        let Some(load) = self.get(id) else {
+            return true;
+        };
+        match self.speeds.return_share(load.name_hash) {
+            ReturnShare::Full => true,
+            share => share.admits(load.total(now).running, point, now),
+        }
+    }
+
+    /// Begins a run of an upstream; what was observed of an earlier one is dropped.
+    pub fn begin_run(&mut self, entry: &UpstreamEntry) {
+        let name_hash = stable_hash(entry.id.as_str());
+        self.speeds.begin_run(name_hash, entry.started_ms);
+    }
+
+    /// Has the speed of a service's upstreams judged from now on.
+    pub fn begin_judging(&mut self, service: &ServiceName) {
+        if !self.fits.get(service).is_some_and(|fit| fit.is_judged) {
+            self.fit_mut(service).is_judged = true;
+        }
+    }
+
+    /// Records a prompt that is sent to an upstream of a service.
+    pub fn record_prompt(&mut self, service: &ServiceName, tokens: u64) {
+        self.fit_mut(service).record_prompt(tokens);
+    }
+
+    /// Records how long a request was outstanding.
+    pub fn record_residence(&mut self, service: &ServiceName, span: Duration) {
+        let residence_ms = span.as_secs_f64() * 1e3;
+        self.fit_mut(service).record_residence(residence_ms);
+    }
+
+    /// Records the time to the first event of a request. Returns the new state of the upstream if
+    /// it is now left out or returns.
+    pub fn record_speed(
+        &mut self,
+        entry: &UpstreamEntry,
+        choice: &PlacementChoice,
+        span: Duration,
+        now: Instant,
+    ) -> Option<ReturnShare> {
+        let fit = self.fit_mut(&entry.service);
+        if !fit.is_judged {
+            return None;
+        }
+        let observed_ms = span.as_secs_f64() * 1e3;
+        let wait_ms = choice.wait.as_secs_f64() * 1e3;
+        let (tokens, running) = (choice.unread_tokens as f64, choice.running);
+        let expected_ms = fit.first_event.expected_ms(tokens, running) + wait_ms;
+        if choice.wait.is_zero() {
+            fit.first_event.record(tokens, running, observed_ms);
+        }
+        let name_hash = stable_hash(entry.id.as_str());
+        self.speeds.record(name_hash, expected_ms, observed_ms, now)
+    }
+
+    /// Stores what another VM observed of an upstream's speed. Returns the new state if the
+    /// upstream is now left out or returns.
+    pub fn record_peer_speed(
+        &mut self,
+        id: &UpstreamId,
+        peer: u64,
+        sums: SpeedSums,
+        now: Instant,
+    ) -> Option<ReturnShare> {
+        let name_hash = stable_hash(id.as_str());
+        self.speeds.record_peer(name_hash, peer, sums, now)
+    }
+
+    /// Takes what this VM observed of upstreams' speed since the last call.
+    pub fn take_speed_news(&mut self) -> Vec<(UpstreamId, SpeedSums)> {
+        let news = self.speeds.take_news();
+        let id_of = |name_hash: u64| {
+            let mut known = self.upstreams.iter();
+            let found = known.find(|(_, load)| load.name_hash == name_hash);
+            found.map(|(id, _)| id.clone())
+        };
+        let known = news
+            .into_iter()
+            .filter_map(|(name_hash, sums)| Some((id_of(name_hash)?, sums)));
+        known.collect()
+    }
+
+    /// Leaves an upstream out for a while if most of its recent requests failed. Returns its new
+    /// state then.
+    pub fn judge_failures(
+        &mut self,
+        service: &str,
+        id: &UpstreamId,
+        now: Instant,
+    ) -> Option<ReturnShare> {
+        if !self.fit(service).is_judged {
+            return None;
+        }
+        let load = self.upstreams.get(id)?;
+        let failed_share = load.outcomes(now).failed_share();
+        self.speeds
+            .record_failures(load.name_hash, failed_share, now)
+    }
+
     /// Records a prompt that this or another VM placed.
     pub fn record_placed(&mut self, id: &UpstreamId, parts: &[PromptPart], now: Instant) {
         self.entry(id, now).cache.record(parts, now);
@@ -234,6 +377,7 @@
     /// Removes an upstream, unless this VM still has work there.
     pub fn forget(&mut self, id: &UpstreamId) {
         self.cache_capacity.shift_remove(id);
+        self.speeds.forget(stable_hash(id.as_str()));
         let idle = |load: &UpstreamLoad| load.own == WorkLoad::default();
         if self.upstreams.get(id).is_some_and(idle) {
             self.upstreams.shift_remove(id);
@@ -279,6 +423,10 @@
         }
         load.outcomes = outcomes;
         load.outcomes_at = now;
+        if good {
+            let name_hash = load.name_hash;
+            self.speeds.record_good_answer(name_hash, now);
+        }
     }
 
     /// Records the time to first byte of a prompt with `tokens` to be processed before it.
--- a/lib/gateway/src/placement/sample.rs
+++ b/lib/gateway/src/placement/sample.rs
@@ -14,6 +14,7 @@
 use crate::gateway::stable_hash;
 use crate::load::LoadTable;
 use crate::metadata::PromptShape;
+use crate::prompt_cache::PromptCache;
 use crate::prompt_cache::prefix_ids;
 use crate::upstream::UpstreamEntry;
 
@@ -28,10 +29,19 @@
 /// is for other prompts and for changes of the load.
 const MAX_SHARE_OF_ONE_BEGINNING: f64 = 0.35;
 
+/// What an upstream holds of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Holding {
+    Less,
+    Beginning,
+    /// Also the part that belongs to the request or its session.
+    All,
+}
+
 /// A candidate and what it is to the request's beginning.
 struct Copy {
     at: usize,
-    cached: u64,
+    holding: Holding,
     weight: u64,
 }
 
@@ -115,24 +125,29 @@
     beginning: SharedBeginning,
     wanted: usize,
 ) -> Vec<(usize, bool)> {
-    let prefixes: Vec<u64> = prefix_ids(&prompt.parts).collect();
+    let whole = prefix_ids(&prompt.parts).last();
+    let find_holding = |cache: &PromptCache| match whole {
+        _ if !cache.contains(beginning.id) => Holding::Less,
+        Some(whole) if cache.contains(whole) => Holding::All,
+        _ => Holding::Beginning,
+    };
     let mut copies: Vec<Copy> = Vec::with_capacity(candidates.len());
     for (at, entry) in candidates.iter().enumerate() {
         let load = table.get(&entry.id);
         let name_hash = load.map_or_else(|| stable_hash(entry.id.as_str()), |load| load.name_hash);
         copies.push(Copy {
             at,
-            cached: load.map_or(0, |load| load.cache.cached_tokens(&prefixes, &prompt.parts)),
+            holding: load.map_or(Holding::Less, |load| find_holding(&load.cache)),
             weight: rendezvous_weight(beginning.id, name_hash),
         });
     }
-    let most_cached = copies.iter().map(|copy| copy.cached).max().unwrap_or(0);
+    let most = copies.iter().map(|copy| copy.holding).max();
     let wanted = wanted.min(copies.len());
     if wanted < copies.len() {
         copies.select_nth_unstable_by_key(wanted, |copy| std::cmp::Reverse(copy.weight));
     }
     let is_copy = |(rank, copy): &(usize, Copy)| {
-        *rank < wanted || (copy.cached >= beginning.tokens.max(1) && copy.cached == most_cached)
+        *rank < wanted || (copy.holding > Holding::Less && Some(copy.holding) == most)
     };
     let copies = copies.into_iter().enumerate();
     copies
--- a/lib/gateway/src/prompt_cache.rs
+++ b/lib/gateway/src/prompt_cache.rs
@@ -40,12 +40,9 @@
             .sum()
     }
 
-    /// Like [`Self::cached_prefix_tokens`], of a prompt whose prefix ids are known.
-    pub fn cached_tokens(&self, prefixes: &[u64], parts: &[PromptPart]) -> u64 {
-        let cached = prefixes
-            .iter()
-            .take_while(|prefix_id| self.parts.contains_key(*prefix_id));
-        cached.zip(parts).map(|(_, part)| part.tokens).sum()
+    /// Returns whether the last part of a prefix is cached, given the id of the prefix.
+    pub fn contains(&self, prefix_id: u64) -> bool {
+        self.parts.contains_key(&prefix_id)
     }
 
     /// Adds the parts of a prompt and evicts the least recently used parts beyond the
--- a/lib/gateway/src/relay.rs
+++ b/lib/gateway/src/relay.rs
@@ -251,8 +251,12 @@
         entry: &UpstreamEntry,
         choice: &PlacementChoice,
     ) -> Result<SendOutcome, CallerDisconnected> {
-        let load_guard =
-            LoadGuard::new(self.gateway, choice, self.request.metadata.prompt.as_ref());
+        let load_guard = LoadGuard::new(
+            self.gateway,
+            entry,
+            choice,
+            self.request.metadata.prompt.as_ref(),
+        );
         let response = match self.await_head(entry).await {
             Ok(response) => response,
             Err(failure) => return Ok(SendOutcome::Broken(failure)),
--- a/lib/gateway/src/relay/outcome.rs
+++ b/lib/gateway/src/relay/outcome.rs
@@ -19,6 +19,7 @@
 use crate::crash_probe::UnansweredRequest;
 use crate::crash_probe::may_be_crash;
 use crate::crash_probe::record_broken_request;
+use crate::expectation::log_return_share;
 use crate::feature_guard::record_answer_begun;
 use crate::feature_guard::refuse_features;
 use crate::local_response::jitter;
@@ -53,6 +54,9 @@
         let elapsed = now.saturating_duration_since(load_guard.placed_at);
         let mut loads = self.gateway.loads.borrow_mut();
         loads.record_first_byte(&entry.id, choice.queued_tokens, elapsed, now);
+        let change = loads.record_speed(entry, choice, elapsed, now);
+        drop(loads);
+        log_return_share(self.gateway, &entry.id, change, "own");
         self.gateway.metrics.record_timing("first_byte", elapsed);
     }
 
@@ -135,10 +139,13 @@
         };
         if let Some(good) = good {
             let now = self.gateway.now();
-            self.gateway
-                .loads
-                .borrow_mut()
-                .record_outcome(id, good, now);
+            let mut loads = self.gateway.loads.borrow_mut();
+            loads.record_outcome(id, good, now);
+            let change = (!good)
+                .then(|| loads.judge_failures(&self.service, id, now))
+                .flatten();
+            drop(loads);
+            log_return_share(self.gateway, id, change, "failures");
             self.gateway.gossip_notify.notify_one();
         }
         let Some(reason) = reason else {
--- a/lib/gateway/src/request_guards.rs
+++ b/lib/gateway/src/request_guards.rs
@@ -9,16 +9,20 @@
 use snipegate_types::UpstreamId;
 use snipegate_types::WorkspaceId;
 
+use crate::config::ServiceName;
 use crate::gateway::Gateway;
 use crate::gossip::PlacedPrompt;
 use crate::metadata::PromptShape;
 use crate::placement::PlacementChoice;
+use crate::upstream::UpstreamEntry;
 use crate::upstream::upstream_code;
 
 /// Counts a request as outstanding at an upstream until it is dropped.
 pub struct LoadGuard {
     gateway: Rc<Gateway>,
     upstream: UpstreamId,
+    /// Service of the upstream, if the request is a generation.
+    service: Option<ServiceName>,
     uncached_tokens: Cell<u64>,
     /// When the upstream was selected.
     pub placed_at: Instant,
@@ -28,15 +32,18 @@
     /// Counts a request as outstanding at the selected upstream.
     pub fn new(
         gateway: &Rc<Gateway>,
+        entry: &UpstreamEntry,
         choice: &PlacementChoice,
         prompt: Option<&PromptShape>,
     ) -> Self {
         let now = gateway.now();
         let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-        gateway
-            .loads
-            .borrow_mut()
-            .begin(&choice.id, choice.uncached_tokens, parts, now);
+        let mut loads = gateway.loads.borrow_mut();
+        loads.begin(&choice.id, choice.uncached_tokens, parts, now);
+        if let Some(prompt) = prompt {
+            loads.record_prompt(&entry.service, prompt.input.0);
+        }
+        drop(loads);
         if !parts.is_empty() {
             gateway.placed.borrow_mut().push(PlacedPrompt {
                 upstream: upstream_code(&choice.id),
@@ -47,6 +54,7 @@
         Self {
             gateway: Rc::clone(gateway),
             upstream: choice.id.clone(),
+            service: prompt.map(|_| entry.service.clone()),
             uncached_tokens: Cell::new(choice.uncached_tokens),
             placed_at: now,
         }
@@ -67,7 +75,14 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.record_prefill_finished();
-        self.gateway.loads.borrow_mut().end(&self.upstream);
+        let mut loads = self.gateway.loads.borrow_mut();
+        loads.end(&self.upstream);
+        if let Some(service) = &self.service {
+            let now = self.gateway.now();
+            let residence = now.saturating_duration_since(self.placed_at);
+            loads.record_residence(service, residence);
+        }
+        drop(loads);
         self.gateway.gossip_notify.notify_one();
     }
 }
--- a/lib/gateway/tests/placement_simulation/mod.rs
+++ b/lib/gateway/tests/placement_simulation/mod.rs
@@ -10,6 +10,7 @@
 use snipegate_gateway::LoadTable;
 use snipegate_gateway::PromptPart;
 use snipegate_gateway::PromptShape;
+use snipegate_gateway::SpeedSums;
 use snipegate_gateway::UpstreamEntry;
 use snipegate_gateway::UpstreamPhase;
 use snipegate_gateway::UpstreamReport;
@@ -18,9 +19,11 @@
 use snipegate_gateway::placement::choose;
 use snipegate_types::PartId;
 use snipegate_types::TokenCount;
+use snipegate_types::UpstreamId;
 
 const VMS: usize = 48;
 const GOSSIP_INTERVAL_US: u64 = 210_000;
+const SPEED_NOTICE_INTERVAL_US: u64 = 1_000_000;
 const SECOND_US: f64 = 1e6;
 
 /// What is played.
@@ -54,6 +57,7 @@
 
 /// A request that was answered.
 pub struct Played {
+    pub sent: f64,
     pub upstream: usize,
     pub first_event_ms: f64,
     pub goal_ms: f64,
@@ -121,7 +125,12 @@
     Delivery(usize, usize, usize),
 }
 
-type Message = (Vec<(usize, UpstreamReport)>, Vec<(usize, Vec<PromptPart>)>);
+/// What a VM sends to the others.
+struct Message {
+    reports: Vec<(usize, UpstreamReport)>,
+    placed: Vec<(usize, Vec<PromptPart>)>,
+    speeds: Vec<(UpstreamId, SpeedSums)>,
+}
 
 const SLOTS: u32 = 48;
 const PREFILL_TOKENS_PER_MS: f64 = 92.0;
@@ -177,11 +186,9 @@
     )
 }
 
-/// Plays the load and returns the answered requests.
-pub fn play(what: &Play) -> Vec<Played> {
-    fastrand::seed(11);
-    let start = Instant::now();
-    let entries: Vec<UpstreamEntry> = (0..what.upstreams)
+/// Returns the entries of a service's upstreams.
+pub fn upstreams(count: usize) -> Vec<UpstreamEntry> {
+    (0..count)
         .map(|number| UpstreamEntry {
             id: format!("u-{number}").parse().expect("a name"),
             service: "llm".into(),
@@ -192,8 +199,47 @@
             slots: SLOTS,
             cold_left: Duration::ZERO,
         })
-        .collect();
-    let position = |id: &snipegate_types::UpstreamId| {
+        .collect()
+}
+
+/// Returns a long prompt; those of the same topic have the same beginning.
+pub fn long_prompt(topic: u64) -> PromptShape {
+    let parts: Vec<PromptPart> = [(1, 2300), (100 + topic, 4000), (1_000_000, 2890)]
+        .map(|(id, tokens)| PromptPart {
+            id: PartId(id),
+            tokens,
+        })
+        .to_vec();
+    let input = TokenCount(parts.iter().map(|part| part.tokens).sum());
+    PromptShape {
+        input,
+        max_output: TokenCount(200),
+        parts,
+    }
+}
+
+/// Places a prompt.
+pub fn choose_for(
+    table: &mut LoadTable,
+    entries: &[UpstreamEntry],
+    shape: &PromptShape,
+    now: Instant,
+) -> PlacementChoice {
+    let query = PlacementQuery {
+        prompt: Some(shape),
+        tried: &[],
+        rate_limited: &[],
+        data_centre: &"z1".parse().expect("a name"),
+    };
+    choose(table, entries.iter(), &query, now).expect("one")
+}
+
+/// Plays the load and returns the answered requests.
+pub fn play(what: &Play) -> Vec<Played> {
+    fastrand::seed(11);
+    let start = Instant::now();
+    let entries = upstreams(what.upstreams);
+    let position = |id: &UpstreamId| {
         entries
             .iter()
             .position(|entry| entry.id == *id)
@@ -222,7 +268,6 @@
             Event::Gossip(vm),
         )));
     }
-    let data_centre = "z1".parse().expect("a name");
     while let Some(Reverse((time, event))) = events.pop() {
         if time as f64 > what.seconds * SECOND_US {
             break;
@@ -240,13 +285,9 @@
                     parts: Vec::new(),
                     ..shape.clone()
                 };
-                let query = PlacementQuery {
-                    prompt: Some(if what.uses_parts { &shape } else { &unaware }),
-                    tried: &[],
-                    rate_limited: &[],
-                    data_centre: &data_centre,
-                };
-                let choice = choose(&mut tables[vm], entries.iter(), &query, now).expect("one");
+                let known = if what.uses_parts { &shape } else { &unaware };
+                let choice = choose_for(&mut tables[vm], &entries, known, now);
+                tables[vm].record_prompt(&entries[0].service, shape.input.0);
                 tables[vm].begin(&choice.id, choice.uncached_tokens, &shape.parts, now);
                 let at = position(&choice.id);
                 placed[vm].push((at, shape.parts.clone()));
@@ -273,7 +314,9 @@
                 table.prefill_finished(&request.choice.id, request.choice.uncached_tokens);
                 let queued = request.choice.queued_tokens;
                 table.record_first_byte(&request.choice.id, queued, waited, now);
+                table.record_speed(&entries[request.at], &request.choice, waited, now);
                 answered.push(Played {
+                    sent: request.sent as f64 / SECOND_US,
                     upstream: request.at,
                     first_event_ms: waited.as_secs_f64() * 1e3,
                     goal_ms: request.goal_ms,
@@ -286,7 +329,9 @@
             }
             Event::End(number) => {
                 let request = &requests[number];
+                let residence = Duration::from_micros(time - request.sent);
                 tables[request.vm].end(&request.choice.id);
+                tables[request.vm].record_residence(&entries[request.at].service, residence);
                 engines[request.at].running -= 1;
                 engines[request.at].resident -= request.shape.input.0;
                 started = Some(request.at);
@@ -295,7 +340,16 @@
                 let reports = tables[vm].own_reports(now);
                 let reports = reports.filter(|(_, report)| report.is_worth_reporting());
                 let reports = reports.map(|(id, report)| (position(id), report)).collect();
-                messages.push((reports, std::mem::take(&mut placed[vm])));
+                let mut speeds = Vec::new();
+                if time % SPEED_NOTICE_INTERVAL_US < GOSSIP_INTERVAL_US {
+                    speeds = tables[vm].take_speed_news();
+                }
+                let placed = std::mem::take(&mut placed[vm]);
+                messages.push(Message {
+                    reports,
+                    placed,
+                    speeds,
+                });
                 for to in (0..VMS).filter(|to| *to != vm) {
                     let delay = fastrand::u64(60_000..350_000);
                     let delivery = Event::Delivery(vm, to, messages.len() - 1);
@@ -304,13 +358,16 @@
                 events.push(Reverse((time + GOSSIP_INTERVAL_US, Event::Gossip(vm))));
             }
             Event::Delivery(from, to, number) => {
-                let (reports, placed) = &messages[number];
+                let message = &messages[number];
                 let table = &mut tables[to];
                 table.forget_peer(from as u64);
-                for (at, report) in reports {
+                for (at, report) in &message.reports {
                     table.record_peer_report(&entries[*at].id, from as u64, *report, now);
                 }
-                for (at, parts) in placed {
+                for (id, sums) in &message.speeds {
+                    table.record_peer_speed(id, from as u64, *sums, now);
+                }
+                for (at, parts) in &message.placed {
                     table.record_placed(&entries[*at].id, parts, now);
                 }
             }
--- a/lib/gateway/tests/test_uneven_upstreams.rs
+++ b/lib/gateway/tests/test_uneven_upstreams.rs
@@ -2,14 +2,27 @@
 
 mod placement_simulation;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use indexmap::IndexMap;
+use snipegate_gateway::LoadTable;
+use snipegate_gateway::ReturnShare;
+use snipegate_gateway::SpeedSums;
+use snipegate_gateway::SpeedTable;
+use snipegate_gateway::UpstreamReport;
+use snipegate_gateway::WorkLoad;
 
 use crate::placement_simulation::Play;
 use crate::placement_simulation::Played;
+use crate::placement_simulation::choose_for;
+use crate::placement_simulation::long_prompt;
 use crate::placement_simulation::play;
+use crate::placement_simulation::upstreams;
 
 /// Part of the shared tokens that may be processed again though some upstream holds them. 0.14
 /// was observed with candidates that were sampled without regard to who holds a beginning.
+const UPSTREAMS: usize = 48;
 const MAX_MISSED: f64 = 0.07;
 
 /// Prefill time of a long prompt's own tokens at an engine of the usual speed.
@@ -94,3 +107,105 @@
     );
     assert!(late_share(&played) < 0.01, "{}", late_share(&played));
 }
+
+/// Callers are late at an upstream that turns slow while it goes on answering, if each VM knows
+/// only its own few requests there.
+#[test]
+fn upstream_that_turns_slow_is_left_out_by_all_vms() {
+    let slow = Some((2.0, 12.0));
+    let played = play(&Play {
+        slow,
+        ..Play::default()
+    });
+    // Gossip and notices take up to 2 s, and the first slow answers as long again.
+    let later: Vec<&Played> = played.iter().filter(|request| request.sent > 5.0).collect();
+    let there = later.iter().filter(|request| request.upstream == 0).count();
+    assert!(
+        there * UPSTREAMS * 5 < later.len(),
+        "{there} of {}",
+        later.len()
+    );
+    assert!(late_share(&played) < 0.01, "{}", late_share(&played));
+}
+
+/// An upstream that answers five times as slowly goes on getting requests, if each VM judges by
+/// the one request that it sent there.
+#[test]
+fn slow_upstream_is_found_by_reports_of_vms_that_saw_one_answer_each() {
+    let now = Instant::now();
+    let seen_by = |vms: u64| {
+        let mut table = SpeedTable::default();
+        table.record(7, 100.0, 500.0, now);
+        for peer in 1..vms {
+            let mut sums = SpeedSums::new(now);
+            sums.record(100.0, 500.0, now);
+            table.record_peer(7, peer, sums, now);
+        }
+        table.return_share(7)
+    };
+    assert_eq!(seen_by(1), ReturnShare::Full);
+    assert!(seen_by(40).is_excluded(now));
+}
+
+/// An upstream that was left out is overloaded again, if all VMs send there at once when it
+/// returns.
+#[test]
+fn faulty_upstream_returns_with_a_growing_share_and_is_left_out_longer_after_a_relapse() {
+    let now = Instant::now();
+    let after = |seconds| now + Duration::from_secs(seconds);
+    let excluded = ReturnShare::Full.after_fault(now);
+    assert!(!excluded.admits(0, 0.0, after(1)));
+    assert!(excluded.admits(0, 0.0, after(2)) && !excluded.admits(1, 0.0, after(2)));
+    let returning = excluded.after_good_answer(after(2));
+    assert!(!returning.admits(9, 0.2, after(3)));
+    assert!(returning.admits(9, 0.2, after(5)) && returning.admits(9, 0.99, after(9)));
+    assert_eq!(returning.after_good_answer(after(30)), ReturnShare::Full);
+    let again = returning.after_fault(after(3));
+    assert!(again.is_excluded(after(6)) && !again.is_excluded(after(7)));
+}
+
+/// Requests are sent to the upstream that holds their beginning although all of its slots are
+/// taken, or running requests are expected to use up its memory, while others are free.
+#[test]
+fn holder_without_free_slots_or_memory_is_not_chosen() {
+    let now = Instant::now();
+    let entries = upstreams(48);
+    let shape = long_prompt(1);
+    for (memory, running, is_chosen) in [
+        (519_653, 40, true),
+        (519_653, 60, false),
+        (300_000, 40, false),
+    ] {
+        let mut table = LoadTable::default();
+        for entry in &entries {
+            table.set_cache_capacity(&entry.id, memory);
+        }
+        let service = &entries[0].service;
+        table.record_prompt(service, shape.input.0);
+        table.record_residence(service, Duration::from_secs(4));
+        table.record_placed(&entries[0].id, &shape.parts, now);
+        let load = WorkLoad { unread: 0, running };
+        let report = UpstreamReport {
+            load,
+            ..UpstreamReport::default()
+        };
+        for entry in &entries[1..] {
+            let load = WorkLoad {
+                unread: 0,
+                running: 20,
+            };
+            let report = UpstreamReport { load, ..report };
+            table.record_peer_report(&entry.id, 9, report, now);
+        }
+        table.record_peer_report(&entries[0].id, 9, report, now);
+        let chosen = (0..50).filter(|_| {
+            let choice = choose_for(&mut table, &entries, &shape, now);
+            choice.id == entries[0].id
+        });
+        assert_eq!(
+            chosen.count() > 0,
+            is_chosen,
+            "{memory} tokens, {running} running"
+        );
+    }
+}
