--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! `TROUBLE=0` leaves the disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if
 //! the case couldn't run.
 
+mod drill;
 mod fleet;
 mod http;
 mod json;
@@ -19,6 +20,8 @@
     };
     let code = match case.as_str() {
         "memory" => memory::run(folder, trouble),
+        "drill-all" => drill::run(folder, trouble, drill::Form::AllKilled),
+        "drill-one" => drill::run(folder, trouble, drill::Form::OneRemoved),
         _ => 2,
     };
     exit(code);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -33,6 +33,13 @@
     silent: bool,
 }
 
+/// A copy of the store's content, from which it may come back.
+pub struct Copy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+    leases: Vec<u64>,
+}
+
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -211,6 +218,41 @@
         state.items.get(key).and_then(|item| item.value.clone())
     }
 
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy {
+            items: state.items.clone(),
+            revision: state.revision,
+            leases: state.leases.keys().copied().collect(),
+        }
+    }
+
+    /// Comes back from an older copy. What the system wrote since is gone, leases too; what the
+    /// operator and the runners wrote is written again.
+    pub fn come_back(&self, copy: &Copy) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        let newer: Vec<(String, Option<String>)> = state
+            .items
+            .iter()
+            .filter(|(key, item)| {
+                (key.starts_with("op/") || key.starts_with("servers/"))
+                    && item.revision > copy.revision
+            })
+            .map(|(key, item)| (key.clone(), item.value.clone()))
+            .collect();
+        state.era += 1;
+        state.items = copy.items.clone();
+        state.revision = copy.revision;
+        state.leases.retain(|lease, _| copy.leases.contains(lease));
+        for (key, value) in newer {
+            state.put(&key, value, 0);
+        }
+        state.silent = false;
+        drop(state);
+        changed.notify_all();
+    }
+
     pub fn set_silent(&self, silent: bool) {
         self.state.0.lock().unwrap().silent = silent;
     }
