--- a/review/standin-2/drill.rs
+++ b/review/standin-2/drill.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Outcome;
 use crate::fleet::Record;
 use crate::fleet::WorkFolder;
+use crate::fleet::machine_ip;
 use crate::fleet::request_head;
 use crate::runner::Runner;
 use crate::store::Store;
@@ -104,7 +105,7 @@
         store.put(&runner.key(), &runner.entry("ready", 1));
     }
     let mut machines: Vec<Machine> = (1..=MACHINES)
-        .map(|n| Machine::prepare(&work.path, &format!("edge-bog-a-{n}"), "bog-a", "127.0.0.1", 110, &store))
+        .map(|n| Machine::prepare(&work.path, &format!("edge-bog-a-{n}"), "bog-a", &machine_ip(n), 110, &store))
         .collect();
     machines.iter_mut().for_each(Machine::start);
     if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(15))) {
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -68,6 +68,12 @@
     }
 }
 
+/// Returns the loopback address of a machine, on which no other program takes ports.
+pub fn machine_ip(number: usize) -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{number}", 1 + id % 250, 1 + id / 250 % 250)
+}
+
 /// One edge machine.
 pub struct Machine {
     pub name: String,
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Outcome;
 use crate::fleet::Record;
 use crate::fleet::WorkFolder;
+use crate::fleet::machine_ip;
 use crate::fleet::memory_of;
 use crate::fleet::request_head;
 use crate::runner::Runner;
@@ -59,7 +60,7 @@
         store.put(&runner.key(), &runner.entry("ready", 1));
     }
     let mut machine =
-        Machine::prepare(&work.path, "edge-bog-a-1", "bog-a", "127.0.0.1", MEMORY_MB, &store);
+        Machine::prepare(&work.path, "edge-bog-a-1", "bog-a", &machine_ip(1), MEMORY_MB, &store);
     machine.start();
     if !machine.wait_until_ready(Duration::from_secs(15)) {
         record.say("the machine did not become ready");
