--- a/review/standin-2/drill.rs
+++ b/review/standin-2/drill.rs
@@ -101,7 +101,11 @@
 fn config() -> String {
     let tenants: Vec<String> = TENANTS
         .iter()
-        .map(|n| format!(r#"{{"name":"tenant-{n}","apiKeys":["key-{n}"],"priority":1,"prepaid":{PREPAID}}}"#))
+        .map(|n| {
+            format!(
+                r#"{{"name":"tenant-{n}","apiKeys":["key-{n}"],"priority":1,"prepaid":{PREPAID}}}"#
+            )
+        })
         .collect();
     format!(
         r#"{{"version":7,"routes":[{{"name":"r-1","host":"app.example","pathPrefix":"/perfil/","routeKind":"streaming","timeoutMs":6000,"goalMs":500,"priority":1,"service":"asesor","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapTargetMs":200}}],"services":[{{"name":"asesor","healthPath":"/healthz","maxConns":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kvCapacity":288611,"kvTokenBytes":327680,"linkMbps":550000.0,"moves":true,"backups":true,"stride":{STRIDE},"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#,
@@ -115,24 +119,53 @@
     let store = Store::start("127.0.0.1");
     store.put("op/config", &config());
     for number in 1..=RUNNERS {
-        let runner = Runner::start(&format!("i-{number}"), "asesor", "bog-a", "127.0.0.1", |runner, request, connection| {
-            runner.stream(request, connection, OUTPUT / STRIDE, Duration::from_millis(1))
-        });
+        let runner = Runner::start(
+            &format!("i-{number}"),
+            "asesor",
+            "bog-a",
+            "127.0.0.1",
+            |runner, request, connection| {
+                runner.stream(
+                    request,
+                    connection,
+                    OUTPUT / STRIDE,
+                    Duration::from_millis(1),
+                )
+            },
+        );
         store.put(&runner.key(), &runner.entry("ready", 1));
     }
     let mut machines: Vec<Machine> = (1..=MACHINES)
-        .map(|n| Machine::prepare(&work.path, &format!("edge-bog-a-{n}"), "bog-a", &machine_ip(n), 110, &store))
+        .map(|n| {
+            Machine::prepare(
+                &work.path,
+                &format!("edge-bog-a-{n}"),
+                "bog-a",
+                &machine_ip(n),
+                110,
+                &store,
+            )
+        })
         .collect();
     machines.iter_mut().for_each(Machine::start);
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(15))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(15)))
+    {
         record.say("a machine did not become ready");
         return 2;
     }
     // Budgets can't be granted before the registrations are old enough.
     thread::sleep(Duration::from_secs(10));
-    record.say(&format!("{MACHINES} machines ready; {} tenants send, each with {PREPAID} prepaid tokens", form.tenants().len()));
+    record.say(&format!(
+        "{MACHINES} machines ready; {} tenants send, each with {PREPAID} prepaid tokens",
+        form.tenants().len()
+    ));
     let addresses: Arc<Mutex<Vec<(String, u16)>>> = Arc::new(Mutex::new(
-        machines.iter().map(|machine| (machine.ip.clone(), machine.front)).collect(),
+        machines
+            .iter()
+            .map(|machine| (machine.ip.clone(), machine.front))
+            .collect(),
     ));
     let began = Instant::now();
     let threads: Vec<JoinHandle<Vec<Ending>>> = form
@@ -153,7 +186,10 @@
         let address = (machine.ip.clone(), machine.front);
         addresses.lock().unwrap().retain(|other| *other != address);
         machine.kill();
-        record.say(&format!("{} is removed for good, without SIGTERM", machine.name));
+        record.say(&format!(
+            "{} is removed for good, without SIGTERM",
+            machine.name
+        ));
     }
     if trouble {
         wait(OUTAGE);
@@ -184,22 +220,34 @@
         if form == Form::AllKilled {
             come_back(&record, &store, &copy, trouble, began);
         }
-        if !killed.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+        if !killed
+            .iter()
+            .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+        {
             record.say("a machine did not become ready again");
             return 2;
         }
         back = began.elapsed();
         record.say("all machines that are left are ready");
     }
-    let endings: Vec<Ending> =
-        threads.into_iter().filter_map(|thread| thread.join().ok()).flatten().collect();
+    let endings: Vec<Ending> = threads
+        .into_iter()
+        .filter_map(|thread| thread.join().ok())
+        .flatten()
+        .collect();
     machines.iter_mut().for_each(Machine::kill);
     let mut denied = 0;
     for &tenant in form.tenants() {
-        let own: Vec<&Ending> = endings.iter().filter(|ending| ending.tenant == tenant).collect();
+        let own: Vec<&Ending> = endings
+            .iter()
+            .filter(|ending| ending.tenant == tenant)
+            .collect();
         let served = own.iter().filter(|ending| ending.status == 200).count() as u64;
-        let tokens: u64 = own.iter().filter(|ending| ending.status == 200)
-            .map(|ending| INPUT + ending.events * STRIDE).sum();
+        let tokens: u64 = own
+            .iter()
+            .filter(|ending| ending.status == 200)
+            .map(|ending| INPUT + ending.events * STRIDE)
+            .sum();
         let refused = own.iter().filter(|ending| ending.status == 402).count();
         let other = own.len() as u64 - served - refused as u64;
         denied += refused;
@@ -219,13 +267,18 @@
     if trouble {
         thread::sleep((OUTAGE + OUTAGE_TIME).saturating_sub(began.elapsed()));
         store.come_back(copy);
-        record.say(&format!("the store is back from a copy that is {COPY_AGE:?} old"));
+        record.say(&format!(
+            "the store is back from a copy that is {COPY_AGE:?} old"
+        ));
     }
 }
 
 /// Counts the requests sent at some time, and those of them that were served.
 fn count(endings: &[Ending], is_meant: impl Fn(Duration) -> bool) -> (usize, usize) {
-    let meant: Vec<&Ending> = endings.iter().filter(|ending| is_meant(ending.sent)).collect();
+    let meant: Vec<&Ending> = endings
+        .iter()
+        .filter(|ending| is_meant(ending.sent))
+        .collect();
     let served = meant.iter().filter(|ending| ending.status == 200).count();
     (meant.len(), served)
 }
@@ -245,19 +298,42 @@
             thread::spawn(move || send(&record, tenant, number, &addresses))
         })
         .collect();
-    pending.into_iter().filter_map(|thread| thread.join().ok()).collect()
+    pending
+        .into_iter()
+        .filter_map(|thread| thread.join().ok())
+        .collect()
 }
 
 /// Sends a request, and once more after a promise that it has not run, as a client does.
-fn send(record: &Record, tenant: usize, number: usize, addresses: &Arc<Mutex<Vec<(String, u16)>>>) -> Ending {
+fn send(
+    record: &Record,
+    tenant: usize,
+    number: usize,
+    addresses: &Arc<Mutex<Vec<(String, u16)>>>,
+) -> Ending {
     let sent = SPACING * number as u32;
-    let mut ending = Ending { tenant, sent, status: 0, events: 0 };
+    let mut ending = Ending {
+        tenant,
+        sent,
+        status: 0,
+        events: 0,
+    };
     for attempt in 0..3 {
         let known = addresses.lock().unwrap().clone();
         let (ip, port) = &known[(tenant + number + attempt) % known.len()];
         let id = format!("t{tenant}-{number}-{attempt}");
-        let extra = format!("X-Model: m\r\nX-Token-Usage: {INPUT},{OUTPUT}\r\nX-Prefix-Hash: aa{tenant}:800,bb{tenant}{number}:660\r\n");
-        let head = request_head("POST", "/perfil/2f", &id, &format!("key-{tenant}"), DEADLINE_MS, &extra, 0);
+        let extra = format!(
+            "X-Model: m\r\nX-Token-Usage: {INPUT},{OUTPUT}\r\nX-Prefix-Hash: aa{tenant}:800,bb{tenant}{number}:660\r\n"
+        );
+        let head = request_head(
+            "POST",
+            "/perfil/2f",
+            &id,
+            &format!("key-{tenant}"),
+            DEADLINE_MS,
+            &extra,
+            0,
+        );
         let Ok(mut client) = Client::connect(ip, *port, Duration::from_secs(7)) else {
             record.say(&format!("client: {id} no connection"));
             continue;
@@ -265,8 +341,13 @@
         match client.call(&head, b"") {
             Outcome::Answer(answer) => {
                 ending.status = answer.status();
-                ending.events = String::from_utf8_lossy(&answer.body).matches("id: ").count() as u64;
-                record.say(&format!("client: {id} {} events {}", ending.status, ending.events));
+                ending.events = String::from_utf8_lossy(&answer.body)
+                    .matches("id: ")
+                    .count() as u64;
+                record.say(&format!(
+                    "client: {id} {} events {}",
+                    ending.status, ending.events
+                ));
                 if answer.status() != 503 {
                     return ending;
                 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -80,7 +80,6 @@
     pub ip: String,
     pub front: u16,
     pub readiness: u16,
-    pub memory_mb: u64,
     settings: PathBuf,
     folder: PathBuf,
     pub child: Option<Child>,
@@ -185,7 +184,6 @@
             ip: ip.to_owned(),
             front,
             readiness,
-            memory_mb,
             settings,
             folder: folder.to_owned(),
             child: None,
@@ -196,7 +194,9 @@
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) {
         self.starts += 1;
-        let log = self.folder.join(format!("{}-{}.log", self.name, self.starts));
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", self.name, self.starts));
         let log = File::create(log).expect("log should be writable");
         let child = Command::new("target/release/snipegate-edge")
             .args(["--metrics", &format!("{}:{}", self.ip, free_port(&self.ip))])
@@ -221,13 +221,7 @@
         }
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-    }
-
-    /// Returns the status of the readiness check.
+    /// Returns whether the readiness check answers with 200.
     pub fn is_ready(&self) -> bool {
         let Ok(stream) = TcpStream::connect((self.ip.as_str(), self.readiness)) else {
             return false;
@@ -261,7 +255,8 @@
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
     let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    kib.and_then(|kib| kib.parse().ok()).map_or(0, |kib: u64| kib * 1024)
+    kib.and_then(|kib| kib.parse().ok())
+        .map_or(0, |kib: u64| kib * 1024)
 }
 
 fn free_port(ip: &str) -> u16 {
@@ -286,7 +281,9 @@
 
 impl Client {
     pub fn connect(ip: &str, port: u16, timeout: Duration) -> std::io::Result<Self> {
-        let address = format!("{ip}:{port}").parse().expect("address should be valid");
+        let address = format!("{ip}:{port}")
+            .parse()
+            .expect("address should be valid");
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         stream.set_read_timeout(Some(timeout))?;
         Ok(Self {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -21,10 +21,6 @@
             .map_or("", |(_, value)| value)
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
@@ -119,7 +115,10 @@
 
     /// Reads the body of a message with a length or in chunks.
     pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
-        if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+        if message
+            .header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
+        {
             loop {
                 let size = usize::from_str_radix(self.line()?.trim(), 16).map_err(|_| end())?;
                 let mut part = self.take(size)?;
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -80,7 +80,11 @@
 
     fn number(&mut self) -> Option<Json> {
         let start = self.at;
-        while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|b| b"+-.eE0123456789".contains(b))
+        {
             self.at += 1;
         }
         let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -50,24 +50,39 @@
     let runners: Vec<Runner> = (1..=4)
         .map(|number| {
             let name = format!("i-{number}");
-            Runner::start(&name, "tienda", "bog-a", "127.0.0.1", |runner, request, connection| {
-                thread::sleep(Duration::from_millis(15));
-                runner.answer(request, connection, "confirmed")
-            })
+            Runner::start(
+                &name,
+                "tienda",
+                "bog-a",
+                "127.0.0.1",
+                |runner, request, connection| {
+                    thread::sleep(Duration::from_millis(15));
+                    runner.answer(request, connection, "confirmed")
+                },
+            )
         })
         .collect();
     for runner in &runners {
         store.put(&runner.key(), &runner.entry("ready", 1));
     }
-    let mut machine =
-        Machine::prepare(&work.path, "edge-bog-a-1", "bog-a", &machine_ip(1), MEMORY_MB, &store);
+    let mut machine = Machine::prepare(
+        &work.path,
+        "edge-bog-a-1",
+        "bog-a",
+        &machine_ip(1),
+        MEMORY_MB,
+        &store,
+    );
     machine.start();
     if !machine.wait_until_ready(Duration::from_secs(15)) {
         record.say("the machine did not become ready");
         return 2;
     }
     thread::sleep(Duration::from_millis(1500));
-    record.say(&format!("ready, {} bytes of memory in use", machine.memory()));
+    record.say(&format!(
+        "ready, {} bytes of memory in use",
+        machine.memory()
+    ));
     let (ip, port) = (machine.ip.clone(), machine.front);
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
@@ -75,16 +90,28 @@
             record.say("a client could not connect");
             return 2;
         };
-        let head = request_head("POST", "/reserva/first", &format!("first-{number}"), "key-of-acme", 1500, "", 5);
+        let head = request_head(
+            "POST",
+            "/reserva/first",
+            &format!("first-{number}"),
+            "key-of-acme",
+            1500,
+            "",
+            5,
+        );
         match client.call(&head, b"hello") {
             Outcome::Answer(answer) if answer.status() == 200 => clients.push(client),
             other => {
-                record.say(&format!("a small request on a quiet machine failed: {other:?}"));
+                record.say(&format!(
+                    "a small request on a quiet machine failed: {other:?}"
+                ));
                 return 2;
             }
         }
     }
-    record.say(&format!("{CLIENTS} kept connections, each with one small request answered"));
+    record.say(&format!(
+        "{CLIENTS} kept connections, each with one small request answered"
+    ));
     if trouble {
         for runner in &runners {
             runner.read_rate.store(SLOW_RATE, Ordering::Relaxed);
@@ -106,23 +133,41 @@
             })
         })
         .collect();
-    let results: Vec<(String, Option<u16>)> =
-        threads.into_iter().filter_map(|thread| thread.join().ok()).collect();
+    let results: Vec<(String, Option<u16>)> = threads
+        .into_iter()
+        .filter_map(|thread| thread.join().ok())
+        .collect();
     is_over.store(true, Ordering::Relaxed);
     let peak = platform.join().unwrap_or_default();
     machine.lock().unwrap().kill();
     let passed_on = |id: &str| {
-        runners
-            .iter()
-            .any(|runner| runner.arrivals.lock().unwrap().iter().any(|arrival| arrival.id == id))
+        runners.iter().any(|runner| {
+            runner
+                .arrivals
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|arrival| arrival.id == id)
+        })
     };
     for runner in &runners {
         for arrival in runner.arrivals.lock().unwrap().iter() {
-            record.say_at(arrival.at, &format!("runner {}: {} arrives, body of {} bytes, answered: {}",
-                runner.name, arrival.id, arrival.body_length, arrival.answered.is_some()));
+            record.say_at(
+                arrival.at,
+                &format!(
+                    "runner {}: {} arrives, body of {} bytes, answered: {}",
+                    runner.name,
+                    arrival.id,
+                    arrival.body_length,
+                    arrival.answered.is_some()
+                ),
+            );
         }
     }
-    let answered = results.iter().filter(|(_, status)| status.is_some()).count();
+    let answered = results
+        .iter()
+        .filter(|(_, status)| status.is_some())
+        .count();
     let lost = results
         .iter()
         .filter(|(id, status)| status.is_none() && passed_on(id))
@@ -163,7 +208,15 @@
 fn send_large(record: &Record, number: usize, mut client: Client) -> (String, Option<u16>) {
     let id = format!("large-{number}");
     let body = vec![b'x'; BODY_BYTES];
-    let head = request_head("POST", "/reserva/large", &id, "key-of-acme", DEADLINE_MS, "", BODY_BYTES);
+    let head = request_head(
+        "POST",
+        "/reserva/large",
+        &id,
+        "key-of-acme",
+        DEADLINE_MS,
+        "",
+        BODY_BYTES,
+    );
     record.say(&format!("client: {id} sent, body of {BODY_BYTES} bytes"));
     match client.call(&head, &body) {
         Outcome::Answer(answer) => {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -33,8 +33,6 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub id: String,
-    pub target: String,
-    pub tenant: String,
     pub body_length: usize,
     pub at: Instant,
     /// When the whole answer was written.
@@ -73,7 +71,9 @@
             name: name.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address: listener.local_addr().expect("listener should have an address"),
+            address: listener
+                .local_addr()
+                .expect("listener should have an address"),
             arrivals: Arc::default(),
             leaving: Arc::default(),
             read_rate: Arc::default(),
@@ -104,7 +104,10 @@
     fn serve(&self, mut connection: Connection) {
         while let Ok(mut request) = connection.read_head() {
             if request.path() == "/healthz" {
-                let head = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.name);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.name
+                );
                 if connection.write(head.as_bytes()).is_err() {
                     return;
                 }
@@ -115,7 +118,10 @@
                 if connection.read_body(&mut request).is_err() {
                     return;
                 }
-                let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.name);
+                let head = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.name
+                );
                 if connection.write(head.as_bytes()).is_err() {
                     return;
                 }
@@ -123,8 +129,6 @@
             }
             self.arrivals.lock().unwrap().push(Arrival {
                 id: request.header("x-attempt-id").to_owned(),
-                target: request.target().to_owned(),
-                tenant: request.header("x-tenant").to_owned(),
                 body_length: request.header("content-length").parse().unwrap_or(0),
                 at: Instant::now(),
                 answered: None,
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -55,7 +55,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for place in 0..4 {
             let index = (bits >> (18 - 6 * place)) as usize & 63;
-            text.push(if place <= chunk.len() { SET[index] as char } else { '=' });
+            text.push(if place <= chunk.len() {
+                SET[index] as char
+            } else {
+                '='
+            });
         }
     }
     text
@@ -72,7 +76,12 @@
             .map_or(revision, |item| item.created);
         self.items.insert(
             key.to_owned(),
-            Item { value, revision, created, lease },
+            Item {
+                value,
+                revision,
+                created,
+                lease,
+            },
         );
         revision
     }
@@ -105,7 +114,10 @@
                 r#"{{"key":"{key}","value":"{value}","revision":{},"created":{},"lease":{}}}"#,
                 item.revision, item.created, item.lease
             ),
-            None => format!(r#"{{"key":"{key}","revision":{},"tombstone":true}}"#, item.revision),
+            None => format!(
+                r#"{{"key":"{key}","revision":{},"tombstone":true}}"#,
+                item.revision
+            ),
         }
     }
 
@@ -155,7 +167,11 @@
         }
         for row in writes {
             let value = row.get("value").text().to_owned();
-            self.put(row.get("key").text(), Some(value), row.get("lease").number());
+            self.put(
+                row.get("key").text(),
+                Some(value),
+                row.get("lease").number(),
+            );
         }
         for key in call.get("remove").rows() {
             self.put(key.text(), None, 0);
@@ -167,7 +183,9 @@
 impl Store {
     pub fn start(ip: &str) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("store address should be free");
-        let address = listener.local_addr().expect("listener should have an address");
+        let address = listener
+            .local_addr()
+            .expect("listener should have an address");
         let state = State {
             items: BTreeMap::new(),
             revision: 100,
@@ -202,22 +220,13 @@
 
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.state;
-        state.lock().unwrap().put(key, Some(base64(value.as_bytes())), 0);
+        state
+            .lock()
+            .unwrap()
+            .put(key, Some(base64(value.as_bytes())), 0);
         changed.notify_all();
     }
 
-    pub fn remove(&self, key: &str) {
-        let (state, changed) = &*self.state;
-        state.lock().unwrap().put(key, None, 0);
-        changed.notify_all();
-    }
-
-    /// Returns the value of a key in base64.
-    pub fn get(&self, key: &str) -> Option<String> {
-        let state = self.state.0.lock().unwrap();
-        state.items.get(key).and_then(|item| item.value.clone())
-    }
-
     pub fn copy(&self) -> Copy {
         let state = self.state.0.lock().unwrap();
         Copy {
@@ -309,7 +318,9 @@
                 (200, format!(r#"{{"lease":{lease},"ttlMs":{ttl}}}"#))
             }
             path => {
-                let id = path.strip_prefix("/-/kv-keep/").and_then(|id| id.parse().ok());
+                let id = path
+                    .strip_prefix("/-/kv-keep/")
+                    .and_then(|id| id.parse().ok());
                 let mut state = state.lock().unwrap();
                 match id.and_then(|id: u64| state.leases.get_mut(&id)) {
                     Some((ttl, since)) => {
@@ -343,7 +354,11 @@
             if !events.is_empty() || left.is_zero() {
                 return (
                     200,
-                    format!(r#"{{"events":[{}],"asOf":{}}}"#, events.join(","), state.revision),
+                    format!(
+                        r#"{{"events":[{}],"asOf":{}}}"#,
+                        events.join(","),
+                        state.revision
+                    ),
                 );
             }
             state = changed.wait_timeout(state, left).unwrap().0;
